Add deterministic cores: replication, membership, program state, call flow, simulation

Cause: an empty repository. The cores come first because the same code runs in the daemon, in simulation and, many to a process, in the scale run.

--- /dev/null
+++ b/src/base/digest.cpp
@@ -0,0 +1,52 @@
+#include "base/digest.hpp"
+
+#include <sodium.h>
+#include <xxhash.h>
+
+#include <array>
+
+namespace sailgate::base {
+namespace {
+
+constexpr std::size_t kChainDigestBytes = 16;
+
+void update_with_length(crypto_generichash_state& state, std::string_view bytes) {
+  const std::uint64_t length = bytes.size();
+  std::array<unsigned char, sizeof(length)> prefix{};
+  for (std::size_t i = 0; i < prefix.size(); ++i) {
+    prefix.at(i) = static_cast<unsigned char>(length >> (8U * i));
+  }
+  crypto_generichash_update(&state, prefix.data(), prefix.size());
+  crypto_generichash_update(&state, reinterpret_cast<const unsigned char*>(bytes.data()),
+                            bytes.size());
+}
+
+}  // namespace
+
+std::int64_t fast_digest(std::string_view bytes) {
+  return static_cast<std::int64_t>(XXH64(bytes.data(), bytes.size(), 0));
+}
+
+std::string chain_digest(std::string_view previous, std::string_view content) {
+  crypto_generichash_state state;
+  crypto_generichash_init(&state, nullptr, 0, kChainDigestBytes);
+  update_with_length(state, previous);
+  update_with_length(state, content);
+  std::string digest(kChainDigestBytes, '\0');
+  crypto_generichash_final(&state, reinterpret_cast<unsigned char*>(digest.data()), digest.size());
+  return to_hex(digest);
+}
+
+std::string to_hex(std::string_view bytes) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  text.reserve(bytes.size() * 2);
+  for (const char byte : bytes) {
+    const auto value = static_cast<unsigned char>(byte);
+    text.push_back(kDigits[value >> 4U]);
+    text.push_back(kDigits[value & 15U]);
+  }
+  return text;
+}
+
+}  // namespace sailgate::base
--- /dev/null
+++ b/src/base/digest.hpp
@@ -0,0 +1,20 @@
+/// @file Digests: a fast one for identity checks, a strong one for the history chain.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace sailgate::base {
+
+/// 64-bit xxHash of `bytes`, as a signed value for Thrift fields.
+std::int64_t fast_digest(std::string_view bytes);
+
+/// BLAKE2b-128 (libsodium) over `previous` and `content`, lower-case hexadecimal.
+/// Fields are length-prefixed, so that different splits cannot collide.
+std::string chain_digest(std::string_view previous, std::string_view content);
+
+/// @return `bytes` in lower-case hexadecimal.
+std::string to_hex(std::string_view bytes);
+
+}  // namespace sailgate::base
--- /dev/null
+++ b/src/simulation/simulated_caller.cpp
@@ -0,0 +1,176 @@
+#include "simulation/simulated_caller.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/digest.hpp"
+#include "base/error_table.hpp"
+#include "simulation/simulated_cluster.hpp"
+
+namespace sailgate::simulation {
+namespace {
+
+constexpr base::Millis kCallerPatience = 9000;
+constexpr base::Millis kGatewayPatience = 7000;
+constexpr base::Millis kAttemptDeadline = 3000;
+constexpr base::Millis kRetryPause = 300;
+constexpr const char* kTenant = "federation";
+
+}  // namespace
+
+SimulatedCaller::SimulatedCaller(SimulatedCluster& cluster, std::string program,
+                                 ProgramScript script, std::uint64_t seed)
+    : cluster_(cluster), program_(std::move(program)), script_(script), random_(seed) {}
+
+void SimulatedCaller::start() {
+  cluster_.oracle().program_opened(program_, script_.budget);
+  open();
+}
+
+void SimulatedCaller::open() {
+  standing_ = "opening";
+  wire::OpenProgram request;
+  request.program.program = program_;
+  request.program.tenant = kTenant;
+  request.program.kind = "season-plan";
+  request.program.budget_tokens = script_.budget;
+  request.program.call_limit = script_.calls + 1;
+  wire::ProgramRequest body;
+  body.__set_open_program(request);
+  const auto copy = ++awaited_;
+  cluster_.ask(body, program_, kGatewayPatience, [this, copy](const auto& reply) {
+    if (copy != awaited_) return;
+    if (reply.__isset.accepted) {
+      next_call();
+    } else {
+      cluster_.events().after(kRetryPause, [this] { open(); });
+    }
+  });
+  cluster_.events().after(kCallerPatience, [this, copy] {
+    if (copy == awaited_ && sequence_ == 0) open();
+  });
+}
+
+void SimulatedCaller::next_call() {
+  ++sequence_;
+  ++awaited_;
+  if (sequence_ > script_.calls) {
+    end();
+    return;
+  }
+  key_ = program_ + "/" + std::to_string(sequence_);
+  application_ = random_.chance(40);
+  send_call(true);
+}
+
+wire::AdmitCall SimulatedCaller::make_call() const {
+  wire::AdmitCall admit;
+  admit.call.program = program_;
+  admit.call.sequence = sequence_;
+  admit.call.request_key = key_;
+  admit.call.request_body = "request " + key_;
+  admit.call.request_digest = base::fast_digest(admit.call.request_body);
+  admit.call.target_kind =
+      application_ ? wire::TargetKind::kApplication : wire::TargetKind::kEngine;
+  admit.call.target = application_ ? "book" : "model";
+  admit.call.repeatable = !application_;
+  admit.call.reserved_tokens = application_ ? 0 : script_.tokens_per_call;
+  admit.deadline_in_ms = kAttemptDeadline;
+  admit.tenant = kTenant;
+  return admit;
+}
+
+void SimulatedCaller::send_call(bool first_send) {
+  standing_ = "call " + std::to_string(sequence_);
+  cluster_.oracle().call_sent(program_, sequence_, key_, !application_);
+  const auto copy = ++awaited_;
+  cluster_.call(make_call(), first_send, kGatewayPatience, [this, copy](const auto& reply) {
+    if (copy == awaited_) on_call_reply(reply);
+  });
+  cluster_.events().after(kCallerPatience, [this, copy] {
+    if (copy != awaited_) return;
+    cluster_.oracle().copy_abandoned(key_);
+    send_call(false);
+  });
+}
+
+void SimulatedCaller::on_call_reply(const wire::ProgramReply& reply) {
+  ++awaited_;
+  if (reply.__isset.outcome) {
+    cluster_.oracle().outcome_told(program_, sequence_, key_, reply.outcome);
+    if (random_.chance(50)) {
+      read();
+    } else {
+      next_call();
+    }
+    return;
+  }
+  if (reply.__isset.refusal) {
+    on_call_refused(reply.refusal);
+    return;
+  }
+  cluster_.events().after(kRetryPause, [this] { send_call(false); });
+}
+
+void SimulatedCaller::on_call_refused(const wire::Refusal& refusal) {
+  using Kind = wire::ErrorKind;
+  cluster_.oracle().refusal_told(key_, refusal);
+  standing_ = std::string("call refused: ") + base::error_answer(refusal.kind).name;
+  switch (refusal.kind) {
+    case Kind::kBudgetExceeded:
+      end();
+      return;
+    case Kind::kUnknownProgram:
+    case Kind::kWrongSequence:
+    case Kind::kProgramEnded:
+    case Kind::kKeyReused:
+      cluster_.oracle().program_unfinished(program_, standing_);
+      finished_ = true;
+      return;
+    default:
+      break;
+  }
+  const auto pause = std::max(refusal.retry_after_ms, kRetryPause);
+  cluster_.events().after(pause, [this] { send_call(false); });
+}
+
+void SimulatedCaller::read() {
+  const auto told = cluster_.oracle().outcomes_told(program_);
+  wire::ReadProgram request;
+  request.program = program_;
+  request.tenant = kTenant;
+  wire::ProgramRequest body;
+  body.__set_read_program(request);
+  const auto copy = ++awaited_;
+  cluster_.ask(body, program_, kGatewayPatience, [this, copy, told](const auto& reply) {
+    if (reply.__isset.view) cluster_.oracle().program_read(reply.view, told);
+    if (copy == awaited_) next_call();
+  });
+  cluster_.events().after(kCallerPatience, [this, copy] {
+    if (copy == awaited_) next_call();
+  });
+}
+
+void SimulatedCaller::end() {
+  standing_ = "ending";
+  wire::EndProgram request;
+  request.closed.program = program_;
+  request.closed.reason = "done";
+  request.tenant = kTenant;
+  wire::ProgramRequest body;
+  body.__set_end_program(request);
+  const auto copy = ++awaited_;
+  cluster_.ask(body, program_, kGatewayPatience, [this, copy](const auto& reply) {
+    if (copy != awaited_ || finished_) return;
+    if (reply.__isset.accepted) {
+      finished_ = true;
+    } else {
+      cluster_.events().after(kRetryPause, [this] { end(); });
+    }
+  });
+  cluster_.events().after(kCallerPatience, [this, copy] {
+    if (copy == awaited_ && !finished_) end();
+  });
+}
+
+}  // namespace sailgate::simulation
--- /dev/null
+++ b/src/simulation/simulated_node.cpp
@@ -0,0 +1,305 @@
+#include "simulation/simulated_node.hpp"
+
+#include <utility>
+
+#include "simulation/simulated_cluster.hpp"
+
+namespace sailgate::simulation {
+namespace {
+
+constexpr std::int32_t kPort = 7000;
+constexpr base::Millis kRequestTimeout = 600;
+constexpr base::Millis kRequestRetry = 100;
+constexpr int kMaximumHops = 4;
+
+}  // namespace
+
+SimulatedNode::SimulatedNode(SimulatedCluster& cluster, std::string host, std::string zone,
+                             std::uint64_t seed)
+    : cluster_(cluster), host_(std::move(host)), zone_(std::move(zone)), random_(seed) {}
+
+base::Millis SimulatedNode::local_now() const {
+  const auto now = cluster_.events().now();
+  return now + now * drift_per_mille_ / 1000;
+}
+
+// ---------------------------------------------------------------- process
+
+void SimulatedNode::start() {
+  if (core_) return;
+  ++incarnation_;
+  stopped_ = false;
+  frozen_ = false;
+  const bool keep = cluster_.policies().restart_with_old_identity && member_id_ != 0;
+  if (!keep) member_id_ = cluster_.next_member_id();
+  node::NodeCore::Options options;
+  options.self.id = member_id_;
+  options.self.host = host_;
+  options.self.rpc_port = kPort;
+  options.self.zone = zone_;
+  options.knobs = cluster_.knobs();
+  options.policies = cluster_.policies().node;
+  options.seeds = cluster_.seeds();
+  options.backends = cluster_.backend_descriptions();
+  options.seed = random_.below(UINT64_MAX);
+  core_ = std::make_unique<node::NodeCore>(std::move(options), local_now());
+  post(static_cast<base::Millis>(
+           random_.below(static_cast<std::uint64_t>(cluster_.knobs().heartbeat_interval))),
+       [this] { tick(); });
+}
+
+void SimulatedNode::kill() {
+  core_.reset();
+  frozen_ = false;
+  deferred_.clear();
+  tickets_.clear();
+  flows_.clear();
+}
+
+void SimulatedNode::freeze() {
+  if (core_) frozen_ = true;
+}
+
+void SimulatedNode::thaw() {
+  if (!frozen_) return;
+  frozen_ = false;
+  auto waiting = std::exchange(deferred_, {});
+  for (auto& action : waiting) run_or_defer(std::move(action));
+}
+
+void SimulatedNode::begin_stop() {
+  if (core_) core_->begin_stop();
+}
+
+void SimulatedNode::post(base::Millis delay, std::function<void()> action) {
+  const auto incarnation = incarnation_;
+  cluster_.events().after(delay, [this, incarnation, action = std::move(action)]() mutable {
+    if (core_ && incarnation == incarnation_) run_or_defer(std::move(action));
+  });
+}
+
+void SimulatedNode::run_or_defer(std::function<void()> action) {
+  if (!core_) return;
+  if (frozen_) {
+    deferred_.push_back(std::move(action));
+  } else {
+    action();
+  }
+}
+
+void SimulatedNode::tick() {
+  for (const auto& backend : cluster_.backend_list()) {
+    if (backend->leaving()) core_->on_backend_leaving(backend->description().id);
+  }
+  core_->on_tick(local_now());
+  carry_out(core_->take_actions());
+  if (core_->stopping() && core_->released() && flows_.empty()) {
+    stopped_ = true;
+    kill();
+    return;
+  }
+  post(cluster_.knobs().heartbeat_interval, [this] { tick(); });
+}
+
+// ---------------------------------------------------------------- network
+
+void SimulatedNode::deliver_envelope(const wire::Envelope& envelope) {
+  run_or_defer([this, envelope] {
+    core_->on_envelope(envelope, local_now());
+    carry_out(core_->take_actions());
+  });
+}
+
+void SimulatedNode::carry_out(node::NodeActions actions) {
+  for (auto& outgoing : actions.envelopes) {
+    cluster_.send_envelope(host_, outgoing.address.host, std::move(outgoing.envelope));
+  }
+  for (const auto& command : actions.table) {
+    cluster_.send_table_command(
+        host_, command, [this, incarnation = incarnation_](const node::TableAnswer& answer) {
+          if (!core_ || incarnation != incarnation_) return;
+          run_or_defer([this, answer] {
+            core_->on_table_answer(answer, local_now());
+            carry_out(core_->take_actions());
+          });
+        });
+  }
+  send_evictions(actions);
+  for (const auto& completed : actions.completed) {
+    const auto found = tickets_.find(completed.ticket);
+    if (found == tickets_.end()) continue;
+    const auto answer = std::move(found->second);
+    tickets_.erase(found);
+    answer(completed.reply);
+  }
+}
+
+void SimulatedNode::send_evictions(const node::NodeActions& actions) {
+  const auto incarnation = incarnation_;
+  for (const auto& order : actions.evictions) {
+    cluster_.call_backend(host_, order.backend, [this, order, incarnation](auto& backend) {
+      backend.evict(order.program);
+      cluster_.reply_to_node(backend.description().id, host_, [this, order, incarnation] {
+        if (!core_ || incarnation != incarnation_) return;
+        run_or_defer([this, order] {
+          core_->on_evicted(order, local_now());
+          carry_out(core_->take_actions());
+        });
+      });
+    });
+  }
+  for (const auto& order : actions.cancels) {
+    cluster_.call_backend(host_, order.backend,
+                          [order](auto& backend) { backend.cancel(order.attempt); });
+  }
+  for (const auto& inquiry : actions.inquiries) {
+    cluster_.call_backend(host_, inquiry.backend, [this, inquiry, incarnation](auto& backend) {
+      const auto answer = backend.inquire(inquiry);
+      cluster_.reply_to_node(backend.description().id, host_, [this, answer, incarnation] {
+        if (!core_ || incarnation != incarnation_) return;
+        run_or_defer([this, answer] {
+          core_->on_inquiry_answer(answer, local_now());
+          carry_out(core_->take_actions());
+        });
+      });
+    });
+  }
+}
+
+void SimulatedNode::execute(std::int32_t slot, const wire::ProgramRequest& request,
+                            const Answer& answer) {
+  run_or_defer([this, slot, request, answer] {
+    const auto ticket = next_ticket_++;
+    tickets_[ticket] = answer;
+    core_->submit(ticket, slot, request, local_now());
+    carry_out(core_->take_actions());
+  });
+}
+
+void SimulatedNode::route(std::int32_t slot, const wire::ProgramRequest& request, int hops,
+                          std::int64_t hint, const Answer& answer) {
+  const auto target = hint != 0 ? hint : core_->leader_hint(slot);
+  const auto* member = core_->membership().find(target);
+  if (hops >= kMaximumHops || member == nullptr) {
+    post(1, [answer] { answer({}); });
+    return;
+  }
+  // One of the reply and the time-out comes first; the other finds the question settled.
+  auto settled = std::make_shared<bool>(false);
+  const auto incarnation = incarnation_;
+  const auto finish = [this, slot, request, hops, answer, settled,
+                       incarnation](const wire::ProgramReply& reply) {
+    if (*settled || !core_ || incarnation != incarnation_) return;
+    *settled = true;
+    run_or_defer([this, slot, request, hops, answer, reply] {
+      if (reply.__isset.redirect && reply.redirect.leader != 0) {
+        route(slot, request, hops + 1, reply.redirect.leader, answer);
+      } else {
+        answer(reply);
+      }
+    });
+  };
+  cluster_.send_request(host_, member->host, target, slot, request, finish);
+  post(kRequestTimeout, [finish] { finish({}); });
+}
+
+// ---------------------------------------------------------------- gateway
+
+void SimulatedNode::handle_request(const wire::ProgramRequest& request, const std::string& program,
+                                   base::Millis patience, const Answer& answer) {
+  run_or_defer([this, request, program, patience, answer] {
+    const auto slot = node::slot_of(program, cluster_.knobs().slot_count);
+    retry_request(request, slot, local_now() + patience, answer);
+  });
+}
+
+void SimulatedNode::retry_request(const wire::ProgramRequest& request, std::int32_t slot,
+                                  base::Millis until, const Answer& answer) {
+  route(slot, request, 0, 0, [this, request, slot, until, answer](const auto& reply) {
+    const bool usable = reply.__isset.accepted || reply.__isset.outcome || reply.__isset.refusal ||
+                        reply.__isset.view;
+    if (usable) {
+      answer(reply);
+    } else if (local_now() + kRequestRetry >= until) {
+      answer(node::refusal_reply(wire::ErrorKind::kSlotUnavailable));
+    } else {
+      post(kRequestRetry,
+           [this, request, slot, until, answer] { retry_request(request, slot, until, answer); });
+    }
+  });
+}
+
+void SimulatedNode::handle_call(const wire::AdmitCall& admit, bool first_send,
+                                base::Millis patience, const Answer& answer) {
+  run_or_defer([this, admit, first_send, patience, answer] {
+    auto stamped = admit;
+    stamped.gateway = member_id_;
+    stamped.nonce = random_.identifier();
+    const auto id = next_flow_++;
+    Flow flow;
+    flow.steps = std::make_unique<gateway::CallFlow>(*cluster_.policies().flow, stamped,
+                                                     local_now() + patience, first_send);
+    flow.program = admit.call.program;
+    flow.admit = stamped;
+    flow.answer = answer;
+    const auto step = flow.steps->start();
+    flows_[id] = std::move(flow);
+    run_step(id, step);
+  });
+}
+
+void SimulatedNode::run_step(std::int64_t flow_id, const gateway::FlowStep& step) {
+  const auto found = flows_.find(flow_id);
+  if (found == flows_.end()) return;
+  if (step.kind == gateway::FlowStep::Kind::kAnswer) {
+    const auto answer = std::move(found->second.answer);
+    flows_.erase(found);
+    answer(step.answer);
+    return;
+  }
+  if (step.kind == gateway::FlowStep::Kind::kDispatch) {
+    // The process may be frozen between receiving a grant and acting on it.
+    post(1, [this, flow_id, grant = step.grant] { dispatch(flow_id, grant); });
+    return;
+  }
+  const auto slot = node::slot_of(found->second.program, cluster_.knobs().slot_count);
+  post(step.wait, [this, flow_id, slot, request = step.request] {
+    route(slot, request, 0, 0, [this, flow_id](const wire::ProgramReply& reply) {
+      const auto flow = flows_.find(flow_id);
+      if (flow == flows_.end()) return;
+      run_step(flow_id, flow->second.steps->on_reply(reply, local_now()));
+    });
+  });
+}
+
+void SimulatedNode::dispatch(std::int64_t flow_id, const wire::Grant& grant) {
+  const auto found = flows_.find(flow_id);
+  if (found == flows_.end()) return;
+  const auto& call = found->second.admit.call;
+  DispatchedCall dispatched;
+  dispatched.program = call.program;
+  dispatched.sequence = call.sequence;
+  dispatched.request_key = call.request_key;
+  dispatched.attempt = grant.attempt;
+  dispatched.token_ceiling = grant.token_ceiling;
+  auto settled = std::make_shared<bool>(false);
+  const auto incarnation = incarnation_;
+  const auto finish = [this, flow_id, settled, incarnation](const gateway::DispatchResult& result) {
+    if (*settled || !core_ || incarnation != incarnation_) return;
+    *settled = true;
+    run_or_defer([this, flow_id, result] {
+      const auto flow = flows_.find(flow_id);
+      if (flow == flows_.end()) return;
+      run_step(flow_id, flow->second.steps->on_dispatched(result, local_now()));
+    });
+  };
+  cluster_.call_backend(host_, grant.backend, [this, dispatched, finish](auto& backend) {
+    const auto id = backend.description().id;
+    backend.dispatch(dispatched, [this, id, finish](const gateway::DispatchResult& result) {
+      cluster_.reply_to_node(id, host_, [finish, result] { finish(result); });
+    });
+  });
+  post(grant.deadline_in_ms, [finish] { finish({}); });
+}
+
+}  // namespace sailgate::simulation
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
