Serve one request end to end with real processes

The shells (cpprestsdk, Thrift, timers) run the cores; stand-ins play engines, application engines, tools and the table service.

--- /dev/null
+++ b/apps/sailgate_bench/local_deployment.cpp
@@ -0,0 +1,172 @@
+#include "local_deployment.hpp"
+
+#include <cpprest/json.h>
+#include <signal.h>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+#include <utility>
+
+namespace sailgate::bench {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds kPoll{50};
+constexpr std::chrono::milliseconds kRequestTimeout{2000};
+constexpr int kStandinTimeout = 20'000;
+constexpr std::int32_t kRpcPortOffset = 0;
+constexpr std::int32_t kHttpPortOffset = 1;
+constexpr std::int32_t kStandinPortOffset = 10;
+constexpr const char* kStandinHost = "127.0.0.1";
+
+}  // namespace
+
+LocalDeployment::LocalDeployment(DeploymentShape shape, std::string programs, std::string work)
+    : shape_(std::move(shape)),
+      programs_(std::move(programs)),
+      work_(std::move(work)),
+      next_port_(shape_.base_port + kStandinPortOffset) {
+  std::filesystem::create_directories(work_);
+}
+
+bool LocalDeployment::start(int timeout_millis) {
+  table_address_ = start_standin("table-service", {});
+  machine_list_address_ = start_standin("machine-list", {});
+  object_store_address_ = start_standin("object-store", {});
+  for (std::size_t i = 0; i < shape_.engines; ++i) {
+    engines_.push_back(
+        start_standin("engine", {"--step-us", std::to_string(shape_.step_microseconds),
+                                 "--answer-tokens", std::to_string(shape_.answer_tokens)}));
+  }
+  for (std::size_t i = 0; i < shape_.application_engines; ++i) {
+    application_engines_.push_back(start_standin("application-engine", {}));
+  }
+  tool_address_ = start_standin("tool", {});
+  for (std::size_t zone = 0; zone < shape_.zones; ++zone) {
+    for (std::size_t i = 0; i < shape_.nodes_per_zone; ++i) {
+      Node node;
+      node.host = "127.0." + std::to_string(zone + 1) + "." + std::to_string(i + 1);
+      node.zone = "zone" + std::to_string(zone + 1);
+      node.settings_file = work_ + "/node-" + node.host + ".toml";
+      nodes_.push_back(std::move(node));
+    }
+  }
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    write_settings(nodes_[i]);
+    start_node(i);
+  }
+  const auto limit = Clock::now() + std::chrono::milliseconds(timeout_millis);
+  while (slots_open() < static_cast<std::size_t>(shape_.slots)) {
+    if (Clock::now() >= limit) return false;
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+std::string LocalDeployment::start_standin(const std::string& kind,
+                                           const std::vector<std::string>& options) {
+  const auto port = std::to_string(next_port_++);
+  std::vector<std::string> arguments{
+      programs_ + "/sailgate-standin", kind, "--host", kStandinHost, "--port", port};
+  arguments.insert(arguments.end(), options.begin(), options.end());
+  standins_.push_back(
+      std::make_unique<ChildProcess>(arguments, work_ + "/" + kind + "-" + port + ".log"));
+  auto address = std::string(kStandinHost) + ":" + port;
+  wait_until_answering(address, {"faults"}, kStandinTimeout);
+  return address;
+}
+
+std::string LocalDeployment::backend_table(const std::string& address, const std::string& kind,
+                                           const std::string& serves, std::size_t zone) const {
+  return "[[backends]]\naddress = \"" + address + "\"\nkind = \"" + kind + "\"\nserves = [" +
+         serves + "]\nzone = \"zone" + std::to_string(zone % shape_.zones + 1) + "\"\n";
+}
+
+void LocalDeployment::write_settings(Node& node) const {
+  std::ofstream file(node.settings_file);
+  file << "host = \"" << node.host << "\"\nzone = \"" << node.zone << "\"\n";
+  file << "rpc_port = " << shape_.base_port + kRpcPortOffset << "\n";
+  file << "http_port = " << shape_.base_port + kHttpPortOffset << "\n";
+  file << "table_service = \"" << table_address_ << "\"\n";
+  file << "machine_list = \"" << machine_list_address_ << "\"\n";
+  file << "seeds = [";
+  for (const auto& seed : nodes_) {
+    file << "\"" << seed.host << ":" << shape_.base_port + kRpcPortOffset << "\", ";
+  }
+  file << "]\n" << shape_.extra_settings;
+  std::size_t zone = 0;
+  for (const auto& engine : engines_) file << backend_table(engine, "engine", "\"model\"", zone++);
+  zone = 0;
+  for (const auto& application : application_engines_) {
+    file << backend_table(application, "application", "\"book\", \"order\", \"status\"", zone++);
+  }
+  file << backend_table(tool_address_, "tool", "\"calendar\", \"insurer\"", 0);
+  file << "[knobs]\nslot_count = " << shape_.slots << "\n";
+}
+
+void LocalDeployment::start_node(std::size_t index) {
+  auto& node = nodes_.at(index);
+  node.process = std::make_unique<ChildProcess>(
+      std::vector<std::string>{programs_ + "/sailgated", "--settings", node.settings_file},
+      work_ + "/node-" + node.host + ".log");
+}
+
+bool LocalDeployment::stop(int timeout_millis) {
+  bool clean = true;
+  for (auto& node : nodes_) node.process->signal(SIGTERM);
+  for (auto& node : nodes_) {
+    const bool ended = node.process->wait(timeout_millis);
+    clean = clean && ended && node.process->exit_code() == 0;
+  }
+  for (auto& standin : standins_) standin->signal(SIGTERM);
+  for (auto& standin : standins_) standin->wait(timeout_millis);
+  return clean;
+}
+
+std::string LocalDeployment::node_address(std::size_t index) const {
+  return nodes_.at(index).host + ":" + std::to_string(shape_.base_port + kHttpPortOffset);
+}
+
+std::string LocalDeployment::zone_of(std::size_t index) const { return nodes_.at(index).zone; }
+
+bool LocalDeployment::wait_until_answering(const std::string& address,
+                                           const std::vector<std::string>& path,
+                                           int timeout_millis) {
+  const auto limit = Clock::now() + std::chrono::milliseconds(timeout_millis);
+  while (get(address, path).empty()) {
+    if (Clock::now() >= limit) return false;
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+std::string LocalDeployment::get(const std::string& address, const std::vector<std::string>& path) {
+  http::HttpRequest request;
+  request.path = path;
+  const auto result = client_.send(address, request, kRequestTimeout);
+  return result.body_complete && result.response.status == 200 ? result.response.body : "";
+}
+
+bool LocalDeployment::set_faults(const std::string& address, const std::string& json) {
+  http::HttpRequest request;
+  request.method = "POST";
+  request.path = {"faults"};
+  request.body = json;
+  const auto result = client_.send(address, request, kRequestTimeout);
+  return result.body_complete && result.response.status == 200;
+}
+
+std::size_t LocalDeployment::slots_open() {
+  std::size_t open = 0;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const auto body = get(node_address(i), {"v1", "status"});
+    if (body.empty()) continue;
+    open += static_cast<std::size_t>(web::json::value::parse(body).at("slots_open").as_integer());
+  }
+  return open;
+}
+
+}  // namespace sailgate::bench
--- /dev/null
+++ b/src/gateway/caller_api.cpp
@@ -0,0 +1,253 @@
+#include "gateway/caller_api.hpp"
+
+#include <glog/logging.h>
+
+#include "base/error_table.hpp"
+#include "gateway/answers.hpp"
+#include "gateway/call_request.hpp"
+#include "http/json_body.hpp"
+
+namespace sailgate::gateway {
+namespace {
+
+using Kind = wire::ErrorKind;
+
+constexpr base::Millis kRequestPatience = 8000;
+constexpr int kCreated = 201;
+constexpr std::size_t kProgramDepth = 3;  // v1/programs/{id}
+constexpr std::size_t kActionDepth = 4;   // v1/programs/{id}/calls
+constexpr std::size_t kKeyDepth = 5;      // v1/programs/{id}/calls/{key}
+
+std::string tenant_of(const http::HttpRequest& request) {
+  auto tenant = request.header("sailgate-tenant");
+  if (tenant.empty() || tenant.size() > kLongestName) {
+    throw http::BadBody(Kind::kUnauthorized, "the header Sailgate-Tenant must name the tenant");
+  }
+  return tenant;
+}
+
+/// Sends pieces as events once there is one; a refusal before that is a plain answer.
+class EventStream {
+ public:
+  explicit EventStream(http::Responder& responder) : responder_(responder) {}
+
+  bool piece(const std::string& text) {
+    begin();
+    return responder_.write(piece_event(text));
+  }
+
+  void finish(const wire::ProgramReply& reply) {
+    const auto whole = reply_answer(reply);
+    if (!begun_ && !reply.__isset.outcome) {
+      responder_.send(whole);
+      return;
+    }
+    begin();
+    responder_.write(event_text(reply.__isset.outcome ? "end" : "error", whole.body));
+    responder_.end_stream();
+  }
+
+ private:
+  void begin() {
+    if (begun_) return;
+    begun_ = true;
+    http::HttpResponse head;
+    head.content_type = "text/event-stream";
+    responder_.begin_stream(head);
+  }
+
+  http::Responder& responder_;
+  bool begun_ = false;
+};
+
+/// Counts a call while it is being answered.
+class ActiveCall {
+ public:
+  explicit ActiveCall(std::atomic<std::size_t>& count) : count_(count) { ++count_; }
+  ActiveCall(const ActiveCall&) = delete;
+  ActiveCall& operator=(const ActiveCall&) = delete;
+  ~ActiveCall() { --count_; }
+
+ private:
+  std::atomic<std::size_t>& count_;
+};
+
+}  // namespace
+
+void CallerApi::handle(const http::HttpRequest& request, http::Responder& responder) {
+  try {
+    dispatch(request, responder);
+  } catch (const http::BadBody& error) {
+    refuse(error.kind(), error.what(), responder);
+  } catch (const std::exception& error) {
+    LOG(ERROR) << "request failed: " << error.what();
+    refuse(Kind::kInternal, "", responder);
+  }
+}
+
+void CallerApi::dispatch(const http::HttpRequest& request, http::Responder& responder) {
+  const auto& path = request.path;
+  if (path.size() == 1 && path[0] == "metrics") {
+    http::HttpResponse page;
+    page.content_type = "text/plain; version=0.0.4";
+    page.body = statistics_.render(node_.status());
+    responder.send(page);
+    return;
+  }
+  const bool versioned = path.size() >= 2 && path[0] == "v1";
+  if (versioned && path.size() == 2 && path[1] == "status") return status(responder);
+  if (versioned && path[1] == "programs") return handle_program(request, responder);
+  refuse(Kind::kUnknownResource, "", responder);
+}
+
+void CallerApi::handle_program(const http::HttpRequest& request, http::Responder& responder) {
+  const auto& path = request.path;
+  const auto& method = request.method;
+  const auto depth = path.size();
+  const std::string action = depth >= kActionDepth ? path[3] : "";
+  if (depth == 2) {
+    if (method == "POST") return open_program(request, responder);
+  } else if (depth == kProgramDepth) {
+    if (method == "GET") return read(request, responder);
+    if (method == "DELETE") return end(request, responder);
+  } else if (depth == kActionDepth && action == "calls") {
+    if (method == "POST") return call(request, responder);
+  } else if (depth == kKeyDepth && action == "calls") {
+    if (method == "GET") return look_up(request, responder);
+  } else if (depth == kActionDepth && action == "pause") {
+    if (method == "POST") return pause(request, responder);
+  } else {
+    refuse(Kind::kUnknownResource, "", responder);
+    return;
+  }
+  refuse(Kind::kMethodNotAllowed, "", responder);
+}
+
+// ---------------------------------------------------------------- routes
+
+void CallerApi::open_program(const http::HttpRequest& request, http::Responder& responder) {
+  statistics_.count_request("open");
+  const auto tenant = tenant_of(request);
+  wire::OpenProgram open;
+  open.program = parse_opening(tenant, request.body);
+  if (stopping_) return refuse(Kind::kStopping, "", responder);
+  wire::ProgramRequest body;
+  body.__set_open_program(open);
+  const auto reply = ask(open.program.program, body);
+  if (reply.__isset.accepted) {
+    responder.send(accepted_answer(reply.accepted.program, kCreated));
+    return;
+  }
+  answer(reply, responder);
+}
+
+void CallerApi::call(const http::HttpRequest& request, http::Responder& responder) {
+  statistics_.count_request("call");
+  const auto tenant = tenant_of(request);
+  const auto parsed = parse_call(request.path[2], tenant, request.body);
+  if (stopping_) {
+    // Whether an earlier copy runs elsewhere is not known here.
+    wire::Refusal refusal;
+    refusal.kind = Kind::kStopping;
+    refusal.retry_after_ms = base::error_answer(Kind::kStopping).retry_after;
+    refusal.ran = parsed.first_send ? wire::Ran::kNotRun : wire::Ran::kUnknown;
+    statistics_.count_refusal(refusal.kind);
+    responder.send(refusal_answer(refusal));
+    return;
+  }
+  const ActiveCall active(active_calls_);
+  if (!parsed.stream) {
+    answer(runner_.run(parsed.admit, parsed.first_send, parsed.deadline, {}), responder);
+    return;
+  }
+  EventStream events(responder);
+  const auto reply =
+      runner_.run(parsed.admit, parsed.first_send, parsed.deadline,
+                  [&events](const std::string& piece) { return events.piece(piece); });
+  if (reply.__isset.outcome) statistics_.count_outcome(reply.outcome.outcome);
+  if (reply.__isset.refusal) statistics_.count_refusal(reply.refusal.kind);
+  events.finish(reply);
+}
+
+void CallerApi::look_up(const http::HttpRequest& request, http::Responder& responder) {
+  statistics_.count_request("look_up");
+  wire::LookUpCall look_up;
+  look_up.program = request.path[2];
+  look_up.request_key = request.path[4];
+  look_up.tenant = tenant_of(request);
+  wire::ProgramRequest body;
+  body.__set_look_up_call(look_up);
+  answer(ask(look_up.program, body), responder);
+}
+
+void CallerApi::pause(const http::HttpRequest& request, http::Responder& responder) {
+  statistics_.count_request("pause");
+  constexpr std::int64_t kLongestPause = 86'400'000;
+  wire::ReportToolPause report;
+  report.tenant = tenant_of(request);
+  const auto json = http::parse_object(request.body);
+  http::reject_unknown_fields(json, {"expected_ms"});
+  report.pause.program = request.path[2];
+  report.pause.expected_ms = http::integer_field(json, "expected_ms", 0, kLongestPause);
+  wire::ProgramRequest body;
+  body.__set_report_tool_pause(report);
+  answer(ask(report.pause.program, body), responder);
+}
+
+void CallerApi::read(const http::HttpRequest& request, http::Responder& responder) {
+  statistics_.count_request("read");
+  wire::ReadProgram read;
+  read.program = request.path[2];
+  read.tenant = tenant_of(request);
+  wire::ProgramRequest body;
+  body.__set_read_program(read);
+  answer(ask(read.program, body), responder);
+}
+
+void CallerApi::end(const http::HttpRequest& request, http::Responder& responder) {
+  statistics_.count_request("end");
+  wire::EndProgram end;
+  end.closed.program = request.path[2];
+  end.closed.reason = "ended by its caller";
+  end.tenant = tenant_of(request);
+  wire::ProgramRequest body;
+  body.__set_end_program(end);
+  answer(ask(end.closed.program, body), responder);
+}
+
+void CallerApi::status(http::Responder& responder) {
+  const auto status = node_.status();
+  auto body = web::json::value::object();
+  body["member_id"] = web::json::value::string(std::to_string(status.member_id));
+  body["members_alive"] =
+      web::json::value::number(static_cast<std::uint64_t>(status.members_alive));
+  body["slots_held"] = web::json::value::number(static_cast<std::uint64_t>(status.slots_held));
+  body["slots_led"] = web::json::value::number(static_cast<std::uint64_t>(status.slots_led));
+  body["slots_open"] = web::json::value::number(static_cast<std::uint64_t>(status.slots_open));
+  body["programs"] = web::json::value::number(static_cast<std::uint64_t>(status.programs));
+  body["stopping"] = web::json::value::boolean(status.stopping);
+  body["active_calls"] = web::json::value::number(static_cast<std::uint64_t>(active_calls_.load()));
+  http::HttpResponse response;
+  response.body = body.serialize();
+  responder.send(response);
+}
+
+// ---------------------------------------------------------------- answers
+
+wire::ProgramReply CallerApi::ask(const std::string& program, const wire::ProgramRequest& request) {
+  return node_.route(program, request, kRequestPatience);
+}
+
+void CallerApi::answer(const wire::ProgramReply& reply, http::Responder& responder) {
+  if (reply.__isset.outcome) statistics_.count_outcome(reply.outcome.outcome);
+  if (reply.__isset.refusal) statistics_.count_refusal(reply.refusal.kind);
+  responder.send(reply_answer(reply));
+}
+
+void CallerApi::refuse(wire::ErrorKind::type kind, const std::string& detail,
+                       http::Responder& responder) {
+  statistics_.count_refusal(kind);
+  responder.send(refusal_answer(kind, detail));
+}
+
+}  // namespace sailgate::gateway
--- a/src/node/core/node_core.cpp
+++ b/src/node/core/node_core.cpp
@@ -168,6 +168,12 @@
   });
 }
 
+bool NodeCore::successor_known() const {
+  const auto usable = membership_.usable_members();
+  return std::any_of(usable.begin(), usable.end(),
+                     [this](const wire::Member& member) { return member.id != options_.self.id; });
+}
+
 // ---------------------------------------------------------------- slots
 
 SlotReplica& NodeCore::replica(std::int32_t slot, base::Millis now) {
--- a/src/node/core/node_core.hpp
+++ b/src/node/core/node_core.hpp
@@ -60,6 +60,8 @@
   bool stopping() const { return stopping_; }
   /// No group lists this node any more, so that it may exit without loss.
   bool released() const;
+  /// Some other node is there to take replicas over.
+  bool successor_known() const;
 
   /// Member that most likely leads the slot; 0 when none is known.
   std::int64_t leader_hint(std::int32_t slot) const;
--- a/src/node/core/slot_replica.cpp
+++ b/src/node/core/slot_replica.cpp
@@ -1,5 +1,6 @@
 #include "node/core/slot_replica.hpp"
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
@@ -115,13 +116,7 @@
     actions.completed.push_back({ticket, accepted_reply(opened.program)});
     return;
   }
-  if (group_.log().members().members.size() < context_.knobs.minimum_members) {
-    actions.completed.push_back({ticket, refusal_reply(Kind::kSlotUnavailable)});
-    return;
-  }
-  // Until the table service lists a second member, a founder's loss must not lose a program.
-  for (const auto& row : state_.possible_rows()) {
-    if (row.members.size() >= context_.knobs.minimum_members) continue;
+  if (!holds_enough_copies()) {
     actions.completed.push_back({ticket, refusal_reply(Kind::kSlotUnavailable)});
     return;
   }
@@ -320,6 +315,21 @@
   return group_.propose(entry).has_value();
 }
 
+bool SlotReplica::takes_programs(base::Millis now) const {
+  return group_.may_serve(now) && holds_enough_copies();
+}
+
+/// Until the table service lists a second member, a founder's loss must not lose a program.
+bool SlotReplica::holds_enough_copies() const {
+  const auto enough = [this](const auto& members) {
+    return members.size() >= context_.knobs.minimum_members;
+  };
+  const auto& rows = state_.possible_rows();
+  return enough(group_.log().members().members) &&
+         std::all_of(rows.begin(), rows.end(),
+                     [&enough](const wire::SlotRow& row) { return enough(row.members); });
+}
+
 // ---------------------------------------------------------------- results
 
 void SlotReplica::settle(NodeActions& actions) {
--- a/src/node/core/slot_replica.hpp
+++ b/src/node/core/slot_replica.hpp
@@ -48,6 +48,9 @@
   /// Proposes an entry nobody waits for. @return whether this replica took it.
   bool propose(const wire::JournalEntry& entry);
 
+  /// Leads, serves, and a second member is recorded in the table service.
+  bool takes_programs(base::Millis now) const;
+
   replication::ReplicaGroup& group() { return group_; }
   const replication::ReplicaGroup& group() const { return group_; }
   const program::SlotState& state() const { return state_; }
@@ -87,6 +90,7 @@
                                  const wire::CallRecord& call) const;
   const wire::ProgramRecord* find_owned(const std::string& program,
                                         const std::string& tenant) const;
+  bool holds_enough_copies() const;
   void rebuild_outstanding();
   void release_outstanding();
 
--- /dev/null
+++ b/src/node/node_settings.cpp
@@ -0,0 +1,108 @@
+#include "node/node_settings.hpp"
+
+#include <stdexcept>
+
+#include "node/settings_reader.hpp"
+
+namespace sailgate::node {
+namespace {
+
+constexpr std::int64_t kHighestPort = 65535;
+
+membership::Address address_of(SettingsTable& table, const std::string& key,
+                               const std::string& text) {
+  try {
+    return parse_address(text);
+  } catch (const std::invalid_argument& error) {
+    table.fail(key, error.what());
+  }
+}
+
+wire::TargetKind::type kind_of(SettingsTable& table, const std::string& text) {
+  if (text == "engine") return wire::TargetKind::kEngine;
+  if (text == "application") return wire::TargetKind::kApplication;
+  if (text == "tool") return wire::TargetKind::kTool;
+  table.fail("kind", "must be engine, application or tool");
+}
+
+scheduling::Backend read_backend(SettingsTable& table) {
+  scheduling::Backend backend;
+  backend.id = table.required_text("address");
+  address_of(table, "address", backend.id);
+  backend.kind = kind_of(table, table.required_text("kind"));
+  backend.zone = table.text("zone", "");
+  backend.capacity = static_cast<std::int32_t>(table.integer("capacity", 16, 1, 100'000));
+  for (const auto& target : table.texts("serves")) backend.targets.insert(target);
+  if (backend.targets.empty()) table.fail("serves", "must name at least one target");
+  table.finish();
+  return backend;
+}
+
+void read_knobs(SettingsTable table, base::Knobs& knobs) {
+  constexpr std::int64_t kDay = 86'400'000;
+  const auto duration = [&table](const std::string& key, base::Millis& value) {
+    value = table.integer(key, value, 1, kDay);
+  };
+  duration("heartbeat_interval_ms", knobs.heartbeat_interval);
+  duration("election_timeout_ms", knobs.election_timeout);
+  duration("lease_duration_ms", knobs.lease_duration);
+  duration("suspicion_timeout_ms", knobs.suspicion_timeout);
+  duration("probe_interval_ms", knobs.probe_interval);
+  duration("probe_timeout_ms", knobs.probe_timeout);
+  duration("suspect_timeout_ms", knobs.suspect_timeout);
+  duration("full_sync_interval_ms", knobs.full_sync_interval);
+  duration("join_delay_ms", knobs.join_delay);
+  duration("idle_limit_ms", knobs.idle_limit);
+  knobs.slot_count =
+      static_cast<std::int32_t>(table.integer("slot_count", knobs.slot_count, 1, 65'536));
+  knobs.replica_count = static_cast<std::size_t>(
+      table.integer("replica_count", static_cast<std::int64_t>(knobs.replica_count), 1, 7));
+  knobs.slot_state_limit = static_cast<std::size_t>(
+      table.integer("slot_state_limit_bytes", static_cast<std::int64_t>(knobs.slot_state_limit),
+                    1024, std::int64_t{1} << 33U));
+  if (knobs.lease_duration >= knobs.election_timeout) {
+    table.fail("lease_duration_ms", "must be less than election_timeout_ms");
+  }
+  table.finish();
+}
+
+}  // namespace
+
+membership::Address parse_address(const std::string& text) {
+  const auto colon = text.rfind(':');
+  const auto problem = std::invalid_argument("must be HOST:PORT");
+  if (colon == std::string::npos || colon == 0 || colon + 1 == text.size()) throw problem;
+  const auto digits = text.substr(colon + 1);
+  const bool numeric = digits.find_first_not_of("0123456789") == std::string::npos;
+  if (!numeric || digits.size() > 5) throw problem;
+  const auto port = std::stol(digits);
+  if (port < 1 || port > kHighestPort) throw problem;
+  return {text.substr(0, colon), static_cast<std::int32_t>(port)};
+}
+
+NodeSettings read_node_settings(const std::string& file) {
+  auto table = read_settings_file(file);
+  NodeSettings settings;
+  settings.host = table.required_text("host");
+  settings.zone = table.required_text("zone");
+  settings.rpc_port =
+      static_cast<std::int32_t>(table.integer("rpc_port", settings.rpc_port, 1, kHighestPort));
+  settings.http_port =
+      static_cast<std::int32_t>(table.integer("http_port", settings.http_port, 1, kHighestPort));
+  settings.http_workers = static_cast<std::size_t>(table.integer("http_workers", 64, 1, 4096));
+  for (const auto& seed : table.texts("seeds")) {
+    settings.seeds.push_back(address_of(table, "seeds", seed));
+  }
+  settings.table_service = table.required_text("table_service");
+  address_of(table, "table_service", settings.table_service);
+  settings.machine_list = table.text("machine_list", "");
+  if (!settings.machine_list.empty()) address_of(table, "machine_list", settings.machine_list);
+  for (auto& backend : table.tables("backends")) {
+    settings.backends.push_back(read_backend(backend));
+  }
+  read_knobs(table.table("knobs"), settings.knobs);
+  table.finish();
+  return settings;
+}
+
+}  // namespace sailgate::node
