--- a/apps/sailgate_bench/main.cpp
+++ b/apps/sailgate_bench/main.cpp
@@ -10,6 +10,7 @@
 
 #include "cli/command_line.hpp"
 #include "demo.hpp"
+#include "fuzz.hpp"
 #include "http/http_server.hpp"
 
 namespace {
@@ -30,9 +31,18 @@
 }
 
 int run(int argc, char** argv) {
-  options::options_description description("sailgate-bench COMMAND [options]; COMMAND is demo");
+  options::options_description description(
+      "sailgate-bench COMMAND [options]; COMMAND is demo or fuzz");
   description.add_options()("help", "print this text")("version", "print the version")(
-      "command", options::value<std::string>(), "what to do");
+      "command", options::value<std::string>(), "what to do")(
+      "seed", options::value<std::uint64_t>()->default_value(1), "fuzz: seed")(
+      "cases", options::value<int>()->default_value(100), "fuzz: number of cases")(
+      "sabotage", options::value<std::string>()->default_value(""),
+      "fuzz: break this policy; the run must then fail")(
+      "reproduce", options::value<std::string>()->default_value(""),
+      "fuzz: run the case an earlier run printed after 'reproduce='")(
+      "no-shrink", "fuzz: report the schedule as found")("list-sabotages",
+                                                         "fuzz: name the sabotages");
   options::positional_options_description positional;
   positional.add("command", 1);
   options::variables_map values;
@@ -51,6 +61,16 @@
   const auto command = values["command"].as<std::string>();
   http::initialize_http(kHttpLibraryThreads);
   if (command == "demo") return bench::run_demo(own_directory(), work_directory());
+  if (command == "fuzz") {
+    if (values.count("list-sabotages") > 0) return bench::list_sabotages();
+    bench::FuzzOptions fuzz;
+    fuzz.seed = values["seed"].as<std::uint64_t>();
+    fuzz.cases = values["cases"].as<int>();
+    fuzz.sabotage = values["sabotage"].as<std::string>();
+    fuzz.reproduce = values["reproduce"].as<std::string>();
+    fuzz.shrink = values.count("no-shrink") == 0;
+    return bench::run_fuzz(fuzz);
+  }
   throw options::error("unknown command '" + command + "'");
 }
 
--- a/apps/sailgate_standin/application_service.hpp
+++ b/apps/sailgate_standin/application_service.hpp
@@ -32,7 +32,7 @@
   std::map<std::string, int> effects_;
   std::map<std::string, std::string> results_;
   std::set<std::string> running_;
-  std::set<std::string> fenced_;
+  std::set<std::string> fenced_;  ///< attempts that must not run any more
   std::atomic<bool> draining_{false};
   std::atomic<int> active_{0};
 };
--- a/idl/sailgate.thrift
+++ b/idl/sailgate.thrift
@@ -169,9 +169,13 @@
 /** Drops an ended program that owes nothing, after its retention time. */
 struct ProgramForgotten { 1: string program }
 
-/** Replaces the member list of the replica group itself. */
+/**
+ * Replaces the member list of the replica group itself. While `previous` is not empty, both lists
+ * are in force: every decision needs a majority of each (joint consensus).
+ */
 struct MembersChanged {
   1: list<Member> members
+  2: list<Member> previous
 }
 
 /**
@@ -194,20 +198,21 @@
 /** First entry of a view; carries no change. */
 struct ViewStarted {}
 
+/** By reference: the union stays small, and copies share the immutable entry. */
 union JournalEntry {
-  1: ProgramOpened program_opened
-  2: CallAdmitted call_admitted
-  3: AttemptStarted attempt_started
-  4: AttemptEnded attempt_ended
-  5: ToolPauseReported tool_pause_reported
-  6: ProgramClosed program_closed
-  7: EvictionAcknowledged eviction_acknowledged
-  8: MembersChanged members_changed
-  9: ViewStarted view_started
-  10: ProgramForgotten program_forgotten
-  11: RowIntended row_intended
-  12: RowRecorded row_recorded
-  13: CallWithdrawn call_withdrawn
+  1: ProgramOpened& program_opened
+  2: CallAdmitted& call_admitted
+  3: AttemptStarted& attempt_started
+  4: AttemptEnded& attempt_ended
+  5: ToolPauseReported& tool_pause_reported
+  6: ProgramClosed& program_closed
+  7: EvictionAcknowledged& eviction_acknowledged
+  8: MembersChanged& members_changed
+  9: ViewStarted& view_started
+  10: ProgramForgotten& program_forgotten
+  11: RowIntended& row_intended
+  12: RowRecorded& row_recorded
+  13: CallWithdrawn& call_withdrawn
 }
 
 struct LogRecord {
@@ -231,6 +236,8 @@
   2: bool accepted
   3: i64 match_index
   4: i64 sent_at
+  /** Counts how often the sender has dropped its log; older answers say nothing about it. */
+  5: i32 generation
 }
 
 struct VoteRequest {
@@ -255,6 +262,7 @@
   5: i64 members_index
   6: binary state
   7: i64 sent_at
+  8: list<Member> previous
 }
 
 /** Tells the receiver to start an election at once (leadership transfer). */
@@ -263,14 +271,15 @@
 /** Tells a removed member that the list at `members_index`, without it, is committed. */
 struct Removed { 1: i64 view; 2: i64 members_index }
 
+/** By reference, as JournalEntry. */
 union GroupBody {
-  1: AppendRequest append_request
-  2: AppendReply append_reply
-  3: VoteRequest vote_request
-  4: VoteReply vote_reply
-  5: InstallSnapshot install_snapshot
-  6: ElectNow elect_now
-  7: Removed removed
+  1: AppendRequest& append_request
+  2: AppendReply& append_reply
+  3: VoteRequest& vote_request
+  4: VoteReply& vote_reply
+  5: InstallSnapshot& install_snapshot
+  6: ElectNow& elect_now
+  7: Removed& removed
 }
 
 struct GroupMessage {
--- a/src/gateway/call_runner.cpp
+++ b/src/gateway/call_runner.cpp
@@ -40,6 +40,7 @@
   const auto started = node::NodeRuntime::now();
   const auto give_up_at = started + patience;
   base::Millis backend_time = 0;
+  auto granted_at = started;
   admit.gateway = node_.member_id();
   admit.nonce = new_nonce();
   const auto program = admit.call.program;
@@ -49,13 +50,14 @@
     if (step.wait > 0) std::this_thread::sleep_for(std::chrono::milliseconds(step.wait));
     const auto now = node::NodeRuntime::now();
     if (step.kind == FlowStep::Kind::kDispatch) {
-      const auto result = dispatch(admit, step.grant, give_up_at, on_piece);
+      const auto result = dispatch(admit, step.grant, granted_at, give_up_at, on_piece);
       backend_time += node::NodeRuntime::now() - now;
       step = flow.on_dispatched(result, node::NodeRuntime::now());
     } else {
       const auto left = std::max<base::Millis>(give_up_at - now, 1);
       const auto reply = node_.route(program, step.request, std::min(left, kRequestTimeout));
-      step = flow.on_reply(reply, node::NodeRuntime::now());
+      granted_at = node::NodeRuntime::now();
+      step = flow.on_reply(reply, granted_at);
     }
   }
   const auto total = node::NodeRuntime::now() - started;
@@ -64,7 +66,7 @@
 }
 
 DispatchResult CallRunner::dispatch(const wire::AdmitCall& admit, const wire::Grant& grant,
-                                    base::Millis give_up_at,
+                                    base::Millis granted_at, base::Millis give_up_at,
                                     const backend::BackendClient::PieceHandler& on_piece) {
   backend::AttemptOrder order;
   order.program = admit.call.program;
@@ -76,7 +78,9 @@
   order.repeatable = admit.call.repeatable;
   order.grant = grant;
   const auto left = std::min(grant.deadline_in_ms, give_up_at - node::NodeRuntime::now());
-  if (left <= 0) {
+  const bool fresh = grant_is_fresh(node::NodeRuntime::now() - granted_at,
+                                    node_.backend_is_leaving(grant.backend));
+  if (left <= 0 || !fresh) {
     DispatchResult unsent;
     unsent.kind = DispatchResult::Kind::kUnsent;
     return unsent;
--- a/src/gateway/call_runner.hpp
+++ b/src/gateway/call_runner.hpp
@@ -25,7 +25,7 @@
 
  private:
   DispatchResult dispatch(const wire::AdmitCall& admit, const wire::Grant& grant,
-                          base::Millis give_up_at,
+                          base::Millis granted_at, base::Millis give_up_at,
                           const backend::BackendClient::PieceHandler& on_piece);
 
   node::NodeRuntime& node_;
--- a/src/gateway/core/call_flow.cpp
+++ b/src/gateway/core/call_flow.cpp
@@ -9,6 +9,8 @@
 
 /// Pause before a leader is asked again.
 constexpr base::Millis kRetryPause = 50;
+/// Age at which an unused grant is given back.
+constexpr base::Millis kGrantFreshness = 500;
 /// Pause between look-ups of a call that another gateway is running.
 constexpr base::Millis kLookUpPause = 100;
 
@@ -24,6 +26,10 @@
 
 }  // namespace
 
+bool grant_is_fresh(base::Millis age, bool backend_leaving) {
+  return age <= kGrantFreshness && !backend_leaving;
+}
+
 bool FlowRules::answer_matches(std::int64_t attempt, const DispatchResult& result) const {
   return result.answered_attempt == attempt;
 }
--- a/src/gateway/core/call_flow.hpp
+++ b/src/gateway/core/call_flow.hpp
@@ -58,6 +58,12 @@
   virtual wire::Outcome::type outcome_of_loss() const;
 };
 
+/// Whether a grant may still be acted on. A process that was paused between receiving a grant and
+/// dispatching must not act on what it knew before.
+/// @param age time since the grant arrived, on the monotonic clock.
+/// @param backend_leaving this node knows by now that the back end is leaving.
+bool grant_is_fresh(base::Millis age, bool backend_leaving);
+
 /// State machine of one call. Not thread-safe.
 class CallFlow {
  public:
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -13,6 +13,8 @@
 constexpr int kMinimumTransmissions = 4;
 /// One probe in this many goes to a dead member.
 constexpr std::uint64_t kDeadProbePeriod = 8;
+/// One probe interval in this many also asks a seed.
+constexpr std::uint64_t kSeedContactPeriod = 16;
 /// Dead members are remembered this long, so that stale rumors do not revive them.
 constexpr base::Millis kDeadRetention = 3'600'000;
 /// A relayed ping without an answer is forgotten after this time.
@@ -91,9 +93,16 @@
     merge(as_rumor(rumor), now);
     return;
   }
-  // NOTE: a sender believed dead or suspect is told so; it refutes with a higher counter.
+  // NOTE: a sender believed dead or suspect is told so directly and refutes with a higher counter;
+  // the table comparison in the same message brings that back, and whatever else happened on the
+  // other side of a healed cut. Rumors alone would be used up among those that agree already.
   if (known->status == MemberStatus::kDead || known->status == MemberStatus::kSuspect) {
-    queue_.push(as_rumor(*known));
+    wire::Envelope envelope;
+    envelope.rumors.push_back(as_rumor(*known));
+    wire::SyncRequest request;
+    request.bucket_digests = table_.digests();
+    envelope.__set_sync_request(request);
+    queue(sender.id, std::move(envelope));
   }
 }
 
@@ -115,7 +124,12 @@
   const auto own = *table_.find_member(self_.id);
   const bool accused =
       claim.status == MemberStatus::kSuspect || claim.status == MemberStatus::kDead;
-  if (!accused || claim.counter < own.counter) return;
+  if (!accused) return;
+  if (claim.counter < own.counter) {
+    // Refuted before, but the refutation did not reach everybody, as after a cut.
+    queue_.push(as_rumor(own));
+    return;
+  }
   auto answer = own;
   answer.counter = claim.counter + 1;
   publish(as_rumor(answer));
@@ -271,10 +285,12 @@
 }
 
 std::int64_t Membership::next_target() {
+  // NOTE: seeds are asked now and then for good: two parts of a cluster that was cut while it
+  // started do not know of each other at all, and dead members alone would not lead them together.
+  if (random_.below(kSeedContactPeriod) == 0) contact_seed();
   if (random_.below(kDeadProbePeriod) == 0) {
     const auto dead = random_member(true);
     if (dead != 0) return dead;
-    contact_seed();
   }
   while (true) {
     if (round_.empty()) {
--- a/src/node/core/group_repair.cpp
+++ b/src/node/core/group_repair.cpp
@@ -2,126 +2,134 @@
 
 #include <algorithm>
 #include <set>
+#include <string>
 
 namespace sailgate::node {
 namespace {
 
-std::vector<wire::Member> without(std::vector<wire::Member> members, std::int64_t removed) {
-  members.erase(
-      std::remove_if(members.begin(), members.end(),
-                     [removed](const wire::Member& member) { return member.id == removed; }),
-      members.end());
-  return members;
-}
-
 bool lists(const std::vector<wire::Member>& members, std::int64_t id) {
   return std::any_of(members.begin(), members.end(),
                      [id](const wire::Member& member) { return member.id == id; });
 }
 
-bool doubles_zone(const std::vector<wire::Member>& members, const wire::Member& candidate) {
-  return std::count_if(members.begin(), members.end(), [&](const wire::Member& member) {
-           return member.zone == candidate.zone;
-         }) > 1;
+bool holds_zone(const std::vector<wire::Member>& members, const std::string& zone) {
+  return std::any_of(members.begin(), members.end(),
+                     [&zone](const wire::Member& member) { return member.zone == zone; });
+}
+
+void remove_member(std::vector<wire::Member>& members, std::int64_t id) {
+  members.erase(std::remove_if(members.begin(), members.end(),
+                               [id](const wire::Member& member) { return member.id == id; }),
+                members.end());
 }
 
 }  // namespace
 
 void GroupRepair::step(SlotReplica& replica, const membership::ReplicaCounts& counts,
                        base::Millis now) const {
-  if (!replica.group().may_serve(now)) return;
-  if (remove_lost(replica, now)) return;
-  if (promote_learner(replica)) return;
-  if (shrink(replica)) return;
-  seek_learner(replica, counts, now);
-}
-
-bool GroupRepair::remove_lost(SlotReplica& replica, base::Millis now) const {
-  auto& group = replica.group();
-  const auto& members = group.log().members().members;
-  // With two members left, removing one leaves a single copy: only a dead one may go then.
-  for (const auto suspect : group.suspected_members(now)) {
-    if (!membership_.is_dead(suspect)) continue;
-    if (!removal_keeps_row(replica, suspect)) continue;
-    return group.propose_members(without(members, suspect));
-  }
-  return false;
-}
-
-bool GroupRepair::promote_learner(SlotReplica& replica) const {
   auto& group = replica.group();
+  if (!group.may_serve(now) || !group.members_settled()) return;
+  drop_lost_learners(group);
+  const auto& current = group.log().members().members;
+  const auto outgoing = least_wanted(replica);
+  const bool short_of_members = current.size() < knobs_.replica_count;
+  if (!short_of_members && !outgoing) return;
+  auto wanted = current;
+  if (outgoing && !short_of_members) remove_member(wanted, *outgoing);
   for (const auto id : group.caught_up_learners()) {
-    if (!membership_.is_usable(id)) continue;
-    auto members = group.log().members().members;
-    members.push_back(group.learners().at(id));
-    return group.propose_members(members);
+    if (wanted.size() < knobs_.replica_count) wanted.push_back(group.learners().at(id));
+  }
+  const bool none_better = membership_.usable_members().size() <= wanted.size();
+  const bool full = wanted.size() == knobs_.replica_count;
+  const bool better = full || (wanted.size() > current.size() && none_better);
+  const auto newcomers_there =
+      std::all_of(wanted.begin(), wanted.end(), [&](const wire::Member& member) {
+        return group.is_member(member.id) || group.heard_lately(member.id, now);
+      });
+  if (better && newcomers_there && majority_there(group, wanted, now) &&
+      meets_rows(replica, wanted)) {
+    group.propose_members(wanted);
+    return;
   }
-  return false;
+  seek_learners(replica, wanted, counts, now);
 }
 
-bool GroupRepair::shrink(SlotReplica& replica) const {
-  auto& group = replica.group();
-  const auto& members = group.log().members().members;
-  if (members.size() <= knobs_.replica_count) return false;
-  const auto chosen = least_wanted(members, group.leader());
-  if (!chosen || !removal_keeps_row(replica, *chosen)) return false;
-  return group.propose_members(without(members, *chosen));
+/// Whether most members of a list answered lately: a change that cannot be committed soon is not
+/// begun, because it cannot be taken back.
+bool GroupRepair::majority_there(const replication::ReplicaGroup& group, const Members& members,
+                                 base::Millis now) {
+  const auto there = static_cast<std::size_t>(std::count_if(
+      members.begin(), members.end(),
+      [&](const wire::Member& member) { return group.heard_lately(member.id, now); }));
+  return there > members.size() / 2;
 }
 
-std::optional<std::int64_t> GroupRepair::least_wanted(const Members& members,
-                                                      std::int64_t leader) const {
-  for (const auto& member : members) {
-    if (member.id != leader && !membership_.is_usable(member.id)) return member.id;
+void GroupRepair::drop_lost_learners(replication::ReplicaGroup& group) const {
+  std::vector<std::int64_t> lost;
+  for (const auto& [id, learner] : group.learners()) {
+    if (!membership_.is_usable(id)) lost.push_back(id);
   }
-  for (const auto& member : members) {
-    if (member.id != leader && doubles_zone(members, member)) return member.id;
+  for (const auto id : lost) group.drop_learner(id);
+}
+
+/// The one member to replace next: a dead one, else a leaving one, else one that shares its zone
+/// although another zone has room.
+std::optional<std::int64_t> GroupRepair::least_wanted(const SlotReplica& replica) const {
+  const auto& group = replica.group();
+  const auto& current = group.log().members().members;
+  const auto* leaving = static_cast<const wire::Member*>(nullptr);
+  for (const auto& member : current) {
+    if (member.id == group.leader()) continue;
+    if (membership_.is_dead(member.id)) return member.id;
+    const auto* rumor = membership_.table().find_member(member.id);
+    if (rumor->status == wire::MemberStatus::kLeaving) leaving = &member;
   }
-  for (const auto& member : members) {
-    if (member.id != leader) return member.id;
+  if (leaving != nullptr) return leaving->id;
+  if (!zone_could_be_new(current)) return std::nullopt;
+  for (const auto& member : current) {
+    auto others = current;
+    remove_member(others, member.id);
+    if (member.id != group.leader() && holds_zone(others, member.zone)) return member.id;
   }
   return std::nullopt;
 }
 
-void GroupRepair::seek_learner(SlotReplica& replica, const membership::ReplicaCounts& counts,
-                               base::Millis now) const {
-  auto& group = replica.group();
-  std::vector<std::int64_t> lost;
-  for (const auto& [id, learner] : group.learners()) {
-    if (!membership_.is_usable(id)) lost.push_back(id);
-  }
-  for (const auto id : lost) group.drop_learner(id);
-  if (!group.learners().empty()) return;
-  const auto& members = group.log().members().members;
+/// Whether two members share a zone while a usable node in a zone without a member exists.
+bool GroupRepair::zone_could_be_new(const Members& members) const {
+  std::set<std::string> zones;
+  for (const auto& member : members) zones.insert(member.zone);
+  if (zones.size() == members.size()) return false;
   const auto usable = membership_.usable_members();
-  if (!wants_addition(members, usable)) return;
-  const auto chosen = membership::choose_addition(members, usable, counts);
-  if (chosen) group.add_learner(*chosen, now);
+  return std::any_of(usable.begin(), usable.end(), [&zones](const wire::Member& member) {
+    return zones.count(member.zone) == 0;
+  });
 }
 
-bool GroupRepair::wants_addition(const Members& members,
-                                 const std::vector<wire::Member>& usable) const {
-  if (members.size() < knobs_.replica_count) return true;
-  if (members.size() > knobs_.replica_count) return false;
-  std::set<std::string> held;
-  bool doubled = false;
-  for (const auto& member : members) {
-    if (!membership_.is_usable(member.id) && membership_.is_live(member.id)) {
-      const auto* rumor = membership_.table().find_member(member.id);
-      if (rumor->status == wire::MemberStatus::kLeaving) return true;
-    }
-    doubled = !held.insert(member.zone).second || doubled;
+void GroupRepair::seek_learners(SlotReplica& replica, Members wanted,
+                                const membership::ReplicaCounts& counts, base::Millis now) const {
+  auto& group = replica.group();
+  for (const auto& [id, learner] : group.learners()) {
+    if (!lists(wanted, id)) wanted.push_back(learner);
+  }
+  auto usable = membership_.usable_members();
+  // A member that is to go must not come back as its own replacement.
+  usable.erase(
+      std::remove_if(usable.begin(), usable.end(),
+                     [&](const wire::Member& member) { return group.is_member(member.id); }),
+      usable.end());
+  while (wanted.size() < knobs_.replica_count) {
+    const auto chosen = membership::choose_addition(wanted, usable, counts);
+    if (!chosen) return;
+    group.add_learner(*chosen, now);
+    wanted.push_back(*chosen);
   }
-  if (!doubled) return false;
-  return std::any_of(usable.begin(), usable.end(),
-                     [&held](const wire::Member& member) { return held.count(member.zone) == 0; });
 }
 
-bool GroupRepair::removal_keeps_row(const SlotReplica& replica, std::int64_t member) {
-  const auto remaining = without(replica.group().log().members().members, member);
+bool GroupRepair::meets_rows(const SlotReplica& replica, const Members& members) {
   const auto& rows = replica.state().possible_rows();
-  return std::all_of(rows.begin(), rows.end(), [&remaining](const wire::SlotRow& row) {
+  return std::all_of(rows.begin(), rows.end(), [&members](const wire::SlotRow& row) {
     return std::any_of(row.members.begin(), row.members.end(),
-                       [&](const wire::Member& listed) { return lists(remaining, listed.id); });
+                       [&](const wire::Member& listed) { return lists(members, listed.id); });
   });
 }
 
--- a/src/node/core/group_repair.hpp
+++ b/src/node/core/group_repair.hpp
@@ -1,12 +1,16 @@
 /// @file Keeps a led group at its size, across zones, without leaving or dead members.
 ///
-/// Steps, one member at a time:
-///  1. A dead or long-suspected member is taken out, but never so that the members and a row the
-///     table service may hold have nobody in common: a recovery trusts the row and must not
-///     overlook a living group (docs/decisions/0004-slot-rows.md).
-///  2. A group that is too small, has a leaving member or two members in one zone while another
-///     zone has room gets a learner, which becomes a member once it has caught up.
-///  3. A group that is too large loses a leaving member first, then one in a doubled zone.
+/// Steps:
+///  1. A group that is too small, has a dead or leaving member, or two members in one zone while
+///     another zone has room, gets learners.
+///  2. Once a learner has caught up it takes the place of one member. Only one place changes at a
+///     time, so that the loss of a newcomer never costs a group its majority; a group that is being
+///     founded grows in one change.
+///
+/// A lost member stays listed until its replacement has caught up: a cut-off member that comes back
+/// is worth more than a shorter list. A change never leaves the members and a row that the table
+/// service may hold without anybody in common: a recovery trusts the row and must not overlook a
+/// living group (docs/decisions/0004-slot-rows.md).
 #pragma once
 
 #include <optional>
@@ -32,15 +36,15 @@
  private:
   using Members = std::vector<wire::Member>;
 
-  bool remove_lost(SlotReplica& replica, base::Millis now) const;
-  bool promote_learner(SlotReplica& replica) const;
-  void seek_learner(SlotReplica& replica, const membership::ReplicaCounts& counts,
-                    base::Millis now) const;
-  bool shrink(SlotReplica& replica) const;
-  bool wants_addition(const Members& members, const std::vector<wire::Member>& usable) const;
-  std::optional<std::int64_t> least_wanted(const Members& members, std::int64_t leader) const;
-  /// Whether a list without `member` still meets every row the table service may hold.
-  static bool removal_keeps_row(const SlotReplica& replica, std::int64_t member);
+  static bool majority_there(const replication::ReplicaGroup& group, const Members& members,
+                             base::Millis now);
+  void drop_lost_learners(replication::ReplicaGroup& group) const;
+  std::optional<std::int64_t> least_wanted(const SlotReplica& replica) const;
+  void seek_learners(SlotReplica& replica, Members wanted, const membership::ReplicaCounts& counts,
+                     base::Millis now) const;
+  bool zone_could_be_new(const Members& members) const;
+  /// Whether a list meets every row the table service may hold.
+  static bool meets_rows(const SlotReplica& replica, const Members& members);
 
   const base::Knobs& knobs_;
   const membership::Membership& membership_;
--- a/src/node/core/node_core.cpp
+++ b/src/node/core/node_core.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "base/digest.hpp"
+#include "wire/union_values.hpp"
 
 namespace sailgate::node {
 
@@ -69,6 +71,8 @@
 
 void NodeCore::tick_slots(base::Millis now) {
   const auto counts = membership::count_replicas(membership_.table().slots());
+  std::set<std::int64_t> successors;
+  for (const auto& member : membership_.usable_members()) successors.insert(member.id);
   for (auto& [slot, held] : replicas_) {
     held->group().on_tick(now, outbox_);
     held->settle(actions_);
@@ -76,7 +80,7 @@
     publish_location(*held, now);
     rows_.record(*held, now, actions_);
     repair_.step(*held, counts, now);
-    if (stopping_) held->group().transfer_leadership(now, outbox_);
+    if (stopping_) held->group().transfer_leadership(successors, now, outbox_);
     held->group().flush(now, outbox_);
     held->settle(actions_);
   }
@@ -105,8 +109,7 @@
     wire::RowRecorded recorded;
     recorded.row = answer.row;
     recorded.version = answer.version;
-    wire::JournalEntry entry;
-    entry.__set_row_recorded(recorded);
+    auto entry = wire::as_entry(std::move(recorded));
     founded.propose(entry);
     founded.group().flush(now, outbox_);
     founded.settle(actions_);
@@ -155,16 +158,20 @@
   backends_.set_reported_load(backend, load, now);
 }
 
-void NodeCore::begin_stop() {
+void NodeCore::begin_stop(base::Millis now) {
   if (stopping_) return;
   stopping_ = true;
+  stopping_since_ = now;
   membership_.announce_leaving();
   finish_step();
 }
 
-bool NodeCore::released() const {
-  return std::all_of(replicas_.begin(), replicas_.end(), [this](const auto& entry) {
-    return !entry.second->group().is_member(options_.self.id);
+bool NodeCore::released(base::Millis now) const {
+  // A leader that has not heard of the stop yet may still be about to list this node.
+  if (now - stopping_since_ < options_.knobs.suspicion_timeout) return false;
+  return std::all_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
+    const auto& group = entry.second->group();
+    return !group.is_member(options_.self.id) && !group.fed_lately(now);
   });
 }
 
@@ -226,7 +233,7 @@
 void NodeCore::publish_location(SlotReplica& replica, base::Millis now) {
   const auto& group = replica.group();
   const auto& list = group.log().members();
-  if (!group.may_serve(now) || list.index > group.commit_index()) return;
+  if (!group.may_serve(now) || !group.members_settled()) return;
   const auto* known = membership_.table().find_slot(replica.slot());
   const bool same = known != nullptr && known->epoch == group.epoch() &&
                     known->view == group.view() && known->members_index == list.index;
--- a/src/node/core/node_core.hpp
+++ b/src/node/core/node_core.hpp
@@ -56,10 +56,10 @@
   void on_backend_load(const std::string& backend, std::int32_t load, base::Millis now);
 
   /// Planned stop: leave the membership, hand over leaderships, then replicas.
-  void begin_stop();
+  void begin_stop(base::Millis now);
   bool stopping() const { return stopping_; }
-  /// No group lists this node any more, so that it may exit without loss.
-  bool released() const;
+  /// No group lists this node any more or feeds it as a learner, so that it may exit without loss.
+  bool released(base::Millis now) const;
   /// Some other node is there to take replicas over.
   bool successor_known() const;
 
@@ -98,6 +98,7 @@
   base::Millis next_seek_at_ = 0;
   base::Millis next_scan_at_ = 0;
   bool stopping_ = false;
+  base::Millis stopping_since_ = 0;
 };
 
 }  // namespace sailgate::node
--- a/src/node/core/obligations.cpp
+++ b/src/node/core/obligations.cpp
@@ -1,5 +1,7 @@
 #include "node/core/obligations.hpp"
 
+#include "wire/union_values.hpp"
+
 namespace sailgate::node {
 namespace {
 
@@ -16,8 +18,7 @@
 }
 
 void propose_ending(SlotReplica& replica, const wire::AttemptEnded& ended) {
-  wire::JournalEntry entry;
-  entry.__set_attempt_ended(ended);
+  auto entry = wire::as_entry(std::move(ended));
   replica.propose(entry);
 }
 
@@ -82,8 +83,7 @@
     withdrawn.program = record.opened.program;
     withdrawn.sequence = call.call.sequence;
     withdrawn.request_key = call.call.request_key;
-    wire::JournalEntry entry;
-    entry.__set_call_withdrawn(withdrawn);
+    auto entry = wire::as_entry(std::move(withdrawn));
     replica.propose(entry);
   }
 }
@@ -100,8 +100,7 @@
   wire::ProgramClosed closed;
   closed.program = record.opened.program;
   closed.reason = "idle";
-  wire::JournalEntry entry;
-  entry.__set_program_closed(closed);
+  auto entry = wire::as_entry(std::move(closed));
   replica.propose(entry);
 }
 
@@ -116,8 +115,7 @@
   wire::EvictionAcknowledged acknowledged;
   acknowledged.program = order.program;
   acknowledged.backend = order.backend;
-  wire::JournalEntry entry;
-  entry.__set_eviction_acknowledged(acknowledged);
+  auto entry = wire::as_entry(std::move(acknowledged));
   replica.propose(entry);
 }
 
--- a/src/node/core/row_keeper.cpp
+++ b/src/node/core/row_keeper.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "wire/union_values.hpp"
+
 namespace sailgate::node {
 namespace {
 
@@ -52,7 +54,7 @@
 void RowKeeper::record(SlotReplica& replica, base::Millis now, NodeActions& actions) {
   auto& group = replica.group();
   const auto& list = group.log().members();
-  if (!group.may_serve(now) || list.index > group.commit_index()) return;
+  if (!group.may_serve(now) || !group.members_settled()) return;
   auto& row = rows_[replica.slot()];
   if (!may_ask(row, now)) return;
   const auto& possible = replica.state().possible_rows();
@@ -76,8 +78,7 @@
     value.token = random_.identifier();
     wire::RowIntended intention;
     intention.row = std::move(value);
-    wire::JournalEntry entry;
-    entry.__set_row_intended(intention);
+    auto entry = wire::as_entry(std::move(intention));
     replica.propose(entry);
     row.next_request_at = now + knobs_.heartbeat_interval;
     return;
@@ -146,8 +147,7 @@
   wire::RowRecorded recorded;
   recorded.row = row.row;
   recorded.version = row.version;
-  wire::JournalEntry entry;
-  entry.__set_row_recorded(recorded);
+  auto entry = wire::as_entry(std::move(recorded));
   replica->propose(entry);
   return Verdict::kNothing;
 }
--- a/src/node/core/slot_replica.cpp
+++ b/src/node/core/slot_replica.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/error_table.hpp"
+#include "wire/union_values.hpp"
 
 namespace sailgate::node {
 namespace {
@@ -125,8 +126,7 @@
     actions.completed.push_back({ticket, refusal_reply(error)});
     return;
   }
-  wire::JournalEntry entry;
-  entry.__set_program_opened(opened);
+  auto entry = wire::as_entry(std::move(opened));
   wait_for(std::move(entry), {group_.view(), ticket, request, 0}, actions);
 }
 
@@ -198,8 +198,7 @@
     return;
   }
   if (admitted_call == nullptr) {
-    wire::JournalEntry admitted;
-    admitted.__set_call_admitted(asked.call);
+    auto admitted = wire::as_entry(asked.call);
     if (!group_.propose(std::move(admitted))) {
       actions.completed.push_back({ticket, redirect_reply(0)});
       return;
@@ -214,15 +213,13 @@
   started.gateway = asked.gateway;
   started.nonce = asked.nonce;
   started.deadline_in_ms = asked.deadline_in_ms;
-  wire::JournalEntry entry;
-  entry.__set_attempt_started(started);
+  auto entry = wire::as_entry(std::move(started));
   wait_for(std::move(entry), {group_.view(), ticket, request, started.attempt}, actions);
 }
 
 void SlotReplica::complete_attempt(Ticket ticket, const wire::ProgramRequest& request,
                                    NodeActions& actions) {
-  wire::JournalEntry entry;
-  entry.__set_attempt_ended(request.complete_attempt.ended);
+  auto entry = wire::as_entry(request.complete_attempt.ended);
   wait_for(std::move(entry), {group_.view(), ticket, request, 0}, actions);
 }
 
@@ -285,8 +282,7 @@
     actions.completed.push_back({ticket, refusal_reply(kind)});
     return;
   }
-  wire::JournalEntry entry;
-  entry.__set_tool_pause_reported(pause.pause);
+  auto entry = wire::as_entry(pause.pause);
   wait_for(std::move(entry), {group_.view(), ticket, request, 0}, actions);
 }
 
@@ -297,8 +293,7 @@
     actions.completed.push_back({ticket, refusal_reply(Kind::kUnknownProgram)});
     return;
   }
-  wire::JournalEntry entry;
-  entry.__set_program_closed(end.closed);
+  auto entry = wire::as_entry(end.closed);
   wait_for(std::move(entry), {group_.view(), ticket, request, 0}, actions);
 }
 
@@ -426,13 +421,13 @@
 wire::ErrorKind::type SlotReplica::apply(const wire::JournalEntry& entry) {
   const auto error = state_.apply(entry);
   if (error != Kind::kNone || !counted_as_leader_) return error;
-  if (entry.__isset.attempt_started) {
-    const auto& started = entry.attempt_started;
+  if (entry.attempt_started) {
+    const auto& started = *entry.attempt_started;
     outstanding_[started.attempt] = started.backend;
     context_.backends.attempt_started(started.backend);
   }
-  if (entry.__isset.attempt_ended) {
-    const auto found = outstanding_.find(entry.attempt_ended.attempt);
+  if (entry.attempt_ended) {
+    const auto found = outstanding_.find(entry.attempt_ended->attempt);
     if (found != outstanding_.end()) {
       context_.backends.attempt_ended(found->second);
       outstanding_.erase(found);
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -163,6 +163,12 @@
   run([&backend](NodeCore& core, base::Millis) { core.on_backend_leaving(backend); });
 }
 
+bool NodeRuntime::backend_is_leaving(const std::string& backend) const {
+  const std::lock_guard<std::mutex> lock(core_mutex_);
+  const auto* state = core_->backends().find(backend);
+  return state != nullptr && state->leaving;
+}
+
 // ---------------------------------------------------------------- requests
 
 wire::ProgramReply NodeRuntime::execute_here(std::int32_t slot, const wire::ProgramRequest& request,
@@ -237,12 +243,12 @@
 // ---------------------------------------------------------------- stop, status
 
 void NodeRuntime::begin_stop() {
-  run([](NodeCore& core, base::Millis) { core.begin_stop(); });
+  run([](NodeCore& core, base::Millis time) { core.begin_stop(time); });
 }
 
 bool NodeRuntime::released() const {
   const std::lock_guard<std::mutex> lock(core_mutex_);
-  return core_->released();
+  return core_->released(now());
 }
 
 bool NodeRuntime::successor_known() const {
--- a/src/node/node_runtime.hpp
+++ b/src/node/node_runtime.hpp
@@ -60,6 +60,8 @@
                            base::Millis timeout);
   /// Tells the core at once that a back end refused because it is leaving.
   void report_leaving(const std::string& backend);
+  /// Whether this node knows that a back end is leaving.
+  bool backend_is_leaving(const std::string& backend) const;
 
   /// Begins a planned stop.
   void begin_stop();
--- a/src/program/slot_state.cpp
+++ b/src/program/slot_state.cpp
@@ -43,16 +43,16 @@
 }  // namespace
 
 wire::ErrorKind::type SlotState::apply(const wire::JournalEntry& entry) {
-  if (entry.__isset.program_opened) return apply_opened(entry.program_opened);
-  if (entry.__isset.call_admitted) return apply_admitted(entry.call_admitted);
-  if (entry.__isset.attempt_started) return apply_started(entry.attempt_started);
-  if (entry.__isset.attempt_ended) return apply_ended(entry.attempt_ended);
-  if (entry.__isset.program_closed) return apply_closed(entry.program_closed);
-  if (entry.__isset.eviction_acknowledged) return apply_evicted(entry.eviction_acknowledged);
-  if (entry.__isset.program_forgotten) return apply_forgotten(entry.program_forgotten);
-  if (entry.__isset.call_withdrawn) return apply_withdrawn(entry.call_withdrawn);
-  if (entry.__isset.row_intended) possible_rows_.push_back(entry.row_intended.row);
-  if (entry.__isset.row_recorded) possible_rows_.assign(1, entry.row_recorded.row);
+  if (entry.program_opened) return apply_opened(*entry.program_opened);
+  if (entry.call_admitted) return apply_admitted(*entry.call_admitted);
+  if (entry.attempt_started) return apply_started(*entry.attempt_started);
+  if (entry.attempt_ended) return apply_ended(*entry.attempt_ended);
+  if (entry.program_closed) return apply_closed(*entry.program_closed);
+  if (entry.eviction_acknowledged) return apply_evicted(*entry.eviction_acknowledged);
+  if (entry.program_forgotten) return apply_forgotten(*entry.program_forgotten);
+  if (entry.call_withdrawn) return apply_withdrawn(*entry.call_withdrawn);
+  if (entry.row_intended) possible_rows_.push_back(entry.row_intended->row);
+  if (entry.row_recorded) possible_rows_.assign(1, entry.row_recorded->row);
   return Kind::kNone;
 }
 
--- a/src/replication/replica_group.cpp
+++ b/src/replication/replica_group.cpp
@@ -3,26 +3,25 @@
 #include <algorithm>
 #include <limits>
 
+#include "wire/union_values.hpp"
+
 namespace sailgate::replication {
 namespace {
 
 /// A snapshot without an answer for this long is sent again.
 constexpr base::Millis kSnapshotRetry = 2000;
+/// A member that answered within this many heartbeats counts as there.
+constexpr base::Millis kRecentHeartbeats = 3;
 /// Smallest lease start that is never valid.
 constexpr base::Millis kNoLease = -1;
+/// The lease of a group whose only member is its leader.
+constexpr base::Millis kAlways = std::numeric_limits<base::Millis>::max();
 
 bool contains_member(const std::vector<wire::Member>& members, std::int64_t id) {
   return std::any_of(members.begin(), members.end(),
                      [id](const wire::Member& member) { return member.id == id; });
 }
 
-std::size_t difference(const std::vector<wire::Member>& left,
-                       const std::vector<wire::Member>& right) {
-  return static_cast<std::size_t>(std::count_if(
-      left.begin(), left.end(),
-      [&right](const wire::Member& member) { return !contains_member(right, member.id); }));
-}
-
 }  // namespace
 
 ReplicaGroup::ReplicaGroup(Context context, base::Millis now)
@@ -32,7 +31,7 @@
 
 void ReplicaGroup::found(const wire::Member& self, Epoch epoch, base::Millis now) {
   retire(epoch);
-  log_.reset(0, 0, {0, {self}});
+  log_.reset(0, 0, {0, {self}, {}});
   view_ = 1;
   voted_for_ = context_.self;
   lead(now);
@@ -45,21 +44,21 @@
   if (message.epoch < epoch_) return;
   if (message.epoch > epoch_) retire(message.epoch);
   const auto& body = message.body;
-  if (body.__isset.append_request) {
-    on_append_request(sender, body.append_request, now, outbox);
-  } else if (body.__isset.append_reply) {
-    on_append_reply(sender, body.append_reply, now, outbox);
-  } else if (body.__isset.vote_request) {
-    on_vote_request(sender, body.vote_request, now, outbox);
-  } else if (body.__isset.vote_reply) {
-    on_vote_reply(sender, body.vote_reply, now, outbox);
-  } else if (body.__isset.install_snapshot) {
-    on_install_snapshot(sender, body.install_snapshot, now, outbox);
-  } else if (body.__isset.elect_now) {
-    const bool current = body.elect_now.view == view_ && role_ == Role::kFollower;
+  if (body.append_request) {
+    on_append_request(sender, *body.append_request, now, outbox);
+  } else if (body.append_reply) {
+    on_append_reply(sender, *body.append_reply, now, outbox);
+  } else if (body.vote_request) {
+    on_vote_request(sender, *body.vote_request, now, outbox);
+  } else if (body.vote_reply) {
+    on_vote_reply(sender, *body.vote_reply, now, outbox);
+  } else if (body.install_snapshot) {
+    on_install_snapshot(sender, *body.install_snapshot, now, outbox);
+  } else if (body.elect_now) {
+    const bool current = body.elect_now->view == view_ && role_ == Role::kFollower;
     if (current && sender == leader_) campaign(false, true, now, outbox);
-  } else if (body.__isset.removed) {
-    on_removed(body.removed);
+  } else if (body.removed) {
+    on_removed(*body.removed);
   }
 }
 
@@ -78,6 +77,7 @@
 void ReplicaGroup::on_append_request(std::int64_t sender, const wire::AppendRequest& request,
                                      base::Millis now, Outbox& outbox) {
   wire::AppendReply reply;
+  reply.generation = generation_;
   reply.sent_at = request.sent_at;
   if (request.view < view_) {
     reply.view = view_;
@@ -101,8 +101,7 @@
       apply_committed();
     }
   }
-  wire::GroupBody body;
-  body.__set_append_reply(reply);
+  auto body = wire::as_body(std::move(reply));
   send(sender, std::move(body), outbox);
 }
 
@@ -128,6 +127,13 @@
   const auto found = peers_.find(sender);
   if (found == peers_.end()) return;
   auto& peer = found->second;
+  // NOTE: a member that was removed and added again has dropped its log in between. An answer from
+  // before must not count for the new one.
+  if (reply.sent_at < peer.added_at || reply.generation < peer.generation) return;
+  if (reply.generation > peer.generation) {
+    peer.generation = reply.generation;
+    peer.match_index = 0;
+  }
   peer.acknowledged_at = now;
   peer.acknowledged_sent_at = std::max(peer.acknowledged_sent_at, reply.sent_at);
   if (reply.accepted) {
@@ -135,9 +141,17 @@
     peer.next_index = std::max(peer.next_index, peer.match_index + 1);
     if (peer.match_index >= log_.base_index()) peer.snapshot_sent_at = 0;
     advance_commit(now);
-    if (peer.next_index <= log_.last_index()) replicate_to(sender, peer, false, now, outbox);
+    // NOTE: the commit may have ended a member change and dropped this peer.
+    const auto still_peer = peers_.find(sender);
+    if (still_peer == peers_.end()) return;
+    if (still_peer->second.next_index <= log_.last_index()) {
+      replicate_to(sender, still_peer->second, false, now, outbox);
+    }
     return;
   }
+  // Rejections of requests sent before the last step back are stale; answering each would multiply.
+  if (reply.sent_at < peer.backed_off_at) return;
+  peer.backed_off_at = now;
   peer.next_index = std::max(peer.match_index, std::min(reply.match_index, log_.last_index())) + 1;
   replicate_to(sender, peer, false, now, outbox);
 }
@@ -145,20 +159,23 @@
 void ReplicaGroup::on_vote_request(std::int64_t sender, const wire::VoteRequest& request,
                                    base::Millis now, Outbox& outbox) {
   if (role_ == Role::kLeader && !is_member(sender) && learners_.count(sender) == 0 &&
-      log_.members().index <= commit_index_) {
+      members_settled()) {
     wire::Removed removed;
     removed.view = view_;
     removed.members_index = log_.members().index;
-    wire::GroupBody body;
-    body.__set_removed(removed);
+    auto body = wire::as_body(std::move(removed));
     send(sender, std::move(body), outbox);
     return;
   }
   const bool leads = role_ == Role::kLeader && context_.rules->lease_valid(now, lease_until());
   const bool silent = context_.rules->may_support(now - heard_leader_at_, context_.knobs);
   const bool supportable = request.transfer || (!leads && silent);
-  const bool complete = context_.rules->candidate_is_complete(request.last_view, request.last_index,
-                                                              log_.last_view(), log_.last_index());
+  // NOTE: a removed replica dropped its log. What it holds then says nothing about which candidate
+  // is complete, and a candidate that missed the removal still counts its vote.
+  const bool log_dropped = log_.last_index() < removed_through_;
+  const bool complete =
+      !log_dropped && context_.rules->candidate_is_complete(request.last_view, request.last_index,
+                                                            log_.last_view(), log_.last_index());
   wire::VoteReply reply;
   reply.trial = request.trial;
   if (request.trial) {
@@ -175,8 +192,7 @@
       reset_election_timer(now);
     }
   }
-  wire::GroupBody body;
-  body.__set_vote_reply(reply);
+  auto body = wire::as_body(std::move(reply));
   send(sender, std::move(body), outbox);
 }
 
@@ -190,11 +206,10 @@
   const View wanted = campaign_is_trial_ ? view_ + 1 : view_;
   if (reply.view != wanted) return;
   votes_[sender] = true;
-  const auto& members = log_.members().members;
-  const auto support = static_cast<std::size_t>(
-      std::count_if(members.begin(), members.end(),
-                    [this](const wire::Member& member) { return votes_.count(member.id) > 0; }));
-  if (support <= members.size() / 2) return;
+  const auto& lists = log_.members();
+  const bool elected =
+      supported_in(lists.members) && (!lists.joint() || supported_in(lists.previous));
+  if (!elected) return;
   if (campaign_is_trial_) {
     campaign(false, false, now, outbox);
   } else {
@@ -203,6 +218,13 @@
   }
 }
 
+bool ReplicaGroup::supported_in(const std::vector<wire::Member>& members) const {
+  const auto support = static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(),
+                    [this](const wire::Member& member) { return votes_.count(member.id) > 0; }));
+  return support > members.size() / 2;
+}
+
 void ReplicaGroup::on_install_snapshot(std::int64_t sender, const wire::InstallSnapshot& snapshot,
                                        base::Millis now, Outbox& outbox) {
   if (snapshot.view < view_) return;
@@ -215,7 +237,8 @@
     apply_committed();
   } else if (snapshot.last_index > applied_index_) {
     context_.state_machine.restore(snapshot.state);
-    log_.reset(snapshot.last_index, snapshot.last_view, {snapshot.members_index, snapshot.members});
+    log_.reset(snapshot.last_index, snapshot.last_view,
+               {snapshot.members_index, snapshot.members, snapshot.previous});
     commit_index_ = snapshot.last_index;
     applied_index_ = snapshot.last_index;
     update_passive_role();
@@ -223,10 +246,10 @@
   wire::AppendReply reply;
   reply.view = view_;
   reply.accepted = true;
+  reply.generation = generation_;
   reply.match_index = snapshot.last_index;
   reply.sent_at = snapshot.sent_at;
-  wire::GroupBody body;
-  body.__set_append_reply(reply);
+  auto body = wire::as_body(std::move(reply));
   send(sender, std::move(body), outbox);
 }
 
@@ -236,6 +259,8 @@
   const bool known = removed.members_index <= std::max(log_.members().index, removed_through_);
   if (removed.view < view_ || known) return;
   removed_through_ = removed.members_index;
+  // NOTE: the vote of a view outlives the log, or this replica could support two leaders of it.
+  if (removed.view > view_) voted_for_ = 0;
   view_ = removed.view;
   forget_state();
 }
@@ -244,13 +269,14 @@
   if (epoch <= epoch_) return;
   epoch_ = epoch;
   view_ = 0;
+  voted_for_ = 0;
   removed_through_ = 0;
   forget_state();
 }
 
 /// Becomes passive and empty.
 void ReplicaGroup::forget_state() {
-  voted_for_ = 0;
+  ++generation_;
   role_ = Role::kPassive;
   leader_ = 0;
   commit_index_ = 0;
@@ -259,7 +285,7 @@
   flushed_index_ = 0;
   peers_.clear();
   learners_.clear();
-  log_.reset(0, 0, {0, {}});
+  log_.reset(0, 0, {0, {}, {}});
   context_.state_machine.restore({});
 }
 
@@ -310,13 +336,9 @@
   request.last_view = log_.last_view();
   request.trial = trial;
   request.transfer = transfer;
-  for (const auto& member : log_.members().members) {
-    if (member.id == context_.self) continue;
-    wire::GroupBody body;
-    body.__set_vote_request(request);
-    send(member.id, std::move(body), outbox);
-  }
-  if (log_.members().members.size() > 1) return;
+  const auto voters = others();
+  for (const auto& member : voters) send(member.id, wire::as_body(request), outbox);
+  if (!voters.empty()) return;
   if (trial) {
     campaign(false, transfer, now, outbox);
   } else {
@@ -331,14 +353,7 @@
   transfer_until_ = 0;
   peers_.clear();
   learners_.clear();
-  for (const auto& member : log_.members().members) {
-    if (member.id == context_.self) continue;
-    Peer peer;
-    peer.next_index = log_.last_index() + 1;
-    peer.acknowledged_at = now;
-    peer.acknowledged_sent_at = kNoLease - context_.knobs.lease_duration;
-    peers_.emplace(member.id, peer);
-  }
+  for (const auto& member : others()) add_peer(member.id, log_.last_index() + 1, now);
   wire::LogRecord record;
   record.view = view_;
   record.entry.__set_view_started({});
@@ -400,8 +415,7 @@
     request.records.push_back(log_.at(peer.next_index));
     ++peer.next_index;
   }
-  wire::GroupBody body;
-  body.__set_append_request(request);
+  auto body = wire::as_body(std::move(request));
   send(member, std::move(body), outbox);
 }
 
@@ -415,17 +429,18 @@
   snapshot.last_view = log_.view_at(applied_index_);
   const auto& list = log_.members_at(applied_index_);
   snapshot.members = list.members;
+  snapshot.previous = list.previous;
   snapshot.members_index = list.index;
   snapshot.state = context_.state_machine.snapshot();
   snapshot.sent_at = now;
-  wire::GroupBody body;
-  body.__set_install_snapshot(snapshot);
+  auto body = wire::as_body(std::move(snapshot));
   send(member, std::move(body), outbox);
 }
 
-void ReplicaGroup::advance_commit(base::Millis now) {
+LogIndex ReplicaGroup::committed_in(const std::vector<wire::Member>& members,
+                                    base::Millis now) const {
   std::vector<MemberProgress> progress;
-  for (const auto& member : log_.members().members) {
+  for (const auto& member : members) {
     if (member.id == context_.self) {
       progress.push_back({log_.last_index(), false});
       continue;
@@ -437,10 +452,43 @@
       progress.push_back({found->second.match_index, suspected(found->second, now)});
     }
   }
-  const LogIndex committed = context_.rules->committed_through(progress);
+  return context_.rules->committed_through(progress);
+}
+
+void ReplicaGroup::advance_commit(base::Millis now) {
+  const auto& lists = log_.members();
+  LogIndex committed = committed_in(lists.members, now);
+  if (lists.joint()) committed = std::min(committed, committed_in(lists.previous, now));
   // Only a record of the leader's own view commits those before it.
   if (committed > commit_index_ && log_.view_at(committed) == view_) commit_index_ = committed;
   apply_committed();
+  end_member_change();
+}
+
+/// Once both lists are committed, the new one alone is proposed; once that is committed, a leader
+/// that is not in it stops.
+void ReplicaGroup::end_member_change() {
+  const auto& lists = log_.members();
+  if (role_ != Role::kLeader || lists.index > commit_index_) return;
+  if (lists.joint()) {
+    wire::MembersChanged changed;
+    changed.members = lists.members;
+    propose(wire::as_entry(std::move(changed)));
+    // NOTE: members that leave must not get the new list before it is committed: they would hold
+    // the longest log without being allowed to lead, and refuse everybody else.
+    drop_unlisted_peers();
+    return;
+  }
+  if (contains_member(lists.members, context_.self)) return;
+  role_ = Role::kPassive;
+  leader_ = 0;
+}
+
+void ReplicaGroup::drop_unlisted_peers() {
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const bool needed = is_member(it->first) || learners_.count(it->first) > 0;
+    it = needed ? std::next(it) : peers_.erase(it);
+  }
 }
 
 void ReplicaGroup::apply_committed() {
@@ -456,14 +504,19 @@
   }
 }
 
-void ReplicaGroup::add_learner(const wire::Member& member, base::Millis now) {
-  if (role_ != Role::kLeader || is_member(member.id) || learners_.count(member.id) > 0) return;
-  learners_[member.id] = member;
+void ReplicaGroup::add_peer(std::int64_t member, LogIndex next_index, base::Millis now) {
   Peer peer;
-  peer.next_index = log_.base_index() + 1;
+  peer.next_index = next_index;
   peer.acknowledged_at = now;
   peer.acknowledged_sent_at = kNoLease - context_.knobs.lease_duration;
-  peers_[member.id] = peer;
+  peers_[member] = peer;
+}
+
+void ReplicaGroup::add_learner(const wire::Member& member, base::Millis now) {
+  if (role_ != Role::kLeader || is_member(member.id) || learners_.count(member.id) > 0) return;
+  learners_[member.id] = member;
+  add_peer(member.id, log_.base_index() + 1, now);
+  peers_[member.id].added_at = now;
 }
 
 void ReplicaGroup::drop_learner(std::int64_t member) {
@@ -481,44 +534,38 @@
   return ready;
 }
 
+bool ReplicaGroup::members_settled() const {
+  return !log_.members().joint() && log_.members().index <= commit_index_;
+}
+
 bool ReplicaGroup::propose_members(const std::vector<wire::Member>& members) {
-  const bool settled = log_.members().index <= commit_index_ && view_start_index_ <= commit_index_;
+  const bool settled = members_settled() && view_start_index_ <= commit_index_;
   if (role_ != Role::kLeader || !settled || transfer_until_ != 0) return false;
   if (!contains_member(members, context_.self)) return false;
-  const auto& current = log_.members().members;
-  const std::size_t removed = difference(current, members);
-  const std::size_t added = difference(members, current);
-  if (removed + added != 1) return false;
   wire::MembersChanged changed;
   changed.members = members;
-  wire::JournalEntry entry;
-  entry.__set_members_changed(changed);
-  if (!propose(std::move(entry))) return false;
+  changed.previous = log_.members().members;
+  if (!propose(wire::as_entry(std::move(changed)))) return false;
   for (const auto& member : members) learners_.erase(member.id);
-  for (auto it = peers_.begin(); it != peers_.end();) {
-    const bool needed = contains_member(members, it->first) || learners_.count(it->first) > 0;
-    it = needed ? std::next(it) : peers_.erase(it);
-  }
   return true;
 }
 
-bool ReplicaGroup::transfer_leadership(base::Millis now, Outbox& outbox) {
-  if (role_ != Role::kLeader || transfer_until_ != 0) return false;
+bool ReplicaGroup::transfer_leadership(const std::set<std::int64_t>& eligible, base::Millis now,
+                                       Outbox& outbox) {
+  const bool settled = view_start_index_ <= commit_index_;
+  if (role_ != Role::kLeader || !settled || transfer_until_ != 0) return false;
   std::int64_t best = 0;
-  LogIndex best_match = -1;
   for (const auto& [id, peer] : peers_) {
-    if (!is_member(id) || suspected(peer, now) || peer.match_index <= best_match) continue;
-    best = id;
-    best_match = peer.match_index;
+    const bool up_to_date = peer.match_index >= log_.last_index() && !suspected(peer, now);
+    if (is_member(id) && eligible.count(id) > 0 && up_to_date) best = id;
   }
-  if (best == 0 || best_match < log_.last_index()) return false;
+  if (best == 0) return false;
   // From here on this replica neither serves nor proposes: the lease is given up before the
   // successor may be elected.
   transfer_until_ = now + context_.knobs.election_timeout;
   wire::ElectNow elect;
   elect.view = view_;
-  wire::GroupBody body;
-  body.__set_elect_now(elect);
+  auto body = wire::as_body(std::move(elect));
   send(best, std::move(body), outbox);
   return true;
 }
@@ -526,13 +573,39 @@
 // ---------------------------------------------------------------- reading
 
 bool ReplicaGroup::is_member(std::int64_t member) const {
-  return contains_member(log_.members().members, member);
+  const auto& lists = log_.members();
+  return contains_member(lists.members, member) || contains_member(lists.previous, member);
+}
+
+std::vector<wire::Member> ReplicaGroup::others() const {
+  const auto& lists = log_.members();
+  std::vector<wire::Member> result;
+  for (const auto* list : {&lists.members, &lists.previous}) {
+    for (const auto& member : *list) {
+      if (member.id != context_.self && !contains_member(result, member.id)) {
+        result.push_back(member);
+      }
+    }
+  }
+  return result;
 }
 
 bool ReplicaGroup::suspected(const Peer& peer, base::Millis now) const {
   return now - peer.acknowledged_at > context_.knobs.suspicion_timeout;
 }
 
+bool ReplicaGroup::fed_lately(base::Millis now) const {
+  return leader_ != 0 && now - heard_leader_at_ <= context_.knobs.suspicion_timeout;
+}
+
+bool ReplicaGroup::heard_lately(std::int64_t member, base::Millis now) const {
+  const auto found = peers_.find(member);
+  const bool heard =
+      found != peers_.end() &&
+      now - found->second.acknowledged_at <= kRecentHeartbeats * context_.knobs.heartbeat_interval;
+  return member == context_.self || heard;
+}
+
 std::vector<std::int64_t> ReplicaGroup::suspected_members(base::Millis now) const {
   std::vector<std::int64_t> result;
   for (const auto& [id, peer] : peers_) {
@@ -541,18 +614,26 @@
   return result;
 }
 
-base::Millis ReplicaGroup::lease_until() const {
-  const auto& members = log_.members().members;
+base::Millis ReplicaGroup::lease_in(const std::vector<wire::Member>& members) const {
   std::vector<base::Millis> sent;
   for (const auto& member : members) {
     const auto found = peers_.find(member.id);
-    if (found != peers_.end()) sent.push_back(found->second.acknowledged_sent_at);
+    if (member.id == context_.self) {
+      sent.push_back(kAlways);
+    } else if (found != peers_.end()) {
+      sent.push_back(found->second.acknowledged_sent_at + context_.knobs.lease_duration);
+    }
   }
-  const std::size_t needed = members.size() / 2;  // besides the leader itself
-  if (needed == 0) return std::numeric_limits<base::Millis>::max();
-  if (sent.size() < needed) return kNoLease;
+  const std::size_t quorum = members.size() / 2 + 1;
+  if (sent.size() < quorum) return kNoLease;
   std::sort(sent.begin(), sent.end(), std::greater<>());
-  return sent[needed - 1] + context_.knobs.lease_duration;
+  return sent[quorum - 1];
+}
+
+base::Millis ReplicaGroup::lease_until() const {
+  const auto& lists = log_.members();
+  const auto lease = lease_in(lists.members);
+  return lists.joint() ? std::min(lease, lease_in(lists.previous)) : lease;
 }
 
 bool ReplicaGroup::may_serve(base::Millis now) const {
--- a/src/replication/replica_group.hpp
+++ b/src/replication/replica_group.hpp
@@ -9,8 +9,11 @@
 ///     holds a lease counted from the send time of heartbeats that a majority acknowledged; the
 ///     lease is shorter than the election timeout by more than the clock drift.
 ///  4. A record is committed when a majority and every member not suspected holds it.
-///  5. Members change one at a time: a newcomer is first a learner, fed by a snapshot and the log,
-///     and is listed once it has caught up. A member list is in force as soon as it is in the log.
+///  5. Members change by joint consensus: from the record that proposes a list until the record
+///  that
+///     ends the change, both lists are in force and every decision needs a majority of each. So a
+///     member can be replaced without ever needing the newcomer or the lost one. A newcomer is
+///     first a learner, fed by a snapshot and the log, and is listed once it has caught up.
 ///  6. Epochs number foundings and recoveries of the slot; the table service arbitrates them. A
 ///     replica of an older epoch that learns of a newer one drops what it holds.
 ///  7. For a planned stop the leader gives up its lease, then tells an up-to-date follower to
@@ -23,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "base/knobs.hpp"
@@ -90,11 +94,15 @@
   /// @return learners whose log is at most Knobs::append_batch records behind.
   std::vector<std::int64_t> caught_up_learners() const;
   const std::map<std::int64_t, wire::Member>& learners() const { return learners_; }
-  /// Proposes a list that differs from the current one by one member, other than the leader.
-  /// @return false while another change is under way or the difference is not of that kind.
+  /// Proposes a new list, which must keep the leader.
+  /// @return false while another change is under way.
   bool propose_members(const std::vector<wire::Member>& members);
-  /// Hands leadership to the follower that lags least. @return false when none is up to date.
-  bool transfer_leadership(base::Millis now, Outbox& outbox);
+  /// Whether the newest list is committed and no change is under way.
+  bool members_settled() const;
+  /// Hands leadership to an up-to-date follower among `eligible`.
+  /// @return false when there is none, or this view has not committed anything yet.
+  bool transfer_leadership(const std::set<std::int64_t>& eligible, base::Millis now,
+                           Outbox& outbox);
 
   Role role() const { return role_; }
   View view() const { return view_; }
@@ -106,7 +114,12 @@
   bool may_serve(base::Millis now) const;
   const ReplicatedLog& log() const { return log_; }
   LogIndex commit_index() const { return commit_index_; }
+  /// Whether a list in force names this member.
   bool is_member(std::int64_t member) const;
+  /// Whether a leader sent something lately: a learner that is fed may soon be listed.
+  bool fed_lately(base::Millis now) const;
+  /// Whether a member or learner answered within the last few heartbeats, as the leader sees it.
+  bool heard_lately(std::int64_t member, base::Millis now) const;
   /// Members without a recent acknowledgement, as the leader sees it.
   std::vector<std::int64_t> suspected_members(base::Millis now) const;
   /// Records applied since the last call, in order.
@@ -119,6 +132,9 @@
     base::Millis acknowledged_at = 0;       ///< when the last answer arrived
     base::Millis acknowledged_sent_at = 0;  ///< send time of the newest acknowledged request
     base::Millis snapshot_sent_at = 0;      ///< 0 when no snapshot is under way
+    base::Millis added_at = 0;              ///< answers to requests sent before do not count
+    base::Millis backed_off_at = 0;         ///< last time a rejection moved next_index
+    std::int32_t generation = 0;            ///< of the peer's log
   };
 
   void on_append_request(std::int64_t sender, const wire::AppendRequest& request, base::Millis now,
@@ -144,6 +160,14 @@
   void send_snapshot(std::int64_t member, Peer& peer, base::Millis now, Outbox& outbox);
   void advance_commit(base::Millis now);
   void apply_committed();
+  void end_member_change();
+  void drop_unlisted_peers();
+  LogIndex committed_in(const std::vector<wire::Member>& members, base::Millis now) const;
+  bool supported_in(const std::vector<wire::Member>& members) const;
+  base::Millis lease_in(const std::vector<wire::Member>& members) const;
+  /// Members of the lists in force other than this one.
+  std::vector<wire::Member> others() const;
+  void add_peer(std::int64_t member, LogIndex next_index, base::Millis now);
   void reset_election_timer(base::Millis now);
   void update_passive_role();
   bool suspected(const Peer& peer, base::Millis now) const;
@@ -163,6 +187,7 @@
   LogIndex view_start_index_ = 0;
   LogIndex flushed_index_ = 0;
   LogIndex removed_through_ = 0;
+  std::int32_t generation_ = 0;  ///< how often forget_state() dropped a log
   base::Millis heard_leader_at_ = 0;
   base::Millis election_due_ = 0;
   base::Millis led_since_ = 0;
--- a/src/replication/replicated_log.cpp
+++ b/src/replication/replicated_log.cpp
@@ -9,8 +9,11 @@
 constexpr std::size_t kRecordOverhead = 128;
 
 std::size_t record_bytes(const wire::LogRecord& record) {
-  return kRecordOverhead + record.entry.call_admitted.request_body.size() +
-         record.entry.attempt_ended.result.size();
+  const auto& entry = record.entry;
+  std::size_t bytes = kRecordOverhead;
+  if (entry.call_admitted) bytes += entry.call_admitted->request_body.size();
+  if (entry.attempt_ended) bytes += entry.attempt_ended->result.size();
+  return bytes;
 }
 
 }  // namespace
@@ -27,8 +30,9 @@
 LogIndex ReplicatedLog::append(wire::LogRecord record) {
   const LogIndex index = last_index() + 1;
   bytes_ += record_bytes(record);
-  if (record.entry.__isset.members_changed) {
-    member_lists_.push_back({index, record.entry.members_changed.members});
+  if (record.entry.members_changed) {
+    const auto& changed = *record.entry.members_changed;
+    member_lists_.push_back({index, changed.members, changed.previous});
   }
   records_.push_back(std::move(record));
   return index;
--- a/src/replication/replicated_log.hpp
+++ b/src/replication/replicated_log.hpp
@@ -23,6 +23,9 @@
   struct MemberList {
     LogIndex index = 0;
     std::vector<wire::Member> members;
+    std::vector<wire::Member> previous;  ///< in force as well while a change is under way
+
+    bool joint() const { return !previous.empty(); }
   };
 
   LogIndex base_index() const { return base_index_; }
--- /dev/null
+++ b/src/simulation/fault.hpp
@@ -0,0 +1,51 @@
+/// @file Faults as values: what can go wrong in a simulated deployment.
+#pragma once
+
+#include <cstdint>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include "simulation/simulated_cluster.hpp"
+
+namespace sailgate::simulation {
+
+enum class FaultKind {
+  kNothing,   ///< only time passes
+  kKillNode,  ///< the process dies, with everything it held
+  kKillZone,
+  kRestartNodes,  ///< every dead process starts again, empty
+  kFreezeNode,    ///< the process stops running, its clock goes on
+  kThawNodes,
+  kCutZone,  ///< no message in or out of the zone, among nodes
+  kCutOneWay,
+  kHealLinks,
+  kDisturbNetwork,  ///< messages delayed, reordered, duplicated
+  kTableDown,
+  kTableSlow,
+  kTableLosesAnswers,
+  kTableUp,
+  kDisturbBackends,  ///< answers late or crossed
+  kDriftClock,
+  kStopNode,  ///< planned stop (SIGTERM)
+  kBackendLeaves,
+};
+
+/// All kinds, for generators.
+const std::vector<FaultKind>& all_fault_kinds();
+std::string name_of(FaultKind kind);
+
+/// One fault and the time that passes after it.
+struct Fault {
+  FaultKind kind = FaultKind::kNothing;
+  std::size_t target = 0;  ///< node, zone or back end, modulo their number
+  std::size_t other = 0;   ///< second node of a one-way cut
+  base::Millis then_wait = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const Fault& fault);
+
+/// Brings the fault about and lets time pass.
+void apply_fault(const Fault& fault, SimulatedCluster& cluster);
+
+}  // namespace sailgate::simulation
--- /dev/null
+++ b/src/simulation/sabotage.cpp
@@ -0,0 +1,143 @@
+#include "simulation/sabotage.hpp"
+
+#include <algorithm>
+#include <memory>
+
+namespace sailgate::simulation {
+namespace {
+
+using gateway::DispatchResult;
+using gateway::FlowRules;
+using program::ProgramRules;
+using replication::LogIndex;
+using replication::MemberProgress;
+using replication::ReplicationRules;
+using replication::View;
+
+class AnyOrder : public ProgramRules {
+  bool sequence_is_next(const wire::ProgramRecord& record, std::int32_t sequence) const override {
+    return sequence >= record.next_sequence;
+  }
+};
+
+class SettleOnlyAtTheEnd : public ProgramRules {
+  bool reservation_fits(const wire::ProgramRecord& record, std::int64_t) const override {
+    return record.settled_tokens < record.opened.budget_tokens;
+  }
+};
+
+class SecondAttempt : public ProgramRules {
+  bool attempt_permitted(const wire::CallRecord& call) const override {
+    return call.phase != wire::CallPhase::kDone;
+  }
+};
+
+class AnyEnding : public ProgramRules {
+  bool ending_matches(const wire::CallRecord& call, const wire::AttemptEnded&) const override {
+    return call.phase != wire::CallPhase::kDone;
+  }
+};
+
+class ForgottenEviction : public ProgramRules {
+  bool eviction_owed(const wire::ProgramRecord& record, const std::string& backend) const override {
+    return ProgramRules::eviction_owed(record, backend) && backend != record.backends_used.front();
+  }
+};
+
+class CommitAlone : public ReplicationRules {
+  LogIndex committed_through(const std::vector<MemberProgress>& members) const override {
+    LogIndex highest = 0;
+    for (const auto& member : members) highest = std::max(highest, member.match_index);
+    return highest;
+  }
+};
+
+class AnyCandidate : public ReplicationRules {
+  bool candidate_is_complete(View, LogIndex, View, LogIndex) const override { return true; }
+};
+
+class EndlessLease : public ReplicationRules {
+  bool lease_valid(base::Millis, base::Millis) const override { return true; }
+};
+
+class MatchByConnection : public FlowRules {
+  bool answer_matches(std::int64_t, const DispatchResult&) const override { return true; }
+};
+
+class AnswerBeforeCommit : public FlowRules {
+  bool wait_for_commit() const override { return false; }
+};
+
+class NotRunOnLoss : public FlowRules {
+  wire::Outcome::type outcome_of_loss() const override { return wire::Outcome::kNotRun; }
+};
+
+class UseLeavingBackends : public scheduling::BackendChooser {
+  bool feasible(const scheduling::CallContext& call,
+                const scheduling::BackendState& state) const override {
+    return state.backend.kind == call.target_kind && state.backend.targets.count(call.target) > 0;
+  }
+};
+
+template <typename Rules>
+std::function<void(SimulatedPolicies&)> break_program() {
+  return
+      [](SimulatedPolicies& policies) { policies.node.program_rules = std::make_shared<Rules>(); };
+}
+
+template <typename Rules>
+std::function<void(SimulatedPolicies&)> break_replication() {
+  return [](SimulatedPolicies& policies) {
+    policies.node.replication_rules = std::make_shared<Rules>();
+  };
+}
+
+template <typename Rules>
+std::function<void(SimulatedPolicies&)> break_flow() {
+  return [](SimulatedPolicies& policies) { policies.flow = std::make_shared<Rules>(); };
+}
+
+}  // namespace
+
+const std::vector<Sabotage>& all_sabotages() {
+  static const std::vector<Sabotage> sabotages{
+      {"any-order", "order", "a call is admitted before the one before it has ended", 200,
+       break_program<AnyOrder>()},
+      {"answer-before-commit", "history", "the answer leaves before its ending is committed", 50,
+       break_flow<AnswerBeforeCommit>()},
+      {"commit-alone", "history", "an entry counts as committed when one replica holds it", 400,
+       break_replication<CommitAlone>()},
+      {"any-candidate", "history", "a replica with an incomplete log may lead", 400,
+       break_replication<AnyCandidate>()},
+      {"endless-lease", "history", "a leader never doubts its lease", 400,
+       break_replication<EndlessLease>()},
+      {"old-identity", "history", "a restarted process keeps the identity of the one before", 400,
+       [](SimulatedPolicies& policies) { policies.restart_with_old_identity = true; }},
+      {"settle-only-at-the-end", "budget", "nothing is reserved at admission", 200,
+       break_program<SettleOnlyAtTheEnd>()},
+      {"forgotten-eviction", "memory", "one owed eviction is dropped", 50,
+       break_program<ForgottenEviction>()},
+      {"match-by-connection", "answer", "an answer counts for whatever waits on the connection",
+       100, break_flow<MatchByConnection>()},
+      {"any-ending", "answer", "an ending counts for any attempt of the call", 400,
+       break_program<AnyEnding>()},
+      {"not-run-on-loss", "not run", "a lost dispatch is called not run", 100,
+       break_flow<NotRunOnLoss>()},
+      {"second-attempt", "at most once", "a call that may not be repeated gets a second attempt",
+       200, break_program<SecondAttempt>()},
+      {"use-leaving-backends", "leaving", "leaving back ends get new work", 100,
+       [](SimulatedPolicies& policies) {
+         policies.node.chooser = std::make_shared<UseLeavingBackends>();
+       }},
+  };
+  return sabotages;
+}
+
+const Sabotage* find_sabotage(const std::string& name) {
+  const auto& all = all_sabotages();
+  const auto found = std::find_if(all.begin(), all.end(),
+                                  [&](const Sabotage& sabotage) { return sabotage.name == name; });
+  return found == all.end() ? nullptr : &*found;
+}
+
+}  // namespace sailgate::simulation
--- a/src/simulation/simulated_backend.hpp
+++ b/src/simulation/simulated_backend.hpp
@@ -62,7 +62,7 @@
   std::set<std::string> cached_;
   std::set<std::string> evicted_;
   std::set<std::int64_t> cancelled_;
-  std::set<std::string> fenced_;
+  std::set<std::int64_t> fenced_;                 ///< attempts that must not run any more
   std::map<std::string, std::string> running_;    ///< request key -> program
   std::map<std::string, std::string> finished_;   ///< request key -> result
   std::optional<gateway::DispatchResult> stray_;  ///< an answer that waits to be crossed
--- a/src/simulation/simulated_caller.cpp
+++ b/src/simulation/simulated_caller.cpp
@@ -40,6 +40,7 @@
   const auto copy = ++awaited_;
   cluster_.ask(body, program_, kGatewayPatience, [this, copy](const auto& reply) {
     if (copy != awaited_) return;
+    ++awaited_;
     if (reply.__isset.accepted) {
       next_call();
     } else {
@@ -124,7 +125,8 @@
     case Kind::kWrongSequence:
     case Kind::kProgramEnded:
     case Kind::kKeyReused:
-      cluster_.oracle().program_unfinished(program_, standing_);
+      cluster_.oracle().program_unfinished(
+          program_, standing_ + " of " + key_ + "\n" + cluster_.describe_program(program_));
       finished_ = true;
       return;
     default:
@@ -162,6 +164,7 @@
   const auto copy = ++awaited_;
   cluster_.ask(body, program_, kGatewayPatience, [this, copy](const auto& reply) {
     if (copy != awaited_ || finished_) return;
+    ++awaited_;
     if (reply.__isset.accepted) {
       finished_ = true;
     } else {
--- a/src/simulation/simulated_cluster.hpp
+++ b/src/simulation/simulated_cluster.hpp
@@ -65,6 +65,7 @@
   EventQueue& events() { return events_; }
   const EventQueue& events() const { return events_; }
   Oracle& oracle() { return oracle_; }
+  const Oracle& oracle() const { return oracle_; }
   const base::Knobs& knobs() const { return knobs_; }
   const SimulatedPolicies& policies() const { return policies_; }
   std::int64_t next_member_id() { return next_member_id_++; }
@@ -90,6 +91,9 @@
   std::vector<std::unique_ptr<SimulatedNode>>& nodes() { return nodes_; }
   /// Whether every slot has a serving leader with a full group.
   bool settled() const;
+  /// State of a slot on every node, for reports of a violation.
+  std::string describe_slot(std::int32_t slot) const;
+  std::string describe_program(const std::string& program) const;
 
  private:
   SimulatedNode* node_at(const std::string& host);
@@ -98,7 +102,7 @@
   SimulatedBackend* backend_at(const std::string& id);
   /// Whether every group keeps a majority of living members without these nodes.
   bool survives_without(const std::vector<SimulatedNode*>& victims);
-  const replication::ReplicatedLog::MemberList* newest_members(std::int32_t slot);
+  const replication::ReplicaGroup* newest_replica(std::int32_t slot) const;
   void check_remains();
 
   ClusterShape shape_;
--- a/src/simulation/simulated_node.hpp
+++ b/src/simulation/simulated_node.hpp
@@ -76,7 +76,7 @@
   void carry_out(node::NodeActions actions);
   void send_evictions(const node::NodeActions& actions);
   void run_step(std::int64_t flow_id, const gateway::FlowStep& step);
-  void dispatch(std::int64_t flow_id, const wire::Grant& grant);
+  void dispatch(std::int64_t flow_id, const wire::Grant& grant, base::Millis granted_at);
   /// Finds the slot's leader, follows redirects; an empty reply when that fails.
   void route(std::int32_t slot, const wire::ProgramRequest& request, int hops, std::int64_t hint,
              const Answer& answer);
