Simulate callers that send the next call too early

Cause: the sabotage any-order (order check dropped) passed 800 cases: every simulated caller waited for its answers, so the check was never needed. Change: one call in ten is followed by an early copy of the next.

--- a/src/simulation/simulated_caller.cpp
+++ b/src/simulation/simulated_caller.cpp
@@ -14,6 +14,9 @@
 constexpr base::Millis kGatewayPatience = 7000;
 constexpr base::Millis kAttemptDeadline = 3000;
 constexpr base::Millis kRetryPause = 300;
+constexpr std::uint64_t kApplicationPercent = 40;
+/// Share of calls during which the next one is sent too early.
+constexpr std::uint64_t kEarlyPercent = 10;
 constexpr const char* kTenant = "federation";
 
 }  // namespace
@@ -59,23 +62,45 @@
     end();
     return;
   }
-  key_ = program_ + "/" + std::to_string(sequence_);
-  application_ = random_.chance(40);
-  send_call(true);
+  key_ = key_of(sequence_);
+  send_call(!early_sent_);
+  early_sent_ = false;
+  if (sequence_ < script_.calls && random_.chance(kEarlyPercent)) send_early();
 }
 
-wire::AdmitCall SimulatedCaller::make_call() const {
+std::string SimulatedCaller::key_of(std::int32_t sequence) const {
+  return program_ + "/" + std::to_string(sequence);
+}
+
+/// Whether a call goes to an application engine and may not be repeated.
+bool SimulatedCaller::is_application(const std::string& key) {
+  const auto digest = static_cast<std::uint64_t>(base::fast_digest(key));
+  return digest % 100 < kApplicationPercent;
+}
+
+/// Sends the next call while this one runs, as a faulty client would, and does not wait for it.
+void SimulatedCaller::send_early() {
+  early_sent_ = true;
+  const auto next = sequence_ + 1;
+  const auto key = key_of(next);
+  cluster_.oracle().call_sent(program_, next, key, !is_application(key));
+  cluster_.oracle().copy_abandoned(key);
+  cluster_.call(make_call(next), true, kGatewayPatience, [](const auto&) {});
+}
+
+wire::AdmitCall SimulatedCaller::make_call(std::int32_t sequence) const {
+  const auto key = key_of(sequence);
+  const bool application = is_application(key);
   wire::AdmitCall admit;
   admit.call.program = program_;
-  admit.call.sequence = sequence_;
-  admit.call.request_key = key_;
-  admit.call.request_body = "request " + key_;
+  admit.call.sequence = sequence;
+  admit.call.request_key = key;
+  admit.call.request_body = "request " + key;
   admit.call.request_digest = base::fast_digest(admit.call.request_body);
-  admit.call.target_kind =
-      application_ ? wire::TargetKind::kApplication : wire::TargetKind::kEngine;
-  admit.call.target = application_ ? "book" : "model";
-  admit.call.repeatable = !application_;
-  admit.call.reserved_tokens = application_ ? 0 : script_.tokens_per_call;
+  admit.call.target_kind = application ? wire::TargetKind::kApplication : wire::TargetKind::kEngine;
+  admit.call.target = application ? "book" : "model";
+  admit.call.repeatable = !application;
+  admit.call.reserved_tokens = application ? 0 : script_.tokens_per_call;
   admit.deadline_in_ms = kAttemptDeadline;
   admit.tenant = kTenant;
   return admit;
@@ -83,11 +108,12 @@
 
 void SimulatedCaller::send_call(bool first_send) {
   standing_ = "call " + std::to_string(sequence_);
-  cluster_.oracle().call_sent(program_, sequence_, key_, !application_);
+  cluster_.oracle().call_sent(program_, sequence_, key_, !is_application(key_));
   const auto copy = ++awaited_;
-  cluster_.call(make_call(), first_send, kGatewayPatience, [this, copy](const auto& reply) {
-    if (copy == awaited_) on_call_reply(reply);
-  });
+  cluster_.call(make_call(sequence_), first_send, kGatewayPatience,
+                [this, copy](const auto& reply) {
+                  if (copy == awaited_) on_call_reply(reply);
+                });
   cluster_.events().after(kCallerPatience, [this, copy] {
     if (copy != awaited_) return;
     cluster_.oracle().copy_abandoned(key_);
--- a/src/simulation/simulated_caller.hpp
+++ b/src/simulation/simulated_caller.hpp
@@ -38,7 +38,10 @@
   void on_call_refused(const wire::Refusal& refusal);
   void read();
   void end();
-  wire::AdmitCall make_call() const;
+  void send_early();
+  std::string key_of(std::int32_t sequence) const;
+  static bool is_application(const std::string& key);
+  wire::AdmitCall make_call(std::int32_t sequence) const;
 
   SimulatedCluster& cluster_;
   std::string program_;
@@ -46,7 +49,7 @@
   base::Random random_;
   std::int32_t sequence_ = 0;
   std::string key_;
-  bool application_ = false;
+  bool early_sent_ = false;   ///< a copy of the next call is under way already
   std::int64_t awaited_ = 0;  ///< number of the copy whose reply counts
   bool finished_ = false;
   std::string standing_ = "not started";
