--- a/idl/sailgate.thrift
+++ b/idl/sailgate.thrift
@@ -35,6 +35,9 @@
   kUnknownCall = 24
   kDeadlineExceeded = 25
   kInternal = 26
+  kConfigurationStale = 27
+  kBundleConflict = 28
+  kBundleRefused = 29
 }
 
 /** What is known about the execution of a call on its back end. */
@@ -99,6 +102,56 @@
 /** Rumors of the differing buckets travel in the envelope. */
 struct SyncReply { 1: i32 buckets }
 
+// --------------------------------------------------------------- configuration
+
+/** What one partner allows one of its tenants. */
+struct TenantRule {
+  1: string name
+  /** BLAKE2b-128 digests of bearer tokens, hexadecimal; none: no token is needed. */
+  2: list<string> token_hashes
+}
+
+/** What one partner allows programs of a kind. */
+struct ProgramRule {
+  1: string kind
+  2: i32 priority
+  3: i64 budget_limit_tokens
+  4: i32 call_limit
+}
+
+/** Share of the engines of a model kept for programs of a kind. */
+struct Reservation {
+  1: string model
+  2: string kind
+  3: i32 share_percent
+}
+
+/** Zones whose engines a kind's calls should use. */
+struct PlacementWish {
+  1: string kind
+  2: list<string> zones
+}
+
+/** One partner's wishes; `builds_on` is the generation they were checked against. */
+struct Bundle {
+  1: string partner
+  2: i64 version
+  3: i64 builds_on
+  4: list<TenantRule> tenants
+  5: list<ProgramRule> programs
+  6: list<Reservation> reservations
+  7: list<PlacementWish> placements
+}
+
+struct Signature { 1: string partner; 2: binary bytes }
+struct SignedBundle { 1: Bundle bundle; 2: list<Signature> signatures }
+
+/** Everything in force: the newest accepted bundle of each partner. */
+struct Configuration {
+  1: i64 generation
+  2: list<Bundle> bundles
+}
+
 // --------------------------------------------------------------- journal
 
 struct ProgramOpened {
@@ -195,6 +248,9 @@
 /** The row is known to be in the table; earlier intentions can no longer take effect. */
 struct RowRecorded { 1: SlotRow row; 2: i64 version }
 
+/** A bundle signed by all partners; takes effect if it builds on the generation in force. */
+struct ConfigurationAccepted { 1: SignedBundle signed_bundle }
+
 /** First entry of a view; carries no change. */
 struct ViewStarted {}
 
@@ -213,6 +269,7 @@
   11: RowIntended& row_intended
   12: RowRecorded& row_recorded
   13: CallWithdrawn& call_withdrawn
+  14: ConfigurationAccepted& configuration_accepted
 }
 
 struct LogRecord {
@@ -320,6 +377,11 @@
 struct ReportToolPause { 1: ToolPauseReported pause; 2: string tenant }
 struct EndProgram { 1: ProgramClosed closed; 2: string tenant }
 
+/** Rolls a bundle out; answered when no node serves under an older generation any more. */
+struct RollConfiguration { 1: SignedBundle signed_bundle }
+/** A node asks to go on serving; `generation` is the one it serves under. */
+struct RenewConfigurationLease { 1: i64 member; 2: i64 generation }
+
 union ProgramRequest {
   1: OpenProgram open_program
   2: AdmitCall admit_call
@@ -328,6 +390,8 @@
   5: ReadProgram read_program
   6: ReportToolPause report_tool_pause
   7: EndProgram end_program
+  8: RollConfiguration roll_configuration
+  9: RenewConfigurationLease renew_configuration_lease
 }
 
 /** One finished call of a program's history. */
@@ -363,6 +427,7 @@
   1: ErrorKind kind
   2: i64 retry_after_ms
   3: Ran ran
+  4: string detail
 }
 
 struct ProgramView {
@@ -384,6 +449,13 @@
 
 struct Accepted { 1: string program }
 
+/** Grants a configuration lease; the configuration is set only when it is newer than the asker's. */
+struct ConfigurationLease {
+  1: i64 generation
+  2: i64 duration_ms
+  3: optional Configuration configuration
+}
+
 union ProgramReply {
   1: Accepted accepted
   2: Grant grant
@@ -391,6 +463,7 @@
   4: Refusal refusal
   5: ProgramView view
   6: Redirect redirect
+  7: ConfigurationLease configuration_lease
 }
 
 // ------------------------------------------------------------------- state
@@ -426,6 +499,7 @@
 struct SlotSnapshot {
   1: list<ProgramRecord> programs
   2: list<SlotRow> possible_rows
+  3: Configuration configuration
 }
 
 // ------------------------------------------------------------------ services
--- a/src/base/digest.cpp
+++ b/src/base/digest.cpp
@@ -37,6 +37,14 @@
   return to_hex(digest);
 }
 
+std::string token_digest(std::string_view token) {
+  std::string digest(kChainDigestBytes, '\0');
+  crypto_generichash(reinterpret_cast<unsigned char*>(digest.data()), digest.size(),
+                     reinterpret_cast<const unsigned char*>(token.data()), token.size(), nullptr,
+                     0);
+  return to_hex(digest);
+}
+
 std::string to_hex(std::string_view bytes) {
   constexpr std::string_view kDigits = "0123456789abcdef";
   std::string text;
--- a/src/base/digest.hpp
+++ b/src/base/digest.hpp
@@ -14,6 +14,9 @@
 /// Fields are length-prefixed, so that different splits cannot collide.
 std::string chain_digest(std::string_view previous, std::string_view content);
 
+/// Digest of a bearer token as bundles list it: BLAKE2b-128, hexadecimal.
+std::string token_digest(std::string_view token);
+
 /// @return `bytes` in lower-case hexadecimal.
 std::string to_hex(std::string_view bytes);
 
--- a/src/base/error_table.cpp
+++ b/src/base/error_table.cpp
@@ -63,6 +63,13 @@
                 2000, "The call's deadline passed; look it up by its key."},
     ErrorAnswer{Kind::kInternal, "internal", 500, Ran::kUnknown, RetryRule::kFixed, 2000,
                 "An internal error occurred; look the call up by its key."},
+    ErrorAnswer{Kind::kConfigurationStale, "configuration_stale", 503, Ran::kNotRun,
+                RetryRule::kFixed, 1000,
+                "This node cannot confirm that its configuration is the newest; use another."},
+    ErrorAnswer{Kind::kBundleConflict, "bundle_conflict", 409, Ran::kNotRun, RetryRule::kNever, 0,
+                "Another bundle was accepted since this one was prepared."},
+    ErrorAnswer{Kind::kBundleRefused, "bundle_refused", 422, Ran::kNotRun, RetryRule::kNever, 0,
+                "The bundle or its signatures are not valid."},
 };
 
 }  // namespace
--- a/src/base/knobs.hpp
+++ b/src/base/knobs.hpp
@@ -66,6 +66,10 @@
   Millis idle_limit = 1'800'000;
   /// Interval of the leader's scan for owed evictions, overdue attempts and idle programs.
   Millis obligation_interval = 500;
+  /// Time a node may serve under its configuration after it asked for a lease.
+  Millis configuration_lease = 5000;
+  /// Interval at which a node renews its configuration lease.
+  Millis configuration_poll = 1000;
   /// Interval at which replicas per member are counted for placement.
   Millis replica_count_interval = 1000;
   /// Time to come back stated when a slot has no leader.
--- a/src/gateway/answers.cpp
+++ b/src/gateway/answers.cpp
@@ -122,6 +122,25 @@
   return response;
 }
 
+http::HttpResponse configuration_answer(const wire::Configuration& configuration, bool live) {
+  auto body = value::object();
+  body["generation"] = value::number(configuration.generation);
+  body["live"] = value::boolean(live);
+  std::vector<value> bundles;
+  for (const auto& bundle : configuration.bundles) {
+    auto entry = value::object();
+    entry["partner"] = value::string(bundle.partner);
+    entry["version"] = value::number(bundle.version);
+    entry["tenants"] = value::number(static_cast<std::uint64_t>(bundle.tenants.size()));
+    entry["programs"] = value::number(static_cast<std::uint64_t>(bundle.programs.size()));
+    bundles.push_back(std::move(entry));
+  }
+  body["bundles"] = value::array(bundles);
+  http::HttpResponse response;
+  response.body = body.serialize();
+  return response;
+}
+
 http::HttpResponse accepted_answer(const std::string& program, int status) {
   auto body = value::object();
   body["program"] = value::string(program);
@@ -133,7 +152,7 @@
 
 http::HttpResponse reply_answer(const wire::ProgramReply& reply) {
   if (reply.__isset.outcome) return outcome_answer(reply.outcome);
-  if (reply.__isset.refusal) return refusal_answer(reply.refusal);
+  if (reply.__isset.refusal) return refusal_answer(reply.refusal, reply.refusal.detail);
   if (reply.__isset.view) return view_answer(reply.view);
   if (reply.__isset.accepted) return accepted_answer(reply.accepted.program, 200);
   // No leader answered: the request may or may not have taken effect.
--- a/src/gateway/answers.hpp
+++ b/src/gateway/answers.hpp
@@ -16,6 +16,8 @@
 http::HttpResponse outcome_answer(const wire::CallOutcome& outcome);
 /// Answer for a program's standing and history.
 http::HttpResponse view_answer(const wire::ProgramView& view);
+/// Answer for the configuration in force on a node.
+http::HttpResponse configuration_answer(const wire::Configuration& configuration, bool live);
 http::HttpResponse accepted_answer(const std::string& program, int status);
 /// Answer for any reply that is final.
 http::HttpResponse reply_answer(const wire::ProgramReply& reply);
--- a/src/gateway/caller_api.cpp
+++ b/src/gateway/caller_api.cpp
@@ -6,6 +6,7 @@
 #include "gateway/answers.hpp"
 #include "gateway/call_request.hpp"
 #include "http/json_body.hpp"
+#include "node/bundle_file.hpp"
 
 namespace sailgate::gateway {
 namespace {
@@ -13,17 +14,17 @@
 using Kind = wire::ErrorKind;
 
 constexpr base::Millis kRequestPatience = 8000;
+constexpr base::Millis kRollPatience = 20'000;
 constexpr int kCreated = 201;
 constexpr std::size_t kProgramDepth = 3;  // v1/programs/{id}
 constexpr std::size_t kActionDepth = 4;   // v1/programs/{id}/calls
 constexpr std::size_t kKeyDepth = 5;      // v1/programs/{id}/calls/{key}
 
-std::string tenant_of(const http::HttpRequest& request) {
-  auto tenant = request.header("sailgate-tenant");
-  if (tenant.empty() || tenant.size() > kLongestName) {
-    throw http::BadBody(Kind::kUnauthorized, "the header Sailgate-Tenant must name the tenant");
-  }
-  return tenant;
+/// Token of the Authorization header, or an empty string.
+std::string bearer_token(const http::HttpRequest& request) {
+  const std::string prefix = "Bearer ";
+  const auto header = request.header("authorization");
+  return header.rfind(prefix, 0) == 0 ? header.substr(prefix.size()) : "";
 }
 
 /// Sends pieces as events once there is one; a refusal before that is a plain answer.
@@ -96,6 +97,9 @@
   }
   const bool versioned = path.size() >= 2 && path[0] == "v1";
   if (versioned && path.size() == 2 && path[1] == "status") return status(responder);
+  if (versioned && path.size() == 2 && path[1] == "configuration") {
+    return configuration(request, responder);
+  }
   if (versioned && path[1] == "programs") return handle_program(request, responder);
   refuse(Kind::kUnknownResource, "", responder);
 }
@@ -123,6 +127,44 @@
   refuse(Kind::kMethodNotAllowed, "", responder);
 }
 
+std::string CallerApi::tenant_of(const http::HttpRequest& request) const {
+  auto tenant = request.header("sailgate-tenant");
+  if (tenant.empty() || tenant.size() > kLongestName) {
+    throw http::BadBody(Kind::kUnauthorized, "the header Sailgate-Tenant must name the tenant");
+  }
+  if (!node_.admits(tenant, bearer_token(request))) {
+    throw http::BadBody(Kind::kUnauthorized, "the token does not belong to the tenant");
+  }
+  return tenant;
+}
+
+/// @throws http::BadBody when the bundles in force do not allow this program.
+void CallerApi::check_opening(const wire::ProgramOpened& opened) const {
+  const auto rule = node_.program_rule(opened.tenant, opened.kind);
+  if (!rule) throw http::BadBody(Kind::kUnauthorized, "no bundle in force lists this kind");
+  if (opened.budget_tokens > rule->budget_limit_tokens) {
+    throw http::BadBody(Kind::kBudgetExceeded, "the budget exceeds the limit of its kind");
+  }
+  if (opened.call_limit > rule->call_limit) {
+    throw http::BadBody(Kind::kCallLimitReached, "the call limit exceeds that of its kind");
+  }
+}
+
+/// Refuses new work while stopping or without a live configuration lease. Whether an earlier copy
+/// of a repeated request runs elsewhere is not known here.
+bool CallerApi::refuse_new_work(bool first_send, http::Responder& responder) {
+  const bool live = node_.configuration_live();
+  if (!stopping_ && live) return false;
+  const auto kind = stopping_ ? Kind::kStopping : Kind::kConfigurationStale;
+  wire::Refusal refusal;
+  refusal.kind = kind;
+  refusal.retry_after_ms = base::error_answer(kind).retry_after;
+  refusal.ran = first_send ? wire::Ran::kNotRun : wire::Ran::kUnknown;
+  statistics_.count_refusal(kind);
+  responder.send(refusal_answer(refusal));
+  return true;
+}
+
 // ---------------------------------------------------------------- routes
 
 void CallerApi::open_program(const http::HttpRequest& request, http::Responder& responder) {
@@ -130,7 +172,8 @@
   const auto tenant = tenant_of(request);
   wire::OpenProgram open;
   open.program = parse_opening(tenant, request.body);
-  if (stopping_) return refuse(Kind::kStopping, "", responder);
+  if (refuse_new_work(false, responder)) return;
+  check_opening(open.program);
   wire::ProgramRequest body;
   body.__set_open_program(open);
   const auto reply = ask(open.program.program, body);
@@ -145,16 +188,7 @@
   statistics_.count_request("call");
   const auto tenant = tenant_of(request);
   const auto parsed = parse_call(request.path[2], tenant, request.body);
-  if (stopping_) {
-    // Whether an earlier copy runs elsewhere is not known here.
-    wire::Refusal refusal;
-    refusal.kind = Kind::kStopping;
-    refusal.retry_after_ms = base::error_answer(Kind::kStopping).retry_after;
-    refusal.ran = parsed.first_send ? wire::Ran::kNotRun : wire::Ran::kUnknown;
-    statistics_.count_refusal(refusal.kind);
-    responder.send(refusal_answer(refusal));
-    return;
-  }
+  if (refuse_new_work(parsed.first_send, responder)) return;
   const ActiveCall active(active_calls_);
   if (!parsed.stream) {
     answer(runner_.run(parsed.admit, parsed.first_send, parsed.deadline, {}), responder);
@@ -215,6 +249,28 @@
   answer(ask(end.closed.program, body), responder);
 }
 
+/// Operators only: GET reads what is in force here, POST rolls a signed bundle.
+void CallerApi::configuration(const http::HttpRequest& request, http::Responder& responder) {
+  statistics_.count_request("configuration");
+  if (request.method == "GET") {
+    responder.send(configuration_answer(node_.configuration(), node_.configuration_live()));
+    return;
+  }
+  if (request.method != "POST") return refuse(Kind::kMethodNotAllowed, "", responder);
+  const auto json = http::parse_object(request.body);
+  wire::RollConfiguration roll;
+  try {
+    roll.signed_bundle = node::from_text(http::string_field(json, "signed_bundle", kBodyLimit));
+  } catch (const http::BadBody&) {
+    throw;
+  } catch (const std::exception& error) {
+    throw http::BadBody(Kind::kMalformedRequest, error.what());
+  }
+  wire::ProgramRequest body;
+  body.__set_roll_configuration(roll);
+  answer(node_.route_slot(node::kConfigurationSlot, body, kRollPatience), responder);
+}
+
 void CallerApi::status(http::Responder& responder) {
   const auto status = node_.status();
   auto body = web::json::value::object();
--- a/src/gateway/caller_api.hpp
+++ b/src/gateway/caller_api.hpp
@@ -37,6 +37,10 @@
   void read(const http::HttpRequest& request, http::Responder& responder);
   void end(const http::HttpRequest& request, http::Responder& responder);
   void status(http::Responder& responder);
+  void configuration(const http::HttpRequest& request, http::Responder& responder);
+  std::string tenant_of(const http::HttpRequest& request) const;
+  void check_opening(const wire::ProgramOpened& opened) const;
+  bool refuse_new_work(bool first_send, http::Responder& responder);
   void answer(const wire::ProgramReply& reply, http::Responder& responder);
   void refuse(wire::ErrorKind::type kind, const std::string& detail, http::Responder& responder);
   wire::ProgramReply ask(const std::string& program, const wire::ProgramRequest& request);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -8,9 +8,10 @@
 
 using wire::MemberStatus;
 
-/// Transmissions of one rumor: this factor times the logarithm of the member count.
-constexpr double kTransmissionFactor = 3.0;
-constexpr int kMinimumTransmissions = 4;
+/// Transmissions of one rumor: this factor times the logarithm of the member count. What that
+/// misses the comparison of tables brings.
+constexpr double kTransmissionFactor = 1.0;
+constexpr int kMinimumTransmissions = 6;
 /// One probe in this many goes to a dead member.
 constexpr std::uint64_t kDeadProbePeriod = 8;
 /// One probe interval in this many also asks a seed.
--- a/src/node/core/node_actions.hpp
+++ b/src/node/core/node_actions.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/time.hpp"
 #include "membership/membership.hpp"
 #include "sailgate_types.h"
 
@@ -75,6 +76,12 @@
   std::int64_t attempt = 0;
 };
 
+/// Asks the configuration authority for a lease.
+struct LeaseRequest {
+  wire::RenewConfigurationLease request;
+  base::Millis asked_at = 0;
+};
+
 /// Everything one step of the core produced.
 struct NodeActions {
   std::vector<membership::Membership::Outgoing> envelopes;
@@ -83,6 +90,7 @@
   std::vector<EvictionOrder> evictions;
   std::vector<OutcomeInquiry> inquiries;
   std::vector<CancelOrder> cancels;
+  std::vector<LeaseRequest> lease_requests;
 };
 
 }  // namespace sailgate::node
--- a/src/node/core/node_core.cpp
+++ b/src/node/core/node_core.cpp
@@ -23,6 +23,7 @@
       rows_(options_.knobs, membership_, random_.below(UINT64_MAX)),
       repair_(options_.knobs, membership_),
       obligations_(options_.knobs, membership_),
+      configuration_(options_.knobs, options_.policies.lease_rules, options_.self.id),
       started_at_(now) {
   for (const auto& backend : options_.backends) backends_.add(backend);
 }
@@ -33,31 +34,34 @@
   const bool for_other = envelope.receiver != 0 && envelope.receiver != options_.self.id;
   if (for_other || envelope.sender.id == options_.self.id) return;
   membership_.on_envelope(envelope, now);
-  apply_rumors(envelope.rumors);
+  apply_rumors(envelope.rumors, now);
   for (const auto& message : envelope.groups) {
     if (message.slot < 0 || message.slot >= options_.knobs.slot_count) continue;
     auto& target = replica(message.slot, now);
     target.group().on_message(envelope.sender.id, message, now, outbox_);
     target.group().flush(now, outbox_);
-    target.settle(actions_);
+    target.settle(now, actions_);
   }
   finish_step();
 }
 
-void NodeCore::apply_rumors(const std::vector<wire::Rumor>& rumors) {
+void NodeCore::apply_rumors(const std::vector<wire::Rumor>& rumors, base::Millis now) {
   for (const auto& rumor : rumors) {
     if (rumor.__isset.backend) backends_.set_leaving(rumor.backend.backend, rumor.backend.leaving);
     if (!rumor.__isset.slot) continue;
     auto* held = find_replica(rumor.slot.slot);
     if (held == nullptr) continue;
     held->group().note_location(rumor.slot);
-    held->settle(actions_);
+    held->settle(now, actions_);
   }
 }
 
 void NodeCore::on_tick(base::Millis now) {
   membership_.on_tick(now);
   tick_slots(now);
+  if (const auto request = configuration_.poll(now)) {
+    actions_.lease_requests.push_back({*request, now});
+  }
   if (now >= next_seek_at_) {
     next_seek_at_ = now + options_.knobs.row_write_interval;
     seek_slots(now);
@@ -80,14 +84,14 @@
   }
   for (auto& [slot, held] : replicas_) {
     held->group().on_tick(now, outbox_);
-    held->settle(actions_);
+    held->settle(now, actions_);
     if (!held->group().is_leader()) continue;
     publish_location(*held, now);
     rows_.record(*held, now, actions_);
     repair_.step(*held, replica_counts_, now);
     if (stopping_) held->group().transfer_leadership(successors, now, outbox_);
     held->group().flush(now, outbox_);
-    held->settle(actions_);
+    held->settle(now, actions_);
   }
 }
 
@@ -100,7 +104,7 @@
   }
   held->submit(ticket, request, now, actions_);
   held->group().flush(now, outbox_);
-  held->settle(actions_);
+  held->settle(now, actions_);
   finish_step();
 }
 
@@ -117,22 +121,27 @@
     auto entry = wire::as_entry(std::move(recorded));
     founded.propose(entry);
     founded.group().flush(now, outbox_);
-    founded.settle(actions_);
+    founded.settle(now, actions_);
     publish_location(founded, now);
   }
   if (verdict == RowKeeper::Verdict::kFenced && held != nullptr) {
     held->group().retire(answer.row.epoch);
-    held->settle(actions_);
+    held->settle(now, actions_);
   }
   finish_step();
 }
 
+void NodeCore::on_configuration_lease(const wire::ConfigurationLease& lease,
+                                      base::Millis asked_at) {
+  configuration_.on_lease(lease, asked_at);
+}
+
 void NodeCore::on_evicted(const EvictionOrder& order, base::Millis now) {
   auto* held = find_replica(order.slot);
   if (held == nullptr) return;
   Obligations::on_evicted(*held, order);
   held->group().flush(now, outbox_);
-  held->settle(actions_);
+  held->settle(now, actions_);
   finish_step();
 }
 
@@ -141,7 +150,7 @@
   if (held == nullptr) return;
   Obligations::on_inquiry_answer(*held, answer);
   held->group().flush(now, outbox_);
-  held->settle(actions_);
+  held->settle(now, actions_);
   finish_step();
 }
 
@@ -230,7 +239,7 @@
     }
     obligations_.scan(*held, now, actions_);
     held->group().flush(now, outbox_);
-    held->settle(actions_);
+    held->settle(now, actions_);
   }
 }
 
@@ -282,7 +291,8 @@
   std::move(outgoing.begin(), outgoing.end(), std::back_inserter(actions_.envelopes));
 }
 
-/// One envelope per peer; rumors ride along.
+/// One envelope per peer. Rumors do not ride along: the same few peers would get each of them again
+/// and again (docs/decisions/0006-rumors.md).
 void NodeCore::send_group_messages() {
   for (auto& [receiver, messages] : outbox_) {
     const auto* member = membership_.find(receiver);
@@ -291,7 +301,6 @@
     envelope.sender = options_.self;
     envelope.receiver = receiver;
     envelope.groups = std::move(messages);
-    membership_.attach_rumors(envelope);
     actions_.envelopes.push_back({{member->host, member->rpc_port}, std::move(envelope)});
   }
   outbox_.clear();
--- a/src/node/core/node_core.hpp
+++ b/src/node/core/node_core.hpp
@@ -11,6 +11,7 @@
 
 #include "base/knobs.hpp"
 #include "base/random.hpp"
+#include "configuration/configuration_holder.hpp"
 #include "membership/membership.hpp"
 #include "node/core/group_repair.hpp"
 #include "node/core/node_actions.hpp"
@@ -21,6 +22,9 @@
 
 namespace sailgate::node {
 
+/// Slot whose journal also holds the configuration.
+constexpr std::int32_t kConfigurationSlot = 0;
+
 /// Slot of a program: its root's id hashed, so that a program and its sub-programs share a slot.
 std::int32_t slot_of(const std::string& program, std::int32_t slot_count);
 
@@ -49,6 +53,8 @@
   void submit(Ticket ticket, std::int32_t slot, const wire::ProgramRequest& request,
               base::Millis now);
   void on_table_answer(const TableAnswer& answer, base::Millis now);
+  /// The authority answered a lease request made at `asked_at`.
+  void on_configuration_lease(const wire::ConfigurationLease& lease, base::Millis asked_at);
   void on_evicted(const EvictionOrder& order, base::Millis now);
   void on_inquiry_answer(const InquiryAnswer& answer, base::Millis now);
   /// The machine list, a back end's own report or a refusal says that it is leaving.
@@ -68,6 +74,7 @@
   NodeActions take_actions();
 
   const membership::Membership& membership() const { return membership_; }
+  const configuration::ConfigurationHolder& configuration() const { return configuration_; }
   const scheduling::BackendDirectory& backends() const { return backends_; }
   const std::map<std::int32_t, std::unique_ptr<SlotReplica>>& replicas() const { return replicas_; }
   const base::Knobs& knobs() const { return options_.knobs; }
@@ -81,7 +88,7 @@
   void seek_slots(base::Millis now);
   void scan_obligations(base::Millis now);
   void publish_location(SlotReplica& replica, base::Millis now);
-  void apply_rumors(const std::vector<wire::Rumor>& rumors);
+  void apply_rumors(const std::vector<wire::Rumor>& rumors, base::Millis now);
   void send_group_messages();
 
   Options options_;
@@ -91,6 +98,7 @@
   RowKeeper rows_;
   GroupRepair repair_;
   Obligations obligations_;
+  configuration::ConfigurationHolder configuration_;
   std::map<std::int32_t, std::unique_ptr<SlotReplica>> replicas_;
   replication::Outbox outbox_;
   NodeActions actions_;
--- a/src/node/core/slot_replica.cpp
+++ b/src/node/core/slot_replica.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/error_table.hpp"
+#include "configuration/bundle_check.hpp"
 #include "wire/union_values.hpp"
 
 namespace sailgate::node {
@@ -30,6 +31,14 @@
   return reply;
 }
 
+/// Tells an operator whose bundle lost the race what is in force now.
+std::string describe_winner(const wire::Configuration& in_force) {
+  auto text = "generation " + std::to_string(in_force.generation) + " is in force";
+  if (in_force.bundles.empty()) return text;
+  const auto& newest = in_force.bundles.back();
+  return text + ", by version " + std::to_string(newest.version) + " of partner " + newest.partner;
+}
+
 /// Repeating a call must repeat its content; the sequence belongs to it.
 bool same_request(const wire::CallAdmitted& known, const wire::CallAdmitted& repeated) {
   return known.request_digest == repeated.request_digest && known.sequence == repeated.sequence;
@@ -66,7 +75,9 @@
 NodePolicies NodePolicies::standard() {
   return {std::make_shared<program::ProgramRules>(),
           std::make_shared<replication::ReplicationRules>(),
-          std::make_shared<scheduling::BackendChooser>()};
+          std::make_shared<scheduling::BackendChooser>(),
+          std::make_shared<configuration::LeaseRules>(),
+          {}};
 }
 
 SlotReplica::SlotReplica(Context context, base::Millis now)
@@ -75,7 +86,8 @@
       state_(context_.policies.program_rules, context_.knobs.slot_state_limit),
       group_({context_.slot, context_.self.id, context_.knobs, context_.policies.replication_rules,
               *this, random_.below(UINT64_MAX)},
-             now) {}
+             now),
+      leases_(context_.knobs) {}
 
 // ---------------------------------------------------------------- requests
 
@@ -91,15 +103,19 @@
     return;
   }
   try {
-    dispatch(ticket, request, actions);
+    dispatch(ticket, request, now, actions);
   } catch (const std::runtime_error&) {
     // The program's history failed its check and must not be served.
     actions.completed.push_back({ticket, refusal_reply(Kind::kInternal)});
   }
 }
 
-void SlotReplica::dispatch(Ticket ticket, const wire::ProgramRequest& request,
+void SlotReplica::dispatch(Ticket ticket, const wire::ProgramRequest& request, base::Millis now,
                            NodeActions& actions) {
+  if (request.__isset.roll_configuration) return roll_configuration(ticket, request, actions);
+  if (request.__isset.renew_configuration_lease) {
+    return renew_lease(ticket, request.renew_configuration_lease, now, actions);
+  }
   if (request.__isset.open_program) return open_program(ticket, request, actions);
   if (request.__isset.admit_call) return admit_call(ticket, request, actions);
   if (request.__isset.complete_attempt) return complete_attempt(ticket, request, actions);
@@ -297,6 +313,48 @@
   wait_for(std::move(entry), {group_.view(), ticket, request, 0}, actions);
 }
 
+void SlotReplica::roll_configuration(Ticket ticket, const wire::ProgramRequest& request,
+                                     NodeActions& actions) {
+  const auto& signed_bundle = request.roll_configuration.signed_bundle;
+  const auto& in_force = state_.configuration();
+  const auto refuse = [&](Kind::type kind, const std::string& detail) {
+    auto reply = refusal_reply(kind);
+    reply.refusal.detail = detail;
+    actions.completed.push_back({ticket, std::move(reply)});
+  };
+  const auto& bundle = signed_bundle.bundle;
+  auto problem =
+      configuration::problem_with_signatures(signed_bundle, context_.policies.partner_keys);
+  if (problem.empty()) problem = configuration::problem_alone(bundle);
+  if (!problem.empty()) return refuse(Kind::kBundleRefused, problem);
+  // An operator who lost the answer rolls the same bundle again.
+  const auto rolled = std::find(in_force.bundles.begin(), in_force.bundles.end(), bundle);
+  if (rolled != in_force.bundles.end()) {
+    rolls_[ticket] = bundle.builds_on + 1;
+    return;
+  }
+  if (bundle.builds_on != in_force.generation) {
+    return refuse(Kind::kBundleConflict, describe_winner(in_force));
+  }
+  problem = configuration::problem_together(bundle, in_force);
+  if (!problem.empty()) return refuse(Kind::kBundleRefused, problem);
+  wire::ConfigurationAccepted accepted;
+  accepted.signed_bundle = signed_bundle;
+  wait_for(wire::as_entry(std::move(accepted)), {group_.view(), ticket, request, 0}, actions);
+}
+
+void SlotReplica::renew_lease(Ticket ticket, const wire::RenewConfigurationLease& request,
+                              base::Millis now, NodeActions& actions) {
+  leases_.renewed(request.member, request.generation, now);
+  wire::ConfigurationLease lease;
+  lease.generation = state_.configuration().generation;
+  lease.duration_ms = context_.knobs.configuration_lease;
+  if (lease.generation != request.generation) lease.__set_configuration(state_.configuration());
+  wire::ProgramReply reply;
+  reply.__set_configuration_lease(lease);
+  actions.completed.push_back({ticket, std::move(reply)});
+}
+
 void SlotReplica::wait_for(wire::JournalEntry entry, Waiter waiter, NodeActions& actions) {
   const auto index = group_.propose(std::move(entry));
   if (!index) {
@@ -327,18 +385,28 @@
 
 // ---------------------------------------------------------------- results
 
-void SlotReplica::settle(NodeActions& actions) {
+void SlotReplica::settle(base::Millis now, NodeActions& actions) {
   for (const auto& applied : group_.take_applied()) {
     const auto found = waiters_.find(applied.index);
     if (found == waiters_.end()) continue;
     const auto& waiter = found->second;
     const bool own = waiter.view == applied.view;
+    const bool rolled = waiter.request.__isset.roll_configuration;
+    if (own && rolled && applied.error == Kind::kNone) {
+      rolls_[waiter.ticket] = waiter.request.roll_configuration.signed_bundle.bundle.builds_on + 1;
+      waiters_.erase(found);
+      continue;
+    }
     actions.completed.push_back(
         {waiter.ticket, own ? reply_for(waiter, applied.error) : redirect_reply(group_.leader())});
     waiters_.erase(found);
   }
   if (group_.is_leader()) {
-    if (!counted_as_leader_) rebuild_outstanding();
+    if (!counted_as_leader_) {
+      rebuild_outstanding();
+      leases_.begin(now);
+    }
+    answer_rolls(now, actions);
     return;
   }
   if (counted_as_leader_) release_outstanding();
@@ -346,6 +414,20 @@
     actions.completed.push_back({waiter.ticket, redirect_reply(group_.leader())});
   }
   waiters_.clear();
+  // The bundle is in the journal; whether it is in force everywhere the next authority can tell.
+  for (const auto& [ticket, generation] : rolls_) {
+    actions.completed.push_back({ticket, redirect_reply(group_.leader())});
+  }
+  rolls_.clear();
+}
+
+void SlotReplica::answer_rolls(base::Millis now, NodeActions& actions) {
+  const auto& rules = *context_.policies.lease_rules;
+  for (auto it = rolls_.begin(); it != rolls_.end();) {
+    const bool done = !rules.wait_for_leases() || leases_.in_force_everywhere(it->second, now);
+    if (done) actions.completed.push_back({it->first, accepted_reply(std::to_string(it->second))});
+    it = done ? rolls_.erase(it) : std::next(it);
+  }
 }
 
 wire::ProgramReply SlotReplica::reply_for(const Waiter& waiter, wire::ErrorKind::type error) const {
@@ -387,6 +469,11 @@
     }
     return refusal_reply(Kind::kOutcomeUnknown);
   }
+  if (error == Kind::kBundleConflict) {
+    auto reply = refusal_reply(error);
+    reply.refusal.detail = describe_winner(state_.configuration());
+    return reply;
+  }
   if (error != Kind::kNone) return refusal_reply(error);
   if (request.__isset.open_program) return accepted_reply(request.open_program.program.program);
   if (request.__isset.end_program) return accepted_reply(request.end_program.closed.program);
--- a/src/node/core/slot_replica.hpp
+++ b/src/node/core/slot_replica.hpp
@@ -8,6 +8,8 @@
 
 #include "base/knobs.hpp"
 #include "base/random.hpp"
+#include "configuration/lease_table.hpp"
+#include "configuration/signing.hpp"
 #include "node/core/node_actions.hpp"
 #include "program/slot_state.hpp"
 #include "replication/replica_group.hpp"
@@ -21,6 +23,8 @@
   std::shared_ptr<const program::ProgramRules> program_rules;
   std::shared_ptr<const replication::ReplicationRules> replication_rules;
   std::shared_ptr<const scheduling::BackendChooser> chooser;
+  std::shared_ptr<const configuration::LeaseRules> lease_rules;
+  configuration::PartnerKeys partner_keys;  ///< whose signatures a bundle needs
 
   /// The policies of the product.
   static NodePolicies standard();
@@ -44,7 +48,7 @@
   void submit(Ticket ticket, const wire::ProgramRequest& request, base::Millis now,
               NodeActions& actions);
   /// Replies to requests whose entries were applied or can no longer be; call after each step.
-  void settle(NodeActions& actions);
+  void settle(base::Millis now, NodeActions& actions);
   /// Proposes an entry nobody waits for. @return whether this replica took it.
   bool propose(const wire::JournalEntry& entry);
 
@@ -69,7 +73,8 @@
   std::string snapshot() const override { return state_.snapshot(); }
   void restore(const std::string& bytes) override;
 
-  void dispatch(Ticket ticket, const wire::ProgramRequest& request, NodeActions& actions);
+  void dispatch(Ticket ticket, const wire::ProgramRequest& request, base::Millis now,
+                NodeActions& actions);
   void open_program(Ticket ticket, const wire::ProgramRequest& request, NodeActions& actions);
   void admit_call(Ticket ticket, const wire::ProgramRequest& request, NodeActions& actions);
   void answer_known_call(Ticket ticket, const wire::ProgramRequest& request,
@@ -83,6 +88,10 @@
   void read_program(Ticket ticket, const wire::ReadProgram& request, NodeActions& actions) const;
   void report_tool_pause(Ticket ticket, const wire::ProgramRequest& request, NodeActions& actions);
   void end_program(Ticket ticket, const wire::ProgramRequest& request, NodeActions& actions);
+  void roll_configuration(Ticket ticket, const wire::ProgramRequest& request, NodeActions& actions);
+  void renew_lease(Ticket ticket, const wire::RenewConfigurationLease& request, base::Millis now,
+                   NodeActions& actions);
+  void answer_rolls(base::Millis now, NodeActions& actions);
   void wait_for(wire::JournalEntry entry, Waiter waiter, NodeActions& actions);
   wire::ProgramReply reply_for(const Waiter& waiter, wire::ErrorKind::type error) const;
   wire::ProgramReply reply_for_applied(const Waiter& waiter, wire::ErrorKind::type error) const;
@@ -101,6 +110,8 @@
   std::map<replication::LogIndex, Waiter> waiters_;
   std::map<std::int64_t, std::string> outstanding_;  ///< attempt -> back end, while leading
   bool counted_as_leader_ = false;
+  configuration::LeaseTable leases_;
+  std::map<Ticket, std::int64_t> rolls_;  ///< accepted, not yet in force everywhere -> generation
 };
 
 /// Reply builders shared by the core and the gateway.
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -2,10 +2,15 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <chrono>
+#include <limits>
 #include <random>
 #include <utility>
 
+#include "base/digest.hpp"
+#include "configuration/bundle_check.hpp"
+
 namespace sailgate::node {
 namespace {
 
@@ -38,7 +43,7 @@
 
 bool usable(const wire::ProgramReply& reply) {
   return reply.__isset.accepted || reply.__isset.grant || reply.__isset.outcome ||
-         reply.__isset.refusal || reply.__isset.view;
+         reply.__isset.refusal || reply.__isset.view || reply.__isset.configuration_lease;
 }
 
 }  // namespace
@@ -59,6 +64,7 @@
   options.self.zone = settings_.zone;
   options.knobs = settings_.knobs;
   options.policies = NodePolicies::standard();
+  options.policies.partner_keys = settings_.partner_keys;
   options.seeds = settings_.seeds;
   options.backends = settings_.backends;
   options.seed = random_seed();
@@ -119,6 +125,18 @@
       run([&answer](NodeCore& core, base::Millis time) { core.on_inquiry_answer(answer, time); });
     });
   }
+  for (const auto& lease : actions.lease_requests) {
+    background_.submit([this, lease] {
+      wire::ProgramRequest request;
+      request.__set_renew_configuration_lease(lease.request);
+      const auto reply =
+          route_slot(kConfigurationSlot, request, settings_.knobs.configuration_poll);
+      if (!reply.__isset.configuration_lease) return;
+      run([&](NodeCore& core, base::Millis) {
+        core.on_configuration_lease(reply.configuration_lease, lease.asked_at);
+      });
+    });
+  }
   for (auto& order : actions.cancels) {
     background_.submit([this, order = std::move(order)] { services_.backends.cancel(order); });
   }
@@ -163,6 +181,44 @@
   run([&backend](NodeCore& core, base::Millis) { core.on_backend_leaving(backend); });
 }
 
+bool NodeRuntime::configuration_live() const {
+  const std::lock_guard<std::mutex> lock(core_mutex_);
+  return core_->configuration().live(now());
+}
+
+wire::Configuration NodeRuntime::configuration() const {
+  const std::lock_guard<std::mutex> lock(core_mutex_);
+  return core_->configuration().configuration();
+}
+
+bool NodeRuntime::admits(const std::string& tenant, const std::string& token) const {
+  const std::lock_guard<std::mutex> lock(core_mutex_);
+  const auto& in_force = core_->configuration().configuration();
+  if (in_force.generation == 0) return true;
+  const auto* rule = configuration::find_tenant(in_force, tenant);
+  if (rule == nullptr) return false;
+  if (rule->token_hashes.empty()) return true;
+  const auto hash = base::token_digest(token);
+  return std::find(rule->token_hashes.begin(), rule->token_hashes.end(), hash) !=
+         rule->token_hashes.end();
+}
+
+std::optional<wire::ProgramRule> NodeRuntime::program_rule(const std::string& tenant,
+                                                           const std::string& kind) const {
+  const std::lock_guard<std::mutex> lock(core_mutex_);
+  const auto& in_force = core_->configuration().configuration();
+  if (in_force.generation == 0) {
+    wire::ProgramRule unlimited;
+    unlimited.kind = kind;
+    unlimited.budget_limit_tokens = std::numeric_limits<std::int64_t>::max();
+    unlimited.call_limit = std::numeric_limits<std::int32_t>::max();
+    return unlimited;
+  }
+  const auto* rule = configuration::find_program(in_force, tenant, kind);
+  if (rule == nullptr) return std::nullopt;
+  return *rule;
+}
+
 bool NodeRuntime::backend_is_leaving(const std::string& backend) const {
   const std::lock_guard<std::mutex> lock(core_mutex_);
   const auto* state = core_->backends().find(backend);
@@ -188,7 +244,11 @@
 
 wire::ProgramReply NodeRuntime::route(const std::string& program,
                                       const wire::ProgramRequest& request, base::Millis timeout) {
-  const auto slot = slot_of(program, settings_.knobs.slot_count);
+  return route_slot(slot_of(program, settings_.knobs.slot_count), request, timeout);
+}
+
+wire::ProgramReply NodeRuntime::route_slot(std::int32_t slot, const wire::ProgramRequest& request,
+                                           base::Millis timeout) {
   const auto give_up_at = now() + timeout;
   std::int64_t hint = 0;
   int hops = 0;
--- a/src/node/node_runtime.hpp
+++ b/src/node/node_runtime.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 #include "backend/backend_client.hpp"
@@ -59,6 +60,19 @@
   wire::ProgramReply route(const std::string& program, const wire::ProgramRequest& request,
                            base::Millis timeout);
   /// Tells the core at once that a back end refused because it is leaving.
+  /// Same, for a slot; kConfigurationSlot leads to the configuration authority.
+  wire::ProgramReply route_slot(std::int32_t slot, const wire::ProgramRequest& request,
+                                base::Millis timeout);
+
+  /// Whether this node may serve under its configuration now.
+  bool configuration_live() const;
+  wire::Configuration configuration() const;
+  /// Whether the configuration in force lets this tenant in with this bearer token.
+  bool admits(const std::string& tenant, const std::string& token) const;
+  /// What a tenant's programs of a kind may do; nothing when the bundles in force do not list it.
+  /// Without any bundle in force everything is allowed.
+  std::optional<wire::ProgramRule> program_rule(const std::string& tenant,
+                                                const std::string& kind) const;
   void report_leaving(const std::string& backend);
   /// Whether this node knows that a back end is leaving.
   bool backend_is_leaving(const std::string& backend) const;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <stdexcept>
 
+#include "node/bundle_file.hpp"
 #include "node/settings_reader.hpp"
 
 namespace sailgate::node {
@@ -38,6 +39,17 @@
   return backend;
 }
 
+std::string read_public_key(SettingsTable& table) {
+  constexpr std::size_t kKeyBytes = 32;
+  try {
+    auto key = from_hex(table.required_text("public_key"));
+    if (key.size() == kKeyBytes) return key;
+  } catch (const std::invalid_argument&) {
+    // Answered below, as a key of the wrong length.
+  }
+  table.fail("public_key", "must be 32 bytes in hexadecimal");
+}
+
 void read_knobs(SettingsTable table, base::Knobs& knobs) {
   constexpr std::int64_t kDay = 86'400'000;
   const auto duration = [&table](const std::string& key, base::Millis& value) {
@@ -53,6 +65,8 @@
   duration("full_sync_interval_ms", knobs.full_sync_interval);
   duration("join_delay_ms", knobs.join_delay);
   duration("idle_limit_ms", knobs.idle_limit);
+  duration("configuration_lease_ms", knobs.configuration_lease);
+  duration("configuration_poll_ms", knobs.configuration_poll);
   knobs.slot_count =
       static_cast<std::int32_t>(table.integer("slot_count", knobs.slot_count, 1, 65'536));
   knobs.replica_count = static_cast<std::size_t>(
@@ -60,6 +74,9 @@
   knobs.slot_state_limit = static_cast<std::size_t>(
       table.integer("slot_state_limit_bytes", static_cast<std::int64_t>(knobs.slot_state_limit),
                     1024, std::int64_t{1} << 33U));
+  if (knobs.configuration_poll >= knobs.configuration_lease) {
+    table.fail("configuration_poll_ms", "must be less than configuration_lease_ms");
+  }
   if (knobs.lease_duration >= knobs.election_timeout) {
     table.fail("lease_duration_ms", "must be less than election_timeout_ms");
   }
@@ -100,6 +117,11 @@
   for (auto& backend : table.tables("backends")) {
     settings.backends.push_back(read_backend(backend));
   }
+  for (auto& partner : table.tables("partners")) {
+    const auto name = partner.required_text("name");
+    settings.partner_keys[name] = read_public_key(partner);
+    partner.finish();
+  }
   read_knobs(table.table("knobs"), settings.knobs);
   table.finish();
   return settings;
--- a/src/node/node_settings.hpp
+++ b/src/node/node_settings.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/knobs.hpp"
+#include "configuration/signing.hpp"
 #include "membership/membership.hpp"
 #include "scheduling/backend_directory.hpp"
 
@@ -22,6 +23,7 @@
   std::string table_service;  ///< "host:port"
   std::string machine_list;   ///< "host:port", or empty
   std::vector<scheduling::Backend> backends;
+  configuration::PartnerKeys partner_keys;  ///< whose signatures a bundle needs
   base::Knobs knobs;
 };
 
--- a/src/platform/table_service.cpp
+++ b/src/platform/table_service.cpp
@@ -1,11 +1,11 @@
 #include "platform/table_service.hpp"
 
 #include <cpprest/json.h>
-#include <sodium.h>
 
 #include <utility>
 
 #include "base/digest.hpp"
+#include "node/bundle_file.hpp"
 #include "wire/codec.hpp"
 
 namespace sailgate::platform {
@@ -19,20 +19,10 @@
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 
-std::string from_hex(const std::string& text) {
-  std::string bytes(text.size() / 2, '\0');
-  std::size_t length = 0;
-  const int status = sodium_hex2bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(),
-                                    text.data(), text.size(), nullptr, &length, nullptr);
-  if (status != 0) throw std::invalid_argument("not hexadecimal");
-  bytes.resize(length);
-  return bytes;
-}
-
 void take_row(const std::string& body, node::TableAnswer& answer) {
   const auto json = value::parse(body);
   answer.version = json.at("version").as_number().to_int64();
-  answer.row = wire::decode<wire::SlotRow>(from_hex(json.at("value").as_string()));
+  answer.row = wire::decode<wire::SlotRow>(node::from_hex(json.at("value").as_string()));
 }
 
 }  // namespace
--- a/src/program/slot_state.cpp
+++ b/src/program/slot_state.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 
 #include "base/digest.hpp"
+#include "configuration/bundle_check.hpp"
 #include "wire/codec.hpp"
 
 namespace sailgate::program {
@@ -51,6 +52,7 @@
   if (entry.eviction_acknowledged) return apply_evicted(*entry.eviction_acknowledged);
   if (entry.program_forgotten) return apply_forgotten(*entry.program_forgotten);
   if (entry.call_withdrawn) return apply_withdrawn(*entry.call_withdrawn);
+  if (entry.configuration_accepted) return apply_configuration(*entry.configuration_accepted);
   if (entry.row_intended) possible_rows_.push_back(entry.row_intended->row);
   if (entry.row_recorded) possible_rows_.assign(1, entry.row_recorded->row);
   return Kind::kNone;
@@ -206,6 +208,17 @@
   if (engine && !owes && rules_->eviction_owed(record, backend)) owed.push_back(backend);
 }
 
+/// Of two bundles that build on the same generation the first in the journal takes effect.
+wire::ErrorKind::type SlotState::apply_configuration(const wire::ConfigurationAccepted& accepted) {
+  const auto& bundle = accepted.signed_bundle.bundle;
+  if (bundle.builds_on != configuration_.generation) return Kind::kBundleConflict;
+  if (!configuration::problem_together(bundle, configuration_).empty()) {
+    return Kind::kBundleRefused;
+  }
+  configuration_ = configuration::with_bundle(configuration_, bundle);
+  return Kind::kNone;
+}
+
 /// The call provably never reached a back end: it is as if it had not been admitted.
 void SlotState::release_call(wire::ProgramRecord& record) {
   auto& call = record.calls.back();
@@ -293,16 +306,19 @@
   snapshot.programs.reserve(programs_.size());
   for (const auto& [id, record] : programs_) snapshot.programs.push_back(record);
   snapshot.possible_rows = possible_rows_;
+  snapshot.configuration = configuration_;
   return wire::encode(snapshot);
 }
 
 void SlotState::restore(const std::string& bytes) {
   programs_.clear();
   possible_rows_.clear();
+  configuration_ = {};
   state_bytes_ = 0;
   if (bytes.empty()) return;
   auto snapshot = wire::decode<wire::SlotSnapshot>(bytes);
   possible_rows_ = std::move(snapshot.possible_rows);
+  configuration_ = std::move(snapshot.configuration);
   for (auto& record : snapshot.programs) {
     state_bytes_ += kRecordOverhead;
     for (const auto& call : record.calls) state_bytes_ += text_bytes(call);
--- a/src/program/slot_state.hpp
+++ b/src/program/slot_state.hpp
@@ -46,6 +46,9 @@
   /// Rows the table service may hold for this slot: the recorded one and later intentions.
   const std::vector<wire::SlotRow>& possible_rows() const { return possible_rows_; }
 
+  /// Configuration in force; only slot 0 carries one.
+  const wire::Configuration& configuration() const { return configuration_; }
+
   const Programs& programs() const { return programs_; }
   /// Bytes of request and answer text held; the bound on memory counts these.
   std::size_t state_bytes() const { return state_bytes_; }
@@ -63,6 +66,7 @@
   static void drop_reservation(wire::ProgramRecord& record, wire::CallRecord& call);
   void close_program(wire::ProgramRecord& record);
   void owe_eviction_again(wire::ProgramRecord& record, const std::string& backend);
+  wire::ErrorKind::type apply_configuration(const wire::ConfigurationAccepted& accepted);
   void release_call(wire::ProgramRecord& record);
   void finish_call(wire::ProgramRecord& record, wire::CallRecord& call,
                    const wire::AttemptEnded& ended);
@@ -74,6 +78,7 @@
   std::size_t state_bytes_ = 0;
   Programs programs_;
   std::vector<wire::SlotRow> possible_rows_;
+  wire::Configuration configuration_;
 };
 
 }  // namespace sailgate::program
--- a/src/simulation/fault.cpp
+++ b/src/simulation/fault.cpp
@@ -13,12 +13,13 @@
 
 const std::vector<FaultKind>& all_fault_kinds() {
   static const std::vector<FaultKind> kinds{
-      FaultKind::kNothing,           FaultKind::kKillNode,   FaultKind::kKillZone,
-      FaultKind::kRestartNodes,      FaultKind::kFreezeNode, FaultKind::kThawNodes,
-      FaultKind::kCutZone,           FaultKind::kCutOneWay,  FaultKind::kHealLinks,
-      FaultKind::kDisturbNetwork,    FaultKind::kTableDown,  FaultKind::kTableSlow,
-      FaultKind::kTableLosesAnswers, FaultKind::kTableUp,    FaultKind::kDisturbBackends,
-      FaultKind::kDriftClock,        FaultKind::kStopNode,   FaultKind::kBackendLeaves};
+      FaultKind::kNothing,           FaultKind::kKillNode,         FaultKind::kKillZone,
+      FaultKind::kRestartNodes,      FaultKind::kFreezeNode,       FaultKind::kThawNodes,
+      FaultKind::kCutZone,           FaultKind::kCutOneWay,        FaultKind::kHealLinks,
+      FaultKind::kDisturbNetwork,    FaultKind::kTableDown,        FaultKind::kTableSlow,
+      FaultKind::kTableLosesAnswers, FaultKind::kTableUp,          FaultKind::kDisturbBackends,
+      FaultKind::kDriftClock,        FaultKind::kStopNode,         FaultKind::kBackendLeaves,
+      FaultKind::kRollConfiguration, FaultKind::kRollConfiguration};
   return kinds;
 }
 
@@ -60,6 +61,8 @@
       return "stop node";
     case FaultKind::kBackendLeaves:
       return "back end leaves";
+    case FaultKind::kRollConfiguration:
+      return "roll configuration";
   }
   return "?";
 }
@@ -125,6 +128,9 @@
     case FaultKind::kBackendLeaves:
       cluster.backend_leaves(fault.target);
       break;
+    case FaultKind::kRollConfiguration:
+      cluster.roll_configuration(fault.target, fault.other % 3 == 0);
+      break;
   }
   cluster.run_for(fault.then_wait);
 }
--- a/src/simulation/fault.hpp
+++ b/src/simulation/fault.hpp
@@ -29,6 +29,7 @@
   kDriftClock,
   kStopNode,  ///< planned stop (SIGTERM)
   kBackendLeaves,
+  kRollConfiguration,  ///< an operator rolls a bundle, sometimes both at once
 };
 
 /// All kinds, for generators.
--- a/src/simulation/oracle.cpp
+++ b/src/simulation/oracle.cpp
@@ -82,6 +82,29 @@
   }
 }
 
+// ---------------------------------------------------------------- configuration
+
+void Oracle::configuration_accepted(const std::string& bundle, std::int64_t generation) {
+  const auto [found, fresh] = accepted_bundles_.emplace(generation, bundle);
+  if (!fresh && found->second != bundle) {
+    violation("configuration", bundle + " and " + found->second + " were both accepted as " +
+                                   std::to_string(generation));
+  }
+  accepted_generation_ = std::max(accepted_generation_, generation);
+}
+
+void Oracle::served_under(const std::string& host, std::int64_t generation) {
+  if (generation >= accepted_generation_) return;
+  violation("configuration", host + " served under " + std::to_string(generation) + " after " +
+                                 std::to_string(accepted_generation_) + " was accepted");
+}
+
+void Oracle::generation_held(const std::string& host, std::int64_t generation) {
+  auto& held = held_generations_[host];
+  if (generation < held) violation("configuration", host + " went back to an older generation");
+  held = generation;
+}
+
 // ---------------------------------------------------------------- back ends
 
 void Oracle::effect_started(const std::string& program, std::int32_t sequence,
--- a/src/simulation/oracle.hpp
+++ b/src/simulation/oracle.hpp
@@ -33,6 +33,15 @@
   void program_read(const wire::ProgramView& view, std::size_t told_before);
   std::size_t outcomes_told(const std::string& program) const;
 
+  // Configuration.
+  /// An operator was told that a bundle is in force.
+  void configuration_accepted(const std::string& bundle, std::int64_t generation);
+  /// A node took a caller's work while it held this generation.
+  void served_under(const std::string& host, std::int64_t generation);
+  /// A node took over a generation; a restarted node begins anew.
+  void generation_held(const std::string& host, std::int64_t generation);
+  void node_restarted(const std::string& host) { held_generations_.erase(host); }
+
   // What back ends did.
   void effect_started(const std::string& program, std::int32_t sequence, const std::string& key,
                       const std::string& backend, base::Millis now);
@@ -71,6 +80,9 @@
   std::map<std::string, Call> calls_;
   std::map<std::string, Program> programs_;
   std::map<std::string, base::Millis> no_work_after_;
+  std::int64_t accepted_generation_ = 0;
+  std::map<std::int64_t, std::string> accepted_bundles_;
+  std::map<std::string, std::int64_t> held_generations_;
   std::vector<std::string> violations_;
   std::size_t calls_told_ = 0;
 };
--- a/src/simulation/sabotage.cpp
+++ b/src/simulation/sabotage.cpp
@@ -79,6 +79,19 @@
   }
 };
 
+class ServeWithoutLease : public configuration::LeaseRules {
+  bool lease_live(base::Millis, base::Millis) const override { return true; }
+};
+
+class AcceptAtOnce : public configuration::LeaseRules {
+  bool wait_for_leases() const override { return false; }
+};
+
+template <typename Rules>
+std::function<void(SimulatedPolicies&)> break_leases() {
+  return [](SimulatedPolicies& policies) { policies.node.lease_rules = std::make_shared<Rules>(); };
+}
+
 template <typename Rules>
 std::function<void(SimulatedPolicies&)> break_program() {
   return
@@ -125,6 +138,10 @@
        break_flow<NotRunOnLoss>()},
       {"second-attempt", "at most once", "a call that may not be repeated gets a second attempt",
        200, break_program<SecondAttempt>()},
+      {"serve-without-lease", "configuration", "a node serves without a configuration lease", 200,
+       break_leases<ServeWithoutLease>()},
+      {"accept-at-once", "configuration", "a bundle is accepted before it is in force everywhere",
+       200, break_leases<AcceptAtOnce>()},
       {"use-leaving-backends", "leaving", "leaving back ends get new work", 100,
        [](SimulatedPolicies& policies) {
          policies.node.chooser = std::make_shared<UseLeavingBackends>();
--- a/src/simulation/simulated_cluster.cpp
+++ b/src/simulation/simulated_cluster.cpp
@@ -54,6 +54,10 @@
   for (std::size_t i = 0; i < shape_.application_engines; ++i) {
     add_backend("application" + std::to_string(i), wire::TargetKind::kApplication, "book");
   }
+  policies_.node.partner_keys = partner_public_keys();
+  for (const auto* partner : kPartners) {
+    operators_.push_back(std::make_unique<SimulatedOperator>(*this, partner));
+  }
   for (std::size_t i = 0; i < shape_.programs; ++i) {
     ProgramScript script;
     script.calls = 2 + static_cast<std::int32_t>(random_.below(4));
@@ -416,11 +420,26 @@
 
 void SimulatedCluster::ask(const wire::ProgramRequest& request, const std::string& program,
                            base::Millis patience, const SimulatedNode::Answer& answer) {
+  ask_slot(request, node::slot_of(program, knobs_.slot_count), patience, answer);
+}
+
+void SimulatedCluster::ask_slot(const wire::ProgramRequest& request, std::int32_t slot,
+                                base::Millis patience, const SimulatedNode::Answer& answer) {
   auto* node = random_node();
   if (node == nullptr) return;
-  events_.after(1, [node, request, program, patience, answer] {
-    node->handle_request(request, program, patience, answer);
+  events_.after(1, [node, request, slot, patience, answer] {
+    node->handle_request(request, slot, patience, answer);
   });
 }
 
+std::int64_t SimulatedCluster::some_generation() {
+  const auto* node = random_node();
+  return node == nullptr ? 0 : node->core().configuration().generation();
+}
+
+void SimulatedCluster::roll_configuration(std::size_t partner, bool both) {
+  operators_[partner % operators_.size()]->roll();
+  if (both) operators_[(partner + 1) % operators_.size()]->roll();
+}
+
 }  // namespace sailgate::simulation
--- a/src/simulation/simulated_cluster.hpp
+++ b/src/simulation/simulated_cluster.hpp
@@ -15,6 +15,7 @@
 #include "simulation/simulated_caller.hpp"
 #include "simulation/simulated_network.hpp"
 #include "simulation/simulated_node.hpp"
+#include "simulation/simulated_operator.hpp"
 #include "simulation/simulated_table.hpp"
 
 namespace sailgate::simulation {
@@ -60,6 +61,8 @@
   void set_drift(std::size_t index, int per_mille);
   void stop_node(std::size_t index);
   void backend_leaves(std::size_t index);
+  /// One operator rolls a bundle, or both at once.
+  void roll_configuration(std::size_t partner, bool both);
 
   // Used by nodes and callers.
   EventQueue& events() { return events_; }
@@ -87,6 +90,10 @@
             const SimulatedNode::Answer& answer);
   void ask(const wire::ProgramRequest& request, const std::string& program, base::Millis patience,
            const SimulatedNode::Answer& answer);
+  void ask_slot(const wire::ProgramRequest& request, std::int32_t slot, base::Millis patience,
+                const SimulatedNode::Answer& answer);
+  /// Configuration generation that some node holds, as an operator would read it.
+  std::int64_t some_generation();
 
   std::vector<std::unique_ptr<SimulatedNode>>& nodes() { return nodes_; }
   /// Whether every slot has a serving leader with a full group.
@@ -117,6 +124,7 @@
   std::vector<std::unique_ptr<SimulatedNode>> nodes_;
   std::vector<std::unique_ptr<SimulatedBackend>> backends_;
   std::vector<std::unique_ptr<SimulatedCaller>> callers_;
+  std::vector<std::unique_ptr<SimulatedOperator>> operators_;
 };
 
 }  // namespace sailgate::simulation
--- a/src/simulation/simulated_node.cpp
+++ b/src/simulation/simulated_node.cpp
@@ -19,8 +19,15 @@
     : cluster_(cluster), host_(std::move(host)), zone_(std::move(zone)), random_(seed) {}
 
 base::Millis SimulatedNode::local_now() const {
-  const auto now = cluster_.events().now();
-  return now + now * drift_per_mille_ / 1000;
+  const auto passed = cluster_.events().now() - drift_since_;
+  return local_at_drift_ + passed + passed * drift_per_mille_ / 1000;
+}
+
+/// The clock goes on from where it is: it never jumps.
+void SimulatedNode::set_drift(int per_mille) {
+  local_at_drift_ = local_now();
+  drift_since_ = cluster_.events().now();
+  drift_per_mille_ = per_mille;
 }
 
 // ---------------------------------------------------------------- process
@@ -28,6 +35,7 @@
 void SimulatedNode::start() {
   if (core_) return;
   ++incarnation_;
+  cluster_.oracle().node_restarted(host_);
   stopped_ = false;
   frozen_ = false;
   const bool keep = cluster_.policies().restart_with_old_identity && member_id_ != 0;
@@ -125,6 +133,15 @@
         });
   }
   send_evictions(actions);
+  for (const auto& lease : actions.lease_requests) {
+    wire::ProgramRequest request;
+    request.__set_renew_configuration_lease(lease.request);
+    route(node::kConfigurationSlot, request, 0, 0, [this, lease](const wire::ProgramReply& reply) {
+      if (!reply.__isset.configuration_lease) return;
+      core_->on_configuration_lease(reply.configuration_lease, lease.asked_at);
+      cluster_.oracle().generation_held(host_, core_->configuration().generation());
+    });
+  }
   for (const auto& completed : actions.completed) {
     const auto found = tickets_.find(completed.ticket);
     if (found == tickets_.end()) continue;
@@ -205,10 +222,9 @@
 
 // ---------------------------------------------------------------- gateway
 
-void SimulatedNode::handle_request(const wire::ProgramRequest& request, const std::string& program,
+void SimulatedNode::handle_request(const wire::ProgramRequest& request, std::int32_t slot,
                                    base::Millis patience, const Answer& answer) {
-  run_or_defer([this, request, program, patience, answer] {
-    const auto slot = node::slot_of(program, cluster_.knobs().slot_count);
+  run_or_defer([this, request, slot, patience, answer] {
     retry_request(request, slot, local_now() + patience, answer);
   });
 }
@@ -232,6 +248,13 @@
 void SimulatedNode::handle_call(const wire::AdmitCall& admit, bool first_send,
                                 base::Millis patience, const Answer& answer) {
   run_or_defer([this, admit, first_send, patience, answer] {
+    if (!core_->configuration().live(local_now())) {
+      auto reply = node::refusal_reply(wire::ErrorKind::kConfigurationStale);
+      if (!first_send) reply.refusal.ran = wire::Ran::kUnknown;
+      answer(reply);
+      return;
+    }
+    cluster_.oracle().served_under(host_, core_->configuration().generation());
     auto stamped = admit;
     stamped.gateway = member_id_;
     stamped.nonce = random_.identifier();
--- a/src/simulation/simulated_node.hpp
+++ b/src/simulation/simulated_node.hpp
@@ -47,7 +47,7 @@
   node::NodeCore& core() { return *core_; }
   const node::NodeCore& core() const { return *core_; }
   /// Skew of this process's clock in parts per thousand.
-  void set_drift(int per_mille) { drift_per_mille_ = per_mille; }
+  void set_drift(int per_mille);
 
   // What reaches the process from the network; dropped while down, kept while frozen.
   void deliver_envelope(const wire::Envelope& envelope);
@@ -55,8 +55,8 @@
   void handle_call(const wire::AdmitCall& admit, bool first_send, base::Millis patience,
                    const Answer& answer);
   /// A caller's other request.
-  void handle_request(const wire::ProgramRequest& request, const std::string& program,
-                      base::Millis patience, const Answer& answer);
+  void handle_request(const wire::ProgramRequest& request, std::int32_t slot, base::Millis patience,
+                      const Answer& answer);
   /// A program request forwarded by another node.
   void execute(std::int32_t slot, const wire::ProgramRequest& request, const Answer& answer);
 
@@ -91,6 +91,8 @@
   std::int64_t incarnation_ = 0;
   std::int64_t member_id_ = 0;
   int drift_per_mille_ = 0;
+  base::Millis drift_since_ = 0;
+  base::Millis local_at_drift_ = 0;
   bool frozen_ = false;
   bool stopped_ = false;
   std::vector<std::function<void()>> deferred_;
--- a/src/wire/union_values.hpp
+++ b/src/wire/union_values.hpp
@@ -74,6 +74,11 @@
   entry.__set_call_withdrawn(std::make_shared<CallWithdrawn>(std::move(value)));
   return entry;
 }
+inline JournalEntry as_entry(ConfigurationAccepted value) {
+  JournalEntry entry;
+  entry.__set_configuration_accepted(std::make_shared<ConfigurationAccepted>(std::move(value)));
+  return entry;
+}
 
 /// Body of a message between replicas.
 inline GroupBody as_body(AppendRequest value) {
