--- a/apps/sailgate_bench/local_deployment.cpp
+++ b/apps/sailgate_bench/local_deployment.cpp
@@ -3,6 +3,7 @@
 #include <cpprest/json.h>
 #include <signal.h>
 
+#include <algorithm>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
@@ -59,7 +60,7 @@
     start_node(i);
   }
   const auto limit = Clock::now() + std::chrono::milliseconds(timeout_millis);
-  while (slots_open() < static_cast<std::size_t>(shape_.slots)) {
+  while (!repaired()) {
     if (Clock::now() >= limit) return false;
     std::this_thread::sleep_for(kPoll);
   }
@@ -159,14 +160,36 @@
   return result.body_complete && result.response.status == 200;
 }
 
-std::size_t LocalDeployment::slots_open() {
-  std::size_t open = 0;
+LocalDeployment::Totals LocalDeployment::totals() {
+  Totals sum;
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!node_running(i)) continue;
+    ++sum.running;
     const auto body = get(node_address(i), {"v1", "status"});
-    if (body.empty()) continue;
-    open += static_cast<std::size_t>(web::json::value::parse(body).at("slots_open").as_integer());
+    if (body.empty()) {
+      sum.all_live = false;
+      continue;
+    }
+    const auto status = web::json::value::parse(body);
+    sum.slots_open += static_cast<std::size_t>(status.at("slots_open").as_integer());
+    sum.slots_full += static_cast<std::size_t>(status.at("slots_full").as_integer());
+    const auto members = static_cast<std::size_t>(status.at("members_alive").as_integer());
+    sum.fewest_members = std::min(sum.fewest_members, members);
+    sum.most_members = std::max(sum.most_members, members);
+    sum.all_live = sum.all_live && status.at("configuration_live").as_bool();
   }
-  return open;
+  return sum;
+}
+
+bool LocalDeployment::serving() {
+  const auto sum = totals();
+  return sum.all_live && sum.slots_open == static_cast<std::size_t>(shape_.slots);
+}
+
+bool LocalDeployment::repaired() {
+  const auto sum = totals();
+  const bool agreed = sum.fewest_members == sum.running && sum.most_members == sum.running;
+  return agreed && sum.all_live && sum.slots_full == static_cast<std::size_t>(shape_.slots);
 }
 
 }  // namespace sailgate::bench
--- a/apps/sailgate_bench/local_deployment.hpp
+++ b/apps/sailgate_bench/local_deployment.hpp
@@ -59,8 +59,10 @@
   /// GET of a path; an empty body when it fails.
   std::string get(const std::string& address, const std::vector<std::string>& path);
   http::HttpClient& client() { return client_; }
-  /// Sum of slots led and open to programs, over the nodes that answer.
-  std::size_t slots_open();
+  /// Whether every slot takes programs, every answering node holds a configuration lease.
+  bool serving();
+  /// Same, every slot has a full group, and every node knows exactly the running nodes.
+  bool repaired();
 
  private:
   struct Node {
@@ -70,6 +72,16 @@
     std::unique_ptr<ChildProcess> process;
   };
 
+  struct Totals {
+    std::size_t slots_open = 0;
+    std::size_t slots_full = 0;
+    std::size_t running = 0;
+    std::size_t fewest_members = SIZE_MAX;  ///< as the node that knows the fewest sees it
+    std::size_t most_members = 0;
+    bool all_live = true;
+  };
+  /// Sums over the nodes that answer.
+  Totals totals();
   std::string start_standin(const std::string& kind, const std::vector<std::string>& options);
   std::string backend_table(const std::string& address, const std::string& kind,
                             const std::string& serves, std::size_t zone) const;
--- a/apps/sailgate_bench/main.cpp
+++ b/apps/sailgate_bench/main.cpp
@@ -10,6 +10,7 @@
 
 #include "cli/command_line.hpp"
 #include "demo.hpp"
+#include "faults.hpp"
 #include "fuzz.hpp"
 #include "http/http_server.hpp"
 #include "scale.hpp"
@@ -34,7 +35,7 @@
 /// Options of all commands; each uses some.
 options::options_description describe_options() {
   options::options_description description(
-      "sailgate-bench COMMAND [options]; COMMAND is demo, fuzz or scale");
+      "sailgate-bench COMMAND [options]; COMMAND is demo, faults, fuzz or scale");
   auto add = description.add_options();
   add("help", "print this text");
   add("version", "print the version");
@@ -47,6 +48,9 @@
   add("reproduce", options::value<std::string>()->default_value(""),
       "fuzz: run the case an earlier run printed after 'reproduce='");
   add("no-shrink", "fuzz: report the schedule as found");
+  add("faults", options::value<std::size_t>()->default_value(8), "faults: number of faults");
+  add("outage-ms", options::value<int>()->default_value(60'000),
+      "faults: length of a table-service outage");
   add("nodes", options::value<std::size_t>()->default_value(25), "scale: number of nodes");
   add("slots", options::value<std::int32_t>()->default_value(64), "scale: number of slots");
   add("zones", options::value<std::size_t>()->default_value(12), "scale: number of zones");
@@ -71,6 +75,16 @@
   return bench::run_fuzz(fuzz);
 }
 
+int run_faults(const options::variables_map& values) {
+  bench::FaultOptions faults;
+  faults.seed = values["seed"].as<std::uint64_t>();
+  faults.faults = values["faults"].as<std::size_t>();
+  faults.outage_millis = values["outage-ms"].as<int>();
+  faults.programs_directory = own_directory();
+  faults.work_directory = work_directory();
+  return bench::run_faults(faults);
+}
+
 int run_scale(const options::variables_map& values) {
   bench::ScaleOptions scale;
   scale.shape.nodes = values["nodes"].as<std::size_t>();
@@ -112,6 +126,7 @@
   if (command == "scale") return run_scale(values);
   http::initialize_http(kHttpLibraryThreads);
   if (command == "demo") return bench::run_demo(own_directory(), work_directory());
+  if (command == "faults") return run_faults(values);
   throw options::error("unknown command '" + command + "'");
 }
 
--- a/src/gateway/caller_api.cpp
+++ b/src/gateway/caller_api.cpp
@@ -280,6 +280,8 @@
   body["slots_held"] = web::json::value::number(static_cast<std::uint64_t>(status.slots_held));
   body["slots_led"] = web::json::value::number(static_cast<std::uint64_t>(status.slots_led));
   body["slots_open"] = web::json::value::number(static_cast<std::uint64_t>(status.slots_open));
+  body["slots_full"] = web::json::value::number(static_cast<std::uint64_t>(status.slots_full));
+  body["configuration_live"] = web::json::value::boolean(node_.configuration_live());
   body["programs"] = web::json::value::number(static_cast<std::uint64_t>(status.programs));
   body["stopping"] = web::json::value::boolean(status.stopping);
   body["active_calls"] = web::json::value::number(static_cast<std::uint64_t>(active_calls_.load()));
--- a/src/node/core/node_core.cpp
+++ b/src/node/core/node_core.cpp
@@ -189,6 +189,16 @@
   });
 }
 
+bool NodeCore::group_is_full(const SlotReplica& replica, base::Millis now) const {
+  const auto& group = replica.group();
+  const auto& members = group.log().members().members;
+  const bool usable =
+      std::all_of(members.begin(), members.end(),
+                  [this](const wire::Member& member) { return membership_.is_usable(member.id); });
+  return usable && members.size() == options_.knobs.replica_count && group.members_settled() &&
+         replica.takes_programs(now);
+}
+
 bool NodeCore::successor_known() const {
   const auto usable = membership_.usable_members();
   return std::any_of(usable.begin(), usable.end(),
--- a/src/node/core/node_core.hpp
+++ b/src/node/core/node_core.hpp
@@ -66,6 +66,8 @@
   bool stopping() const { return stopping_; }
   /// No group lists this node any more or feeds it as a learner, so that it may exit without loss.
   bool released(base::Millis now) const;
+  /// A led group has as many usable members as it should.
+  bool group_is_full(const SlotReplica& replica, base::Millis now) const;
   /// Some other node is there to take replicas over.
   bool successor_known() const;
 
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -330,6 +330,7 @@
     if (!replica->group().is_member(member_id_)) continue;
     ++status.slots_held;
     if (replica->takes_programs(now())) ++status.slots_open;
+    if (core_->group_is_full(*replica, now())) ++status.slots_full;
     status.programs += replica->state().programs().size();
     status.state_bytes += replica->state().state_bytes();
   }
--- a/src/node/node_runtime.hpp
+++ b/src/node/node_runtime.hpp
@@ -33,6 +33,7 @@
   std::size_t slots_held = 0;
   std::size_t slots_led = 0;
   std::size_t slots_open = 0;  ///< led, and taking programs
+  std::size_t slots_full = 0;  ///< led, with as many usable members as wanted, and recorded
   std::size_t programs = 0;
   std::size_t state_bytes = 0;
   std::uint64_t envelopes_sent = 0;
--- a/src/simulation/hollow_fleet.cpp
+++ b/src/simulation/hollow_fleet.cpp
@@ -358,14 +358,7 @@
   for (const auto& node : nodes_) {
     if (!node.core) continue;
     for (const auto& [slot, replica] : node.core->replicas()) {
-      const auto& group = replica->group();
-      const auto& members = group.log().members().members;
-      const bool all_live =
-          std::all_of(members.begin(), members.end(), [&node](const wire::Member& member) {
-            return node.core->membership().is_usable(member.id);
-          });
-      const bool whole = members.size() == knobs_.replica_count && all_live;
-      if (group.may_serve(events_.now()) && whole && group.members_settled()) full.insert(slot);
+      if (node.core->group_is_full(*replica, events_.now())) full.insert(slot);
     }
   }
   return static_cast<std::size_t>(shape_.slots) - full.size();
