--- a/apps/sailgate_bench/faults.cpp
+++ b/apps/sailgate_bench/faults.cpp
@@ -23,6 +23,8 @@
 constexpr int kCalls = 6;
 constexpr std::chrono::milliseconds kFreeze{4000};
 constexpr std::chrono::milliseconds kPoll{100};
+/// A repair that takes longer is described.
+constexpr std::chrono::milliseconds kSlowRepair{8000};
 
 /// Brings faults about on real processes, one after the other, and waits for the repair.
 class FaultInjector {
@@ -59,7 +61,13 @@
   void wait_for_repair() {
     const auto start = Clock::now();
     const auto limit = start + std::chrono::milliseconds(kStartTimeout);
-    while (Clock::now() < limit && !deployment_.repaired()) std::this_thread::sleep_for(kPoll);
+    auto describe_at = start + kSlowRepair;
+    while (Clock::now() < limit && !deployment_.repaired()) {
+      std::this_thread::sleep_for(kPoll);
+      if (Clock::now() < describe_at) continue;
+      describe_at += kSlowRepair;
+      text_ << "  not repaired yet:\n" << deployment_.describe();
+    }
     const std::chrono::duration<double, std::milli> taken = Clock::now() - start;
     note("repaired after " + std::to_string(static_cast<int>(taken.count())) + " ms");
   }
--- a/apps/sailgate_bench/local_deployment.cpp
+++ b/apps/sailgate_bench/local_deployment.cpp
@@ -181,6 +181,14 @@
   return sum;
 }
 
+std::string LocalDeployment::describe() {
+  std::string text;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    text += "    " + node_address(i) + " " + get(node_address(i), {"v1", "status"}) + "\n";
+  }
+  return text;
+}
+
 bool LocalDeployment::serving() {
   const auto sum = totals();
   return sum.all_live && sum.slots_open == static_cast<std::size_t>(shape_.slots);
--- a/apps/sailgate_bench/local_deployment.hpp
+++ b/apps/sailgate_bench/local_deployment.hpp
@@ -63,6 +63,8 @@
   bool serving();
   /// Same, every slot has a full group, and every node knows exactly the running nodes.
   bool repaired();
+  /// Status of every node, for a report of what is not repaired.
+  std::string describe();
 
  private:
   struct Node {
--- a/apps/sailgate_bench/main.cpp
+++ b/apps/sailgate_bench/main.cpp
@@ -13,6 +13,7 @@
 #include "faults.hpp"
 #include "fuzz.hpp"
 #include "http/http_server.hpp"
+#include "load.hpp"
 #include "scale.hpp"
 
 namespace {
@@ -35,7 +36,7 @@
 /// Options of all commands; each uses some.
 options::options_description describe_options() {
   options::options_description description(
-      "sailgate-bench COMMAND [options]; COMMAND is demo, faults, fuzz or scale");
+      "sailgate-bench COMMAND [options]; COMMAND is demo, faults, fuzz, load or scale");
   auto add = description.add_options();
   add("help", "print this text");
   add("version", "print the version");
@@ -51,6 +52,9 @@
   add("faults", options::value<std::size_t>()->default_value(8), "faults: number of faults");
   add("outage-ms", options::value<int>()->default_value(60'000),
       "faults: length of a table-service outage");
+  add("callers", options::value<std::size_t>()->default_value(32), "load: concurrent callers");
+  add("duration-ms", options::value<int>()->default_value(10'000),
+      "load: length of each measurement");
   add("nodes", options::value<std::size_t>()->default_value(25), "scale: number of nodes");
   add("slots", options::value<std::int32_t>()->default_value(64), "scale: number of slots");
   add("zones", options::value<std::size_t>()->default_value(12), "scale: number of zones");
@@ -85,6 +89,16 @@
   return bench::run_faults(faults);
 }
 
+int run_load(const options::variables_map& values) {
+  bench::LoadOptions load;
+  load.seed = values["seed"].as<std::uint64_t>();
+  load.callers = values["callers"].as<std::size_t>();
+  load.duration_millis = values["duration-ms"].as<int>();
+  load.programs_directory = own_directory();
+  load.work_directory = work_directory();
+  return bench::run_load(load);
+}
+
 int run_scale(const options::variables_map& values) {
   bench::ScaleOptions scale;
   scale.shape.nodes = values["nodes"].as<std::size_t>();
@@ -127,6 +141,7 @@
   http::initialize_http(kHttpLibraryThreads);
   if (command == "demo") return bench::run_demo(own_directory(), work_directory());
   if (command == "faults") return run_faults(values);
+  if (command == "load") return run_load(values);
   throw options::error("unknown command '" + command + "'");
 }
 
--- a/src/base/error_table.cpp
+++ b/src/base/error_table.cpp
@@ -77,7 +77,8 @@
 const ErrorAnswer& error_answer(wire::ErrorKind::type kind) {
   const auto* found = std::find_if(kAnswers.begin(), kAnswers.end(),
                                    [kind](const ErrorAnswer& row) { return row.kind == kind; });
-  return found == kAnswers.end() ? kAnswers.back() : *found;
+  if (found != kAnswers.end()) return *found;
+  return error_answer(Kind::kInternal);
 }
 
 }  // namespace sailgate::base
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -125,18 +125,20 @@
       RestResponder(request).send(options_.too_large);
       return;
     }
-    request.content_ready().then([this](const pplx::task<rest::http_request>& ready) {
-      try {
-        accept(ready.get());
-      } catch (const std::exception& error) {
-        // The client broke off or sent a damaged body; there is nobody to answer.
-        VLOG(1) << "unreadable request: " << error.what();
-      }
-    });
+    // NOTE: no thread of the library's pool may wait for a task of that pool: under load all of
+    // them did, and requests hung until their clients gave up.
+    request.extract_vector().then(
+        [this, request](const pplx::task<std::vector<std::uint8_t>>& body) {
+          try {
+            accept(request, body.get());
+          } catch (const std::exception& error) {
+            // The client broke off or sent a damaged body; there is nobody to answer.
+            VLOG(1) << "unreadable request: " << error.what();
+          }
+        });
   }
 
-  void accept(const rest::http_request& request) {
-    auto body = request.extract_vector().get();
+  void accept(const rest::http_request& request, const std::vector<std::uint8_t>& body) {
     auto responder = std::make_shared<RestResponder>(request);
     if (body.size() > options_.body_limit) {
       responder->send(options_.too_large);
--- a/src/node/settings_reader.cpp
+++ b/src/node/settings_reader.cpp
@@ -6,17 +6,19 @@
 
 namespace sailgate::node {
 
-SettingsTable::SettingsTable(const toml::table& table, std::string file, std::string path)
-    : table_(table), file_(std::move(file)), path_(std::move(path)) {}
+SettingsTable::SettingsTable(std::shared_ptr<const toml::table> root, const toml::table* table,
+                             std::string file, std::string path)
+    : root_(std::move(root)), table_(table), file_(std::move(file)), path_(std::move(path)) {}
 
 const toml::node* SettingsTable::find(const std::string& key) {
   known_.insert(key);
-  return table_.get(key);
+  return table_ == nullptr ? nullptr : table_->get(key);
 }
 
 std::size_t SettingsTable::line_of(const std::string& key) const {
-  const auto* node = table_.get(key);
-  const auto& source = node == nullptr ? table_.source() : node->source();
+  if (table_ == nullptr) return 0;
+  const auto* node = table_->get(key);
+  const auto& source = node == nullptr ? table_->source() : node->source();
   return source.begin.line;
 }
 
@@ -82,27 +84,29 @@
   for (const auto& element : *array) {
     const auto* table = element.as_table();
     if (table == nullptr) fail(key, "must be an array of tables");
-    result.emplace_back(*table, file_, path_ + key + ".");
+    result.emplace_back(root_, table, file_, path_ + key + ".");
   }
   return result;
 }
 
 SettingsTable SettingsTable::table(const std::string& key) {
   const auto* node = find(key);
-  if (node == nullptr) return {toml::table{}, file_, path_ + key + "."};
+  if (node == nullptr) return {root_, nullptr, file_, path_ + key + "."};
   const auto* table = node->as_table();
   if (table == nullptr) fail(key, "must be a table");
-  return {*table, file_, path_ + key + "."};
+  return {root_, table, file_, path_ + key + "."};
 }
 
 std::vector<std::string> SettingsTable::keys() const {
   std::vector<std::string> result;
-  for (const auto& [key, value] : table_) result.emplace_back(key.str());
+  if (table_ == nullptr) return result;
+  for (const auto& [key, value] : *table_) result.emplace_back(key.str());
   return result;
 }
 
 void SettingsTable::finish() const {
-  for (const auto& [key, value] : table_) {
+  if (table_ == nullptr) return;
+  for (const auto& [key, value] : *table_) {
     const std::string name(key.str());
     if (known_.count(name) == 0) fail(name, "is not a known key");
   }
@@ -110,7 +114,9 @@
 
 SettingsTable parse_settings(const std::string& content, const std::string& name) {
   try {
-    return {toml::parse(content, name), name, ""};
+    auto root = std::make_shared<const toml::table>(toml::parse(content, name));
+    const auto* table = root.get();
+    return {std::move(root), table, name, ""};
   } catch (const toml::parse_error& error) {
     throw SettingsError(name, error.source().begin.line, "syntax",
                         std::string(error.description()));
--- a/src/node/settings_reader.hpp
+++ b/src/node/settings_reader.hpp
@@ -4,6 +4,7 @@
 #include <toml++/toml.h>
 
 #include <cstdint>
+#include <memory>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -22,7 +23,9 @@
 /// One table of a settings file. Keys read are remembered; finish() rejects all others.
 class SettingsTable {
  public:
-  SettingsTable(const toml::table& table, std::string file, std::string path);
+  /// @param root keeps the parsed document alive: a copied table would lose its line numbers.
+  SettingsTable(std::shared_ptr<const toml::table> root, const toml::table* table, std::string file,
+                std::string path);
 
   std::string text(const std::string& key, const std::string& fallback);
   std::string required_text(const std::string& key);
@@ -34,7 +37,7 @@
   std::vector<SettingsTable> tables(const std::string& key);
   /// Sub-table, empty when absent.
   SettingsTable table(const std::string& key);
-  bool has(const std::string& key) const { return table_.contains(key); }
+  bool has(const std::string& key) const { return table_ != nullptr && table_->contains(key); }
   /// Keys of this table, for tables whose keys are names.
   std::vector<std::string> keys() const;
 
@@ -47,7 +50,8 @@
   const toml::node* find(const std::string& key);
   std::size_t line_of(const std::string& key) const;
 
-  toml::table table_;
+  std::shared_ptr<const toml::table> root_;
+  const toml::table* table_;  ///< in root_; nullptr for an absent table
   std::string file_;
   std::string path_;
   std::set<std::string> known_;
