--- a/src/simulation/hollow_fleet.cpp
+++ b/src/simulation/hollow_fleet.cpp
@@ -49,6 +49,8 @@
       return "membership";
     case TrafficKind::kRumors:
       return "rumors";
+    case TrafficKind::kConfiguration:
+      return "configuration leases";
     case TrafficKind::kCount:
       break;
   }
@@ -179,6 +181,7 @@
       carry_out(index);
     });
   }
+  for (const auto& lease : actions.lease_requests) renew_lease(index, lease);
   for (const auto& completed : actions.completed) {
     const auto found = waiting_.find(completed.ticket);
     if (found == waiting_.end()) continue;
@@ -230,6 +233,23 @@
   add(TrafficKind::kRumors, envelope.rumors.size(), rumors);
 }
 
+/// Lease requests go to the leader of slot 0 as requests of their own, not in envelopes.
+void HollowFleet::renew_lease(std::size_t index, const node::LeaseRequest& lease) {
+  wire::ProgramRequest request;
+  request.__set_renew_configuration_lease(lease.request);
+  const auto kind = static_cast<std::size_t>(TrafficKind::kConfiguration);
+  counts_.messages.at(kind) += 1;
+  counts_.bytes.at(kind) += wire::encode(request).size();
+  const auto incarnation = nodes_[index].incarnation;
+  submit(node::kConfigurationSlot, request, [this, index, incarnation, lease](const auto& reply) {
+    auto& node = nodes_[index];
+    if (!reply.__isset.configuration_lease || !node.core || node.incarnation != incarnation) return;
+    counts_.bytes.at(static_cast<std::size_t>(TrafficKind::kConfiguration)) +=
+        wire::encode(reply).size();
+    node.core->on_configuration_lease(reply.configuration_lease, lease.asked_at);
+  });
+}
+
 FleetCounts HollowFleet::take_counts() {
   auto taken = counts_;
   taken.virtual_time = events_.now() - counted_from_;
--- a/src/simulation/hollow_fleet.hpp
+++ b/src/simulation/hollow_fleet.hpp
@@ -31,7 +31,7 @@
 };
 
 /// What a message is for.
-enum class TrafficKind { kReplication, kMembership, kRumors, kCount };
+enum class TrafficKind { kReplication, kMembership, kRumors, kConfiguration, kCount };
 const char* name_of(TrafficKind kind);
 
 /// Counts over an interval of virtual time, for all nodes together.
@@ -106,6 +106,7 @@
   void carry_out(std::size_t index);
   void send(std::size_t from, const std::string& to, wire::Envelope envelope);
   void count(const wire::Envelope& envelope);
+  void renew_lease(std::size_t index, const node::LeaseRequest& lease);
   std::size_t leader_of(std::int32_t slot) const;
   void submit(std::int32_t slot, const wire::ProgramRequest& request, const Completion& done);
   void start_call(std::size_t program, std::size_t body_bytes, std::size_t result_bytes,
