--- a/src/simulation/oracle.cpp
+++ b/src/simulation/oracle.cpp
@@ -105,6 +105,11 @@
   held = generation;
 }
 
+void Oracle::node_stopped(const std::string& host, std::size_t unanswered) {
+  if (unanswered == 0) return;
+  violation("planned stop", host + " cut " + std::to_string(unanswered) + " requests");
+}
+
 // ---------------------------------------------------------------- back ends
 
 void Oracle::effect_started(const std::string& program, std::int32_t sequence,
--- a/src/simulation/oracle.hpp
+++ b/src/simulation/oracle.hpp
@@ -42,6 +42,9 @@
   void generation_held(const std::string& host, std::int64_t generation);
   void node_restarted(const std::string& host) { held_generations_.erase(host); }
 
+  /// A node ended its planned stop with this many callers' requests unanswered.
+  void node_stopped(const std::string& host, std::size_t unanswered);
+
   // What back ends did.
   void effect_started(const std::string& program, std::int32_t sequence, const std::string& key,
                       const std::string& backend, base::Millis now);
--- a/src/simulation/sabotage.cpp
+++ b/src/simulation/sabotage.cpp
@@ -142,6 +142,8 @@
        break_leases<ServeWithoutLease>()},
       {"accept-at-once", "configuration", "a bundle is accepted before it is in force everywhere",
        200, break_leases<AcceptAtOnce>()},
+      {"stop-at-once", "planned stop", "a planned stop does not wait for running calls", 200,
+       [](SimulatedPolicies& policies) { policies.stop_at_once = true; }},
       {"use-leaving-backends", "leaving", "leaving back ends get new work", 100,
        [](SimulatedPolicies& policies) {
          policies.node.chooser = std::make_shared<UseLeavingBackends>();
--- a/src/simulation/simulated_node.cpp
+++ b/src/simulation/simulated_node.cpp
@@ -101,7 +101,9 @@
   }
   core_->on_tick(local_now());
   carry_out(core_->take_actions());
-  if (core_->stopping() && core_->released(local_now()) && flows_.empty()) {
+  const bool drained = core_->stopping() && core_->released(local_now()) && flows_.empty();
+  if (drained || (core_->stopping() && cluster_.policies().stop_at_once)) {
+    cluster_.oracle().node_stopped(host_, flows_.size());
     stopped_ = true;
     kill();
     return;
--- a/src/simulation/simulated_node.hpp
+++ b/src/simulation/simulated_node.hpp
@@ -23,6 +23,8 @@
   std::shared_ptr<const gateway::FlowRules> flow = std::make_shared<gateway::FlowRules>();
   /// A restarted process keeps the id of the one before.
   bool restart_with_old_identity = false;
+  /// A planned stop ends the process without draining.
+  bool stop_at_once = false;
 };
 
 /// Process of one address over all its incarnations. Not thread-safe.
--- a/tests/processes/deployment_test.cpp
+++ b/tests/processes/deployment_test.cpp
@@ -7,9 +7,12 @@
 #include <filesystem>
 #include <string>
 
+#include "base/digest.hpp"
+#include "configuration/signing.hpp"
 #include "faults.hpp"
 #include "http/http_server.hpp"
 #include "local_deployment.hpp"
+#include "node/bundle_file.hpp"
 #include "program_client.hpp"
 
 using namespace sailgate;
@@ -166,6 +169,57 @@
   REQUIRE(effects.at("second").as_integer() == 1);
 }
 
+TEST_CASE("a bundle signed by both partners is in force on every node when accepted",
+          "[processes]") {
+  initialize_once();
+  const auto federation = configuration::key_pair_from_seed(std::string(32, 'f'));
+  const auto pharmacy = configuration::key_pair_from_seed(std::string(32, 'p'));
+  bench::DeploymentShape shape;
+  shape.nodes_per_zone = 1;
+  shape.slots = 3;
+  shape.base_port = 24600;
+  shape.extra_settings = "[[partners]]\nname = \"federation\"\npublic_key = \"" +
+                         base::to_hex(federation.public_key) +
+                         "\"\n[[partners]]\nname = \"pharmacy\"\npublic_key = \"" +
+                         base::to_hex(pharmacy.public_key) + "\"\n";
+  bench::LocalDeployment deployment(shape, programs_directory(), work_directory("bundles"));
+  REQUIRE(deployment.start(kStartTimeout));
+
+  wire::SignedBundle rolled;
+  rolled.bundle.partner = "federation";
+  rolled.bundle.version = 1;
+  wire::TenantRule tenant;
+  tenant.name = "choir";
+  tenant.token_hashes = {base::token_digest("secret")};
+  rolled.bundle.tenants = {tenant};
+  rolled.signatures = {configuration::sign(rolled.bundle, "federation", federation.secret_key)};
+  const auto roll = [&](std::size_t node) {
+    http::HttpRequest request;
+    request.method = "POST";
+    request.path = {"v1", "configuration"};
+    request.body = R"({"signed_bundle":")" + node::to_text(rolled) + "\"}";
+    return deployment.client().send(deployment.node_address(node), request,
+                                    std::chrono::milliseconds(30'000));
+  };
+  REQUIRE(roll(0).response.status == 422);
+  rolled.signatures.push_back(configuration::sign(rolled.bundle, "pharmacy", pharmacy.secret_key));
+  REQUIRE(roll(1).response.status == 200);
+  for (std::size_t i = 0; i < deployment.node_count(); ++i) {
+    const auto body = deployment.get(deployment.node_address(i), {"v1", "configuration"});
+    REQUIRE(web::json::value::parse(body).at("generation").as_integer() == 1);
+  }
+  // Another bundle on the same generation lost the race and is told who won.
+  rolled.bundle.version = 2;
+  rolled.signatures = {configuration::sign(rolled.bundle, "federation", federation.secret_key),
+                       configuration::sign(rolled.bundle, "pharmacy", pharmacy.secret_key)};
+  const auto lost = roll(2);
+  REQUIRE(lost.response.status == 409);
+  REQUIRE(lost.response.body.find("version 1 of partner federation") != std::string::npos);
+  // Now a tenant needs its token.
+  bench::ProgramClient stranger(deployment.client(), "choir");
+  REQUIRE(stranger.open(deployment.node_address(0), "p", "season-plan", 10).status == 401);
+}
+
 TEST_CASE("no promise is violated on real processes under faults", "[processes]") {
   initialize_once();
   bench::FaultOptions options;
