--- a/apps/sailgate_bench/child_process.cpp
+++ b/apps/sailgate_bench/child_process.cpp
@@ -34,6 +34,7 @@
 
 ChildProcess::ChildProcess(const std::vector<std::string>& arguments, const std::string& log_file) {
   std::vector<char*> pointers;
+  pointers.reserve(arguments.size() + 1);
   for (const auto& argument : arguments) pointers.push_back(const_cast<char*>(argument.c_str()));
   pointers.push_back(nullptr);
   constexpr mode_t kMode = 0644;
--- a/apps/sailgate_bench/live_caller.cpp
+++ b/apps/sailgate_bench/live_caller.cpp
@@ -152,7 +152,10 @@
       const auto key = turn.at("key").as_string();
       const bool own = key.rfind(program, 0) == 0 &&
                        turn.at("result").as_string().find(key) != std::string::npos;
-      if (!own) ledger_.violation("history: " + program + " holds a foreign turn " + key);
+      if (own) continue;
+      auto foreign = "history: " + program;
+      foreign.append(" holds a foreign turn ").append(key);
+      ledger_.violation(foreign);
     }
     return;
   }
--- a/apps/sailgate_bench/load.cpp
+++ b/apps/sailgate_bench/load.cpp
@@ -29,6 +29,7 @@
 constexpr std::int64_t kBudget = 1'000'000;
 constexpr std::int64_t kTokens = 8;
 constexpr int kCallsPerProgram = 20;
+constexpr int kFailoverRounds = 6;
 constexpr std::int64_t kFailoverDeadline = 15'000;
 constexpr std::chrono::milliseconds kRetryPause{20};
 
@@ -204,7 +205,9 @@
   measure_calls(deployment, options, "engine calls", engine_target("Plan", kTokens),
                 options.callers);
   std::vector<double> gaps;
-  for (int round = 0; round < 6; ++round) gaps.push_back(measure_failover(deployment, round));
+  gaps.reserve(kFailoverRounds);
+  for (int round = 0; round < kFailoverRounds; ++round)
+    gaps.push_back(measure_failover(deployment, round));
   print_latencies("failover after SIGKILL, as a caller sees it", gaps);
   const bool clean = deployment.stop(kStopTimeout);
   std::cout << "load: " << (clean ? "ok" : "a node did not exit with 0") << "\n";
--- a/apps/sailgate_standin/table_service.cpp
+++ b/apps/sailgate_standin/table_service.cpp
@@ -74,7 +74,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   auto& row = rows_[key];
   if (row.version != expected) {
-    const auto conflict = row_answer(409, row.version, row.value);
+    auto conflict = row_answer(409, row.version, row.value);
     if (row.version == 0) rows_.erase(key);
     return conflict;
   }
--- a/src/gateway/call_runner.cpp
+++ b/src/gateway/call_runner.cpp
@@ -85,7 +85,7 @@
     unsent.kind = DispatchResult::Kind::kUnsent;
     return unsent;
   }
-  const auto result = backends_.run(order, std::chrono::milliseconds(left), on_piece);
+  auto result = backends_.run(order, std::chrono::milliseconds(left), on_piece);
   statistics_.count_dispatch(name_of(result.kind));
   if (result.backend_leaving) node_.report_leaving(grant.backend);
   const bool foreign = result.answered_attempt != 0 && result.answered_attempt != grant.attempt;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -45,7 +45,7 @@
 /// Reply to one cpprestsdk request.
 class RestResponder : public Responder {
  public:
-  explicit RestResponder(rest::http_request request) : request_(std::move(request)) {}
+  explicit RestResponder(const rest::http_request& request) : request_(request) {}
 
   void send(const HttpResponse& response) override {
     auto reply = convert(response);
--- a/src/node/core/obligations.cpp
+++ b/src/node/core/obligations.cpp
@@ -18,8 +18,7 @@
 }
 
 void propose_ending(SlotReplica& replica, const wire::AttemptEnded& ended) {
-  auto entry = wire::as_entry(std::move(ended));
-  replica.propose(entry);
+  replica.propose(wire::as_entry(ended));
 }
 
 }  // namespace
--- a/src/node/core/slot_replica.cpp
+++ b/src/node/core/slot_replica.cpp
@@ -4,7 +4,6 @@
 #include <stdexcept>
 #include <utility>
 
-#include "base/error_table.hpp"
 #include "configuration/bundle_check.hpp"
 #include "wire/union_values.hpp"
 
@@ -17,28 +16,6 @@
 /// Fences order by epoch, then by view.
 constexpr std::int64_t kViewsPerEpoch = std::int64_t{1} << 40U;
 
-wire::ProgramReply outcome_reply(const wire::CallOutcome& outcome) {
-  wire::ProgramReply reply;
-  reply.__set_outcome(outcome);
-  return reply;
-}
-
-wire::ProgramReply accepted_reply(const std::string& program) {
-  wire::Accepted accepted;
-  accepted.program = program;
-  wire::ProgramReply reply;
-  reply.__set_accepted(accepted);
-  return reply;
-}
-
-/// Tells an operator whose bundle lost the race what is in force now.
-std::string describe_winner(const wire::Configuration& in_force) {
-  auto text = "generation " + std::to_string(in_force.generation) + " is in force";
-  if (in_force.bundles.empty()) return text;
-  const auto& newest = in_force.bundles.back();
-  return text + ", by version " + std::to_string(newest.version) + " of partner " + newest.partner;
-}
-
 /// Repeating a call must repeat its content; the sequence belongs to it.
 bool same_request(const wire::CallAdmitted& known, const wire::CallAdmitted& repeated) {
   return known.request_digest == repeated.request_digest && known.sequence == repeated.sequence;
@@ -46,32 +23,6 @@
 
 }  // namespace
 
-wire::ProgramReply refusal_reply(wire::ErrorKind::type kind) {
-  const auto& answer = base::error_answer(kind);
-  wire::Refusal refusal;
-  refusal.kind = kind;
-  refusal.retry_after_ms = answer.retry_after;
-  refusal.ran = answer.ran;
-  wire::ProgramReply reply;
-  reply.__set_refusal(refusal);
-  return reply;
-}
-
-wire::ProgramReply redirect_reply(std::int64_t leader) {
-  wire::Redirect redirect;
-  redirect.leader = leader;
-  wire::ProgramReply reply;
-  reply.__set_redirect(redirect);
-  return reply;
-}
-
-/// Refusal of a call that may have been attempted before.
-wire::ProgramReply call_refusal(wire::ErrorKind::type kind, const wire::CallRecord* call) {
-  auto reply = refusal_reply(kind);
-  if (call != nullptr && call->attempts > 0) reply.refusal.ran = wire::Ran::kUnknown;
-  return reply;
-}
-
 NodePolicies NodePolicies::standard() {
   return {std::make_shared<program::ProgramRules>(),
           std::make_shared<replication::ReplicationRules>(),
@@ -142,7 +93,7 @@
     actions.completed.push_back({ticket, refusal_reply(error)});
     return;
   }
-  auto entry = wire::as_entry(std::move(opened));
+  auto entry = wire::as_entry(opened);
   wait_for(std::move(entry), {group_.view(), ticket, request, 0}, actions);
 }
 
@@ -229,8 +180,8 @@
   started.gateway = asked.gateway;
   started.nonce = asked.nonce;
   started.deadline_in_ms = asked.deadline_in_ms;
-  auto entry = wire::as_entry(std::move(started));
-  wait_for(std::move(entry), {group_.view(), ticket, request, started.attempt}, actions);
+  const auto attempt = started.attempt;
+  wait_for(wire::as_entry(std::move(started)), {group_.view(), ticket, request, attempt}, actions);
 }
 
 void SlotReplica::complete_attempt(Ticket ticket, const wire::ProgramRequest& request,
--- a/src/node/core/slot_replica.hpp
+++ b/src/node/core/slot_replica.hpp
@@ -11,6 +11,7 @@
 #include "configuration/lease_table.hpp"
 #include "configuration/signing.hpp"
 #include "node/core/node_actions.hpp"
+#include "node/core/program_replies.hpp"
 #include "program/slot_state.hpp"
 #include "replication/replica_group.hpp"
 #include "scheduling/backend_choice.hpp"
@@ -114,8 +115,4 @@
   std::map<Ticket, std::int64_t> rolls_;  ///< accepted, not yet in force everywhere -> generation
 };
 
-/// Reply builders shared by the core and the gateway.
-wire::ProgramReply refusal_reply(wire::ErrorKind::type kind);
-wire::ProgramReply redirect_reply(std::int64_t leader);
-
 }  // namespace sailgate::node
--- a/src/replication/replicated_log.cpp
+++ b/src/replication/replicated_log.cpp
@@ -60,12 +60,12 @@
   }
 }
 
-void ReplicatedLog::reset(LogIndex base_index, View base_view, MemberList members) {
+void ReplicatedLog::reset(LogIndex base_index, View base_view, const MemberList& members) {
   records_.clear();
   bytes_ = 0;
   base_index_ = base_index;
   base_view_ = base_view;
-  member_lists_.assign(1, std::move(members));
+  member_lists_.assign(1, members);
 }
 
 const ReplicatedLog::MemberList& ReplicatedLog::members_at(LogIndex index) const {
--- a/src/replication/replicated_log.hpp
+++ b/src/replication/replicated_log.hpp
@@ -45,7 +45,7 @@
   /// Drops records up to `index`, which must be applied.
   void discard_through(LogIndex index);
   /// Forgets everything and starts behind the given position.
-  void reset(LogIndex base_index, View base_view, MemberList members);
+  void reset(LogIndex base_index, View base_view, const MemberList& members);
 
   /// Newest member list, committed or not.
   const MemberList& members() const { return member_lists_.back(); }
