--- a/apps/sailgated/main.cpp
+++ b/apps/sailgated/main.cpp
@@ -94,11 +94,31 @@
   return cli::kSuccess;
 }
 
+/// Flags go before the settings file.
+void apply_flags(const options::variables_map& values, node::NodeSettings& settings) {
+  constexpr std::int32_t kHighestPort = 65535;
+  const auto port = [&values](const std::string& name, std::int32_t& target) {
+    if (values.count(name) == 0) return;
+    target = values[name].as<std::int32_t>();
+    if (target < 1 || target > kHighestPort) {
+      throw options::error("--" + name + " must be from 1 to 65535");
+    }
+  };
+  if (values.count("host") > 0) settings.host = values["host"].as<std::string>();
+  if (values.count("zone") > 0) settings.zone = values["zone"].as<std::string>();
+  port("rpc-port", settings.rpc_port);
+  port("http-port", settings.http_port);
+}
+
 int run(int argc, char** argv) {
   options::options_description description("sailgated: one node of a sailgate cluster");
   description.add_options()("help", "print this text")("version", "print the version")(
       "settings", options::value<std::string>(), "settings file (TOML)")(
-      "check", "check the settings and exit");
+      "check", "check the settings and exit")("host", options::value<std::string>(),
+                                              "address of this node, instead of the file's")(
+      "zone", options::value<std::string>(), "zone of this node, instead of the file's")(
+      "rpc-port", options::value<std::int32_t>(), "port for nodes, instead of the file's")(
+      "http-port", options::value<std::int32_t>(), "port for callers, instead of the file's");
   options::variables_map values;
   options::store(options::parse_command_line(argc, argv, description), values);
   if (values.count("help") > 0) {
@@ -110,7 +130,8 @@
     return cli::kSuccess;
   }
   if (values.count("settings") == 0) throw options::required_option("settings");
-  const auto settings = node::read_node_settings(values["settings"].as<std::string>());
+  auto settings = node::read_node_settings(values["settings"].as<std::string>());
+  apply_flags(values, settings);
   if (values.count("check") > 0) return cli::kSuccess;
   const auto signals = block_stop_signals();
   return serve(settings, signals);
--- a/src/base/knobs.hpp
+++ b/src/base/knobs.hpp
@@ -52,8 +52,6 @@
   /// A table-service request without answer for this long counts as unanswered.
   Millis table_timeout = 2000;
 
-  /// Attempts one engine may run at once for one leader.
-  std::int32_t attempts_per_engine = 16;
   /// Interval at which an owed eviction is sent again.
   Millis eviction_interval = 1000;
   /// Interval at which an unknown outcome is asked for again.
@@ -72,8 +70,6 @@
   Millis configuration_poll = 1000;
   /// Interval at which replicas per member are counted for placement.
   Millis replica_count_interval = 1000;
-  /// Time to come back stated when a slot has no leader.
-  Millis leaderless_retry = 1000;
 };
 
 }  // namespace sailgate::base
--- a/src/gateway/call_runner.cpp
+++ b/src/gateway/call_runner.cpp
@@ -52,7 +52,7 @@
     if (step.kind == FlowStep::Kind::kDispatch) {
       const auto result = dispatch(admit, step.grant, granted_at, give_up_at, on_piece);
       backend_time += node::NodeRuntime::now() - now;
-      step = flow.on_dispatched(result, node::NodeRuntime::now());
+      step = flow.on_dispatched(result);
     } else {
       const auto left = std::max<base::Millis>(give_up_at - now, 1);
       const auto reply = node_.route(program, step.request, std::min(left, kRequestTimeout));
--- a/src/gateway/core/call_flow.cpp
+++ b/src/gateway/core/call_flow.cpp
@@ -91,7 +91,7 @@
 
 // ---------------------------------------------------------------- dispatch
 
-FlowStep CallFlow::on_dispatched(const DispatchResult& result, base::Millis now) {
+FlowStep CallFlow::on_dispatched(const DispatchResult& result) {
   using ResultKind = DispatchResult::Kind;
   ended_ = wire::AttemptEnded{};
   ended_.program = admit_.call.program;
@@ -118,7 +118,6 @@
     reply.__set_outcome(outcome);
     return answer(std::move(reply));
   }
-  static_cast<void>(now);
   return complete(0);
 }
 
--- a/src/gateway/core/call_flow.hpp
+++ b/src/gateway/core/call_flow.hpp
@@ -77,7 +77,7 @@
   /// The request of the last step was replied to, or no node could be reached (`reply` empty).
   FlowStep on_reply(const wire::ProgramReply& reply, base::Millis now);
   /// The dispatch of the last step ended.
-  FlowStep on_dispatched(const DispatchResult& result, base::Millis now);
+  FlowStep on_dispatched(const DispatchResult& result);
 
  private:
   FlowStep admit_again(base::Millis now);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -159,10 +159,6 @@
   merge(as_rumor(claim), now);
 }
 
-void Membership::declare_gone(std::int64_t member, base::Millis now) {
-  set_status(member, MemberStatus::kDead, now);
-}
-
 void Membership::announce_leaving() {
   auto own = *table_.find_member(self_.id);
   own.status = MemberStatus::kLeaving;
@@ -360,11 +356,6 @@
 
 bool Membership::is_dead(std::int64_t member) const { return !is_live(member); }
 
-bool Membership::is_known_dead(std::int64_t member) const {
-  const auto* known = table_.find_member(member);
-  return known != nullptr && known->status == MemberStatus::kDead;
-}
-
 std::vector<wire::Member> Membership::usable_members() const {
   std::vector<wire::Member> result;
   for (const auto& [id, rumor] : table_.members()) {
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -49,9 +49,6 @@
   void announce_leaving();
   /// Makes a fact known to all nodes. @return whether it was news.
   bool publish(const wire::Rumor& rumor);
-  /// Takes out the platform's word that a member's machine is gone.
-  void declare_gone(std::int64_t member, base::Millis now);
-
   /// Adds rumors to an envelope that is about to leave.
   void attach_rumors(wire::Envelope& envelope);
   /// Envelopes of this protocol; address-only ones have receiver 0.
@@ -69,8 +66,6 @@
   bool is_live(std::int64_t member) const;
   /// Declared dead, or unknown: never heard of or dead for long.
   bool is_dead(std::int64_t member) const;
-  /// Declared dead within the time such members are remembered.
-  bool is_known_dead(std::int64_t member) const;
   std::vector<wire::Member> usable_members() const;
   const wire::Member* find(std::int64_t member) const;
 
--- a/src/replication/replica_group.cpp
+++ b/src/replication/replica_group.cpp
@@ -308,14 +308,6 @@
   return member == context_.self || heard;
 }
 
-std::vector<std::int64_t> ReplicaGroup::suspected_members(base::Millis now) const {
-  std::vector<std::int64_t> result;
-  for (const auto& [id, peer] : peers_) {
-    if (is_member(id) && suspected(peer, now)) result.push_back(id);
-  }
-  return result;
-}
-
 base::Millis ReplicaGroup::lease_in(const std::vector<wire::Member>& members) const {
   std::vector<base::Millis> sent;
   for (const auto& member : members) {
--- a/src/replication/replica_group.hpp
+++ b/src/replication/replica_group.hpp
@@ -120,8 +120,6 @@
   bool fed_lately(base::Millis now) const;
   /// Whether a member or learner answered within the last few heartbeats, as the leader sees it.
   bool heard_lately(std::int64_t member, base::Millis now) const;
-  /// Members without a recent acknowledgement, as the leader sees it.
-  std::vector<std::int64_t> suspected_members(base::Millis now) const;
   /// Records applied since the last call, in order.
   std::vector<AppliedRecord> take_applied();
 
--- a/src/rpc/node_server.cpp
+++ b/src/rpc/node_server.cpp
@@ -51,6 +51,8 @@
         std::make_shared<LimitedFrameFactory>(),
         std::make_shared<thrift::protocol::TCompactProtocolFactory>());
     server_->setConcurrentClientLimit(kMaximumConnections);
+    // The library would log a line for each failed connection; the sender counts them instead.
+    thrift::GlobalOutput.setOutputFunction([](const char*) {});
     // Binds now, so that an unusable address is an error of the constructor.
     socket->listen();
     socket->close();
--- a/src/simulation/hollow_fleet.hpp
+++ b/src/simulation/hollow_fleet.hpp
@@ -83,7 +83,7 @@
   std::size_t short_slots() const;
   /// Programs held by serving leaders.
   std::size_t programs_held() const;
-  /// Programs of slots that have a member list but can no longer form a majority.
+  /// Other members that this node shares replica groups with.
   std::size_t peers_of(std::size_t index) const;
   double mean_peers() const;
   double mean_replicas() const;
--- a/src/simulation/simulated_cluster.cpp
+++ b/src/simulation/simulated_cluster.cpp
@@ -394,19 +394,15 @@
   });
 }
 
-void SimulatedCluster::call_backend(const std::string& from, const std::string& backend,
+void SimulatedCluster::call_backend(const std::string& backend,
                                     const std::function<void(SimulatedBackend&)>& action) {
   auto* receiver = backend_at(backend);
   if (receiver == nullptr) return;
   events_.after(1, [receiver, action] { action(*receiver); });
-  static_cast<void>(from);
 }
 
-void SimulatedCluster::reply_to_node(const std::string& backend, const std::string& host,
-                                     const std::function<void()>& action) {
+void SimulatedCluster::reply_to_node(const std::function<void()>& action) {
   events_.after(1, action);
-  static_cast<void>(backend);
-  static_cast<void>(host);
 }
 
 void SimulatedCluster::call(const wire::AdmitCall& admit, bool first_send, base::Millis patience,
--- a/src/simulation/simulated_cluster.hpp
+++ b/src/simulation/simulated_cluster.hpp
@@ -81,10 +81,9 @@
   void send_request(const std::string& from, const std::string& to, std::int64_t member,
                     std::int32_t slot, const wire::ProgramRequest& request,
                     const SimulatedNode::Answer& answer);
-  void call_backend(const std::string& from, const std::string& backend,
+  void call_backend(const std::string& backend,
                     const std::function<void(SimulatedBackend&)>& action);
-  void reply_to_node(const std::string& backend, const std::string& host,
-                     const std::function<void()>& action);
+  void reply_to_node(const std::function<void()>& action);
   /// A caller's call or other request, at a random node.
   void call(const wire::AdmitCall& admit, bool first_send, base::Millis patience,
             const SimulatedNode::Answer& answer);
--- a/src/simulation/simulated_node.cpp
+++ b/src/simulation/simulated_node.cpp
@@ -156,9 +156,9 @@
 void SimulatedNode::send_evictions(const node::NodeActions& actions) {
   const auto incarnation = incarnation_;
   for (const auto& order : actions.evictions) {
-    cluster_.call_backend(host_, order.backend, [this, order, incarnation](auto& backend) {
+    cluster_.call_backend(order.backend, [this, order, incarnation](auto& backend) {
       backend.evict(order.program);
-      cluster_.reply_to_node(backend.description().id, host_, [this, order, incarnation] {
+      cluster_.reply_to_node([this, order, incarnation] {
         if (!core_ || incarnation != incarnation_) return;
         run_or_defer([this, order] {
           core_->on_evicted(order, local_now());
@@ -168,13 +168,12 @@
     });
   }
   for (const auto& order : actions.cancels) {
-    cluster_.call_backend(host_, order.backend,
-                          [order](auto& backend) { backend.cancel(order.attempt); });
+    cluster_.call_backend(order.backend, [order](auto& backend) { backend.cancel(order.attempt); });
   }
   for (const auto& inquiry : actions.inquiries) {
-    cluster_.call_backend(host_, inquiry.backend, [this, inquiry, incarnation](auto& backend) {
+    cluster_.call_backend(inquiry.backend, [this, inquiry, incarnation](auto& backend) {
       const auto answer = backend.inquire(inquiry);
-      cluster_.reply_to_node(backend.description().id, host_, [this, answer, incarnation] {
+      cluster_.reply_to_node([this, answer, incarnation] {
         if (!core_ || incarnation != incarnation_) return;
         run_or_defer([this, answer] {
           core_->on_inquiry_answer(answer, local_now());
@@ -308,7 +307,7 @@
   if (!gateway::grant_is_fresh(local_now() - granted_at, leaving)) {
     gateway::DispatchResult unsent;
     unsent.kind = gateway::DispatchResult::Kind::kUnsent;
-    run_step(flow_id, found->second.steps->on_dispatched(unsent, local_now()));
+    run_step(flow_id, found->second.steps->on_dispatched(unsent));
     return;
   }
   const auto& call = found->second.admit.call;
@@ -326,13 +325,12 @@
     run_or_defer([this, flow_id, result] {
       const auto flow = flows_.find(flow_id);
       if (flow == flows_.end()) return;
-      run_step(flow_id, flow->second.steps->on_dispatched(result, local_now()));
+      run_step(flow_id, flow->second.steps->on_dispatched(result));
     });
   };
-  cluster_.call_backend(host_, grant.backend, [this, dispatched, finish](auto& backend) {
-    const auto id = backend.description().id;
-    backend.dispatch(dispatched, [this, id, finish](const gateway::DispatchResult& result) {
-      cluster_.reply_to_node(id, host_, [finish, result] { finish(result); });
+  cluster_.call_backend(grant.backend, [this, dispatched, finish](auto& backend) {
+    backend.dispatch(dispatched, [this, finish](const gateway::DispatchResult& result) {
+      cluster_.reply_to_node([finish, result] { finish(result); });
     });
   });
   post(grant.deadline_in_ms, [finish] { finish({}); });
--- a/tests/gateway/call_flow_test.cpp
+++ b/tests/gateway/call_flow_test.cpp
@@ -57,7 +57,7 @@
   CallFlow flow(kRules, {}, kGiveUp, false);
   flow.start();
   flow.on_reply(grant(7), 0);
-  const auto step = flow.on_dispatched(dispatched(DispatchResult::Kind::kUnsent, 0), 0);
+  const auto step = flow.on_dispatched(dispatched(DispatchResult::Kind::kUnsent, 0));
   REQUIRE(step.request.complete_attempt.ended.outcome == wire::Outcome::kNotRun);
   REQUIRE(flow.on_reply(accepted(), 0).answer.refusal.ran == wire::Ran::kNotRun);
 }
@@ -66,7 +66,7 @@
   CallFlow flow(kRules, {}, kGiveUp, false);
   flow.start();
   flow.on_reply(grant(7, 1), 0);
-  flow.on_dispatched(dispatched(DispatchResult::Kind::kUnsent, 0), 0);
+  flow.on_dispatched(dispatched(DispatchResult::Kind::kUnsent, 0));
   REQUIRE(flow.on_reply(accepted(), 0).answer.refusal.ran == wire::Ran::kUnknown);
 }
 
@@ -74,7 +74,7 @@
   CallFlow flow(kRules, {}, kGiveUp, false);
   flow.start();
   flow.on_reply(grant(7), 0);
-  const auto step = flow.on_dispatched(dispatched(DispatchResult::Kind::kSucceeded, 8), 0);
+  const auto step = flow.on_dispatched(dispatched(DispatchResult::Kind::kSucceeded, 8));
   REQUIRE(step.request.complete_attempt.ended.outcome == wire::Outcome::kUnknown);
 }
 
@@ -82,7 +82,7 @@
   CallFlow flow(kRules, {}, kGiveUp, false);
   flow.start();
   flow.on_reply(grant(7), 0);
-  auto step = flow.on_dispatched(dispatched(DispatchResult::Kind::kSucceeded, 7), 0);
+  auto step = flow.on_dispatched(dispatched(DispatchResult::Kind::kSucceeded, 7));
   REQUIRE(step.kind == FlowStep::Kind::kComplete);
   step = flow.on_reply({}, 0);
   REQUIRE(step.kind == FlowStep::Kind::kComplete);
