Make two sabotages bite: shorter deadlines, and a rule for lost attempts

The situations they need had become rare since the schedule also rolls bundles, and second-attempt broke a check that a second one behind it covers. Change: half of the simulated calls have a short deadline; whether a lost call may be attempted again is a rule of its own, which the sabotage breaks. The bounds stay.

--- a/src/program/program_rules.cpp
+++ b/src/program/program_rules.cpp
@@ -14,9 +14,13 @@
   return tokens >= 0 && tokens <= record.opened.budget_tokens - committed;
 }
 
+bool ProgramRules::may_attempt_again(const wire::CallRecord& call) const {
+  return call.call.repeatable;
+}
+
 bool ProgramRules::attempt_permitted(const wire::CallRecord& call) const {
   const bool waiting = call.phase == wire::CallPhase::kAdmitted;
-  return waiting && (call.call.repeatable || call.attempts == 0);
+  return waiting && (call.attempts == 0 || may_attempt_again(call));
 }
 
 bool ProgramRules::ending_matches(const wire::CallRecord& call,
--- a/src/program/program_rules.hpp
+++ b/src/program/program_rules.hpp
@@ -22,6 +22,9 @@
   /// Budget: settled and reserved tokens together never exceed the program's budget.
   virtual bool reservation_fits(const wire::ProgramRecord& record, std::int64_t tokens) const;
 
+  /// At most once: whether a call whose attempt was lost may get another one.
+  virtual bool may_attempt_again(const wire::CallRecord& call) const;
+
   /// At most once: no second attempt of a call that may not be repeated.
   virtual bool attempt_permitted(const wire::CallRecord& call) const;
 
--- a/src/program/slot_state.cpp
+++ b/src/program/slot_state.cpp
@@ -158,7 +158,7 @@
       }
       break;
     case wire::Outcome::kUnknown:
-      if (call.call.repeatable) {
+      if (rules_->may_attempt_again(call)) {
         // What the lost attempt used is not known: its whole reservation counts as used.
         drop_reservation(*record, call);
         record->settled_tokens += call.call.reserved_tokens;
--- a/src/simulation/sabotage.cpp
+++ b/src/simulation/sabotage.cpp
@@ -27,9 +27,7 @@
 };
 
 class SecondAttempt : public ProgramRules {
-  bool attempt_permitted(const wire::CallRecord& call) const override {
-    return call.phase != wire::CallPhase::kDone;
-  }
+  bool may_attempt_again(const wire::CallRecord&) const override { return true; }
 };
 
 class AnyEnding : public ProgramRules {
--- a/src/simulation/simulated_caller.cpp
+++ b/src/simulation/simulated_caller.cpp
@@ -12,6 +12,7 @@
 
 constexpr base::Millis kCallerPatience = 9000;
 constexpr base::Millis kGatewayPatience = 7000;
+constexpr base::Millis kShortDeadline = 200;
 constexpr base::Millis kAttemptDeadline = 3000;
 constexpr base::Millis kRetryPause = 300;
 constexpr std::uint64_t kApplicationPercent = 40;
@@ -101,7 +102,9 @@
   admit.call.target = application ? "book" : "model";
   admit.call.repeatable = !application;
   admit.call.reserved_tokens = application ? 0 : script_.tokens_per_call;
-  admit.deadline_in_ms = kAttemptDeadline;
+  // Short deadlines make leaders give attempts up whose ends are still on their way.
+  const bool hurried = base::fast_digest(key) % 2 == 0;
+  admit.deadline_in_ms = hurried ? kShortDeadline : kAttemptDeadline;
   admit.tenant = kTenant;
   return admit;
 }
