Write twins once; count sent bytes where they are sent; bound kept connections

Cause: reading the whole change again. Work done twice: each envelope was encoded a second time only to count its bytes; the socket counts them now, so that the metric includes frame and call header. Wrong depth: kept HTTP connections are one per address and timeout, and calls to tools and application engines pass the time they have left, so that each such call left a connection object behind for good. They now use a connection of their own, as calls that may not be repeated did already. Dead: led_since_, EngineStream::foreign, AttemptOrder::repeatable. Two comments mended.

--- a/apps/sailgate_bench/live_caller.cpp
+++ b/apps/sailgate_bench/live_caller.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <thread>
 
+#include "stopwatch.hpp"
+
 namespace sailgate::bench {
 namespace {
 
@@ -15,10 +17,6 @@
 constexpr std::int64_t kDeadline = 6000;
 constexpr std::int64_t kRetryMillis = 150;
 
-double millis_since(Clock::time_point start) {
-  return std::chrono::duration<double, std::milli>(Clock::now() - start).count();
-}
-
 }  // namespace
 
 void LiveLedger::violation(const std::string& what) {
--- a/apps/sailgate_bench/load.cpp
+++ b/apps/sailgate_bench/load.cpp
@@ -16,6 +16,7 @@
 #include "cli/command_line.hpp"
 #include "local_deployment.hpp"
 #include "program_client.hpp"
+#include "stopwatch.hpp"
 
 namespace sailgate::bench {
 namespace {
@@ -33,10 +34,6 @@
 constexpr std::int64_t kFailoverDeadline = 15'000;
 constexpr std::chrono::milliseconds kRetryPause{20};
 
-double millis_since(Clock::time_point start) {
-  return std::chrono::duration<double, std::milli>(Clock::now() - start).count();
-}
-
 double percentile(std::vector<double> sorted, double share) {
   if (sorted.empty()) return 0;
   const auto index = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
--- a/apps/sailgate_bench/main.cpp
+++ b/apps/sailgate_bench/main.cpp
@@ -1,6 +1,5 @@
 /// @file sailgate-bench: load, faults, oracle and reports.
 
-#include <glog/logging.h>
 #include <unistd.h>
 
 #include <boost/program_options.hpp>
@@ -8,7 +7,7 @@
 #include <iostream>
 #include <string>
 
-#include "cli/command_line.hpp"
+#include "cli/program.hpp"
 #include "demo.hpp"
 #include "faults.hpp"
 #include "fuzz.hpp"
@@ -120,18 +119,9 @@
 
 int run(int argc, char** argv) {
   const auto description = describe_options();
-  options::positional_options_description positional;
-  positional.add("command", 1);
-  options::variables_map values;
-  options::store(
-      options::command_line_parser(argc, argv).options(description).positional(positional).run(),
-      values);
-  if (values.count("help") > 0) {
-    std::cout << description << "exit codes: 0 success, 1 failure, 2 bad arguments\n";
-    return cli::kSuccess;
-  }
-  if (values.count("version") > 0) {
-    std::cout << cli::version_text("sailgate-bench") << "\n";
+  const auto values = cli::parse_with_first(argc, argv, description, "command");
+  if (cli::answer_help("sailgate-bench", values, description,
+                       "0 success, 1 failure, 2 bad arguments")) {
     return cli::kSuccess;
   }
   if (values.count("command") == 0) throw options::error("no command is named");
@@ -147,17 +137,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(argv[0]);
-  google::InstallFailureSignalHandler();
-  try {
-    return run(argc, argv);
-  } catch (const options::error& error) {
-    std::cerr << "sailgate-bench: " << error.what() << "\n";
-    return cli::kBadUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "sailgate-bench: " << error.what() << "\n";
-    return cli::kFailure;
-  }
-}
+int main(int argc, char** argv) { return cli::run_program("sailgate-bench", argc, argv, run); }
--- a/apps/sailgate_bench/program_client.cpp
+++ b/apps/sailgate_bench/program_client.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "stopwatch.hpp"
+
 namespace sailgate::bench {
 namespace {
 
@@ -12,10 +14,6 @@
 /// Beyond a call's deadline the answer is still waited for this long.
 constexpr std::chrono::milliseconds kAnswerGrace{5000};
 
-double millis_since(Clock::time_point start) {
-  return std::chrono::duration<double, std::milli>(Clock::now() - start).count();
-}
-
 void take_body(const std::string& text, CallerAnswer& answer) {
   if (text.empty()) return;
   answer.body = value::parse(text);
--- a/apps/sailgate_standin/main.cpp
+++ b/apps/sailgate_standin/main.cpp
@@ -1,6 +1,5 @@
 /// @file sailgate-standin: small stand-ins for what sailgate talks to, for tests and experiments.
 
-#include <glog/logging.h>
 #include <signal.h>
 
 #include <boost/program_options.hpp>
@@ -12,7 +11,7 @@
 #include <vector>
 
 #include "application_service.hpp"
-#include "cli/command_line.hpp"
+#include "cli/program.hpp"
 #include "engine_service.hpp"
 #include "http/http_server.hpp"
 #include "object_store.hpp"
@@ -69,18 +68,9 @@
   add("cache-blocks", options::value<std::size_t>()->default_value(4096),
       "engine: blocks of prefix cache");
   add("batch", options::value<std::size_t>()->default_value(32), "engine: largest batch");
-  options::positional_options_description positional;
-  positional.add("kind", 1);
-  options::variables_map values;
-  options::store(
-      options::command_line_parser(argc, argv).options(description).positional(positional).run(),
-      values);
-  if (values.count("help") > 0) {
-    std::cout << description << "exit codes: 0 success, 1 failure, 2 bad arguments\n";
-    return cli::kSuccess;
-  }
-  if (values.count("version") > 0) {
-    std::cout << cli::version_text("sailgate-standin") << "\n";
+  const auto values = cli::parse_with_first(argc, argv, description, "kind");
+  if (cli::answer_help("sailgate-standin", values, description,
+                       "0 success, 1 failure, 2 bad arguments")) {
     return cli::kSuccess;
   }
   if (values.count("kind") == 0) throw options::error("no kind of stand-in is named");
@@ -111,17 +101,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(argv[0]);
-  google::InstallFailureSignalHandler();
-  try {
-    return run(argc, argv);
-  } catch (const options::error& error) {
-    std::cerr << "sailgate-standin: " << error.what() << "\n";
-    return cli::kBadUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "sailgate-standin: " << error.what() << "\n";
-    return cli::kFailure;
-  }
-}
+int main(int argc, char** argv) { return cli::run_program("sailgate-standin", argc, argv, run); }
--- a/apps/sailgatectl/main.cpp
+++ b/apps/sailgatectl/main.cpp
@@ -1,6 +1,5 @@
 /// @file sailgatectl: operators prepare, sign and roll bundles, and look at what is in force.
 
-#include <glog/logging.h>
 #include <sys/stat.h>
 
 #include <boost/program_options.hpp>
@@ -12,7 +11,7 @@
 #include <string>
 
 #include "base/digest.hpp"
-#include "cli/command_line.hpp"
+#include "cli/program.hpp"
 #include "configuration/signing.hpp"
 #include "http/http_client.hpp"
 #include "http/http_server.hpp"
@@ -96,7 +95,7 @@
     const auto file = required("file");
     auto prepared = node::from_text(read_file(file));
     const auto partner = required("partner");
-    const auto secret = node::from_hex(read_file(required("key")));
+    const auto secret = base::from_hex(read_file(required("key")));
     prepared.signatures.push_back(configuration::sign(prepared.bundle, partner, secret));
     write_file(file, node::to_text(prepared));
     std::cout << partner << " signed version " << prepared.bundle.version << " of "
@@ -166,19 +165,9 @@
   add("key", options::value<std::string>(), "file with a secret key");
   add("partner", options::value<std::string>(), "partner who signs");
   add("node", options::value<std::string>(), "HTTP address of any node, HOST:PORT");
-  options::positional_options_description positional;
-  positional.add("command", 1);
-  options::variables_map values;
-  options::store(
-      options::command_line_parser(argc, argv).options(description).positional(positional).run(),
-      values);
-  if (values.count("help") > 0) {
-    std::cout << description
-              << "exit codes: 0 success, 1 refused or failed, 2 bad arguments or bundle\n";
-    return cli::kSuccess;
-  }
-  if (values.count("version") > 0) {
-    std::cout << cli::version_text("sailgatectl") << "\n";
+  const auto values = cli::parse_with_first(argc, argv, description, "command");
+  if (cli::answer_help("sailgatectl", values, description,
+                       "0 success, 1 refused or failed, 2 bad arguments or bundle")) {
     return cli::kSuccess;
   }
   if (values.count("command") == 0) throw options::error("no command is named");
@@ -188,20 +177,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(argv[0]);
-  google::InstallFailureSignalHandler();
-  try {
-    return run(argc, argv);
-  } catch (const options::error& error) {
-    std::cerr << "sailgatectl: " << error.what() << "\n";
-    return cli::kBadUsage;
-  } catch (const node::SettingsError& error) {
-    std::cerr << error.what() << "\n";
-    return cli::kBadUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "sailgatectl: " << error.what() << "\n";
-    return cli::kFailure;
-  }
-}
+int main(int argc, char** argv) { return cli::run_program("sailgatectl", argc, argv, run); }
--- a/apps/sailgated/main.cpp
+++ b/apps/sailgated/main.cpp
@@ -9,7 +9,7 @@
 #include <thread>
 
 #include "backend/backend_client.hpp"
-#include "cli/command_line.hpp"
+#include "cli/program.hpp"
 #include "gateway/answers.hpp"
 #include "gateway/caller_api.hpp"
 #include "http/http_client.hpp"
@@ -121,12 +121,8 @@
       "http-port", options::value<std::int32_t>(), "port for callers, instead of the file's");
   options::variables_map values;
   options::store(options::parse_command_line(argc, argv, description), values);
-  if (values.count("help") > 0) {
-    std::cout << description << "exit codes: 0 success, 1 failure, 2 bad arguments or settings\n";
-    return cli::kSuccess;
-  }
-  if (values.count("version") > 0) {
-    std::cout << cli::version_text("sailgated") << "\n";
+  if (cli::answer_help("sailgated", values, description,
+                       "0 success, 1 failure, 2 bad arguments or settings")) {
     return cli::kSuccess;
   }
   if (values.count("settings") == 0) throw options::required_option("settings");
@@ -139,20 +135,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(argv[0]);
-  google::InstallFailureSignalHandler();
-  try {
-    return run(argc, argv);
-  } catch (const options::error& error) {
-    std::cerr << "sailgated: " << error.what() << "\n";
-    return cli::kBadUsage;
-  } catch (const node::SettingsError& error) {
-    std::cerr << error.what() << "\n";
-    return cli::kBadUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "sailgated: " << error.what() << "\n";
-    return cli::kFailure;
-  }
-}
+int main(int argc, char** argv) { return cli::run_program("sailgated", argc, argv, run); }
--- a/src/backend/backend_client.cpp
+++ b/src/backend/backend_client.cpp
@@ -140,7 +140,7 @@
   body["program"] = value::string(order.program);
   body["arguments"] = value::parse(order.request_body);
   request.body = body.serialize();
-  const auto answer = client_.send(order.grant.backend, request, deadline, !order.repeatable);
+  const auto answer = client_.send(order.grant.backend, request, deadline, true);
   DispatchResult result;
   if (answer.delivery == http::Delivery::kUnsent) {
     result.kind = DispatchResult::Kind::kUnsent;
--- a/src/backend/call_content.hpp
+++ b/src/backend/call_content.hpp
@@ -15,7 +15,6 @@
   wire::TargetKind::type target_kind = wire::TargetKind::kEngine;
   std::string target;        ///< model, operation or tool
   std::string request_body;  ///< JSON: chat messages, or an object of arguments
-  bool repeatable = true;
   wire::Grant grant;
 };
 
--- a/src/backend/engine_stream.cpp
+++ b/src/backend/engine_stream.cpp
@@ -16,10 +16,7 @@
   if (payload.rfind("[DONE]", 0) == 0) return false;
   try {
     const auto event = web::json::value::parse(payload);
-    if (event.at("attempt").as_string() != std::to_string(attempt_)) {
-      foreign_ = true;
-      return false;
-    }
+    if (event.at("attempt").as_string() != std::to_string(attempt_)) return false;
     if (event.has_field("usage")) {
       used_tokens_ = event.at("usage").at("completion_tokens").as_number().to_int64();
       whole_ = true;
--- a/src/backend/engine_stream.hpp
+++ b/src/backend/engine_stream.hpp
@@ -19,7 +19,6 @@
   bool take_line(const std::string& line);
 
   bool whole() const { return whole_; }
-  bool foreign() const { return foreign_; }
   bool caller_gone() const { return caller_gone_; }
   /// Pieces received so far; the offset to resume from.
   std::int64_t offset() const { return offset_; }
@@ -30,7 +29,6 @@
   std::int64_t attempt_;
   const BackendClient::PieceHandler& on_piece_;
   bool whole_ = false;
-  bool foreign_ = false;
   bool caller_gone_ = false;
   std::int64_t offset_ = 0;
   std::int64_t used_tokens_ = 0;
--- a/src/base/digest.cpp
+++ b/src/base/digest.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <stdexcept>
 
 namespace sailgate::base {
 namespace {
@@ -57,4 +58,14 @@
   return text;
 }
 
+std::string from_hex(const std::string& text) {
+  std::string bytes(text.size() / 2, '\0');
+  std::size_t length = 0;
+  const int status = sodium_hex2bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(),
+                                    text.data(), text.size(), "\r\n \t", &length, nullptr);
+  if (status != 0) throw std::invalid_argument("not hexadecimal text");
+  bytes.resize(length);
+  return bytes;
+}
+
 }  // namespace sailgate::base
--- a/src/base/digest.hpp
+++ b/src/base/digest.hpp
@@ -19,5 +19,7 @@
 
 /// @return `bytes` in lower-case hexadecimal.
 std::string to_hex(std::string_view bytes);
+/// Bytes of hexadecimal text; white space is skipped. @throws std::invalid_argument
+std::string from_hex(const std::string& text);
 
 }  // namespace sailgate::base
--- a/src/gateway/answers.cpp
+++ b/src/gateway/answers.cpp
@@ -3,6 +3,7 @@
 #include <cpprest/json.h>
 
 #include "base/error_table.hpp"
+#include "base/refusal.hpp"
 
 namespace sailgate::gateway {
 namespace {
@@ -48,15 +49,6 @@
   return error;
 }
 
-wire::Refusal refusal_of(wire::ErrorKind::type kind) {
-  const auto& row = base::error_answer(kind);
-  wire::Refusal refusal;
-  refusal.kind = kind;
-  refusal.ran = row.ran;
-  refusal.retry_after_ms = row.retry_after;
-  return refusal;
-}
-
 }  // namespace
 
 http::HttpResponse refusal_answer(const wire::Refusal& refusal, const std::string& detail) {
@@ -73,7 +65,7 @@
 }
 
 http::HttpResponse refusal_answer(wire::ErrorKind::type kind, const std::string& detail) {
-  return refusal_answer(refusal_of(kind), detail);
+  return refusal_answer(base::make_refusal(kind), detail);
 }
 
 http::HttpResponse outcome_answer(const wire::CallOutcome& outcome) {
@@ -85,7 +77,7 @@
   body["result"] = value::string(outcome.result);
   body["used_tokens"] = value::number(outcome.used_tokens);
   if (failed) {
-    body["error"] = error_json(refusal_of(outcome.error), "");
+    body["error"] = error_json(base::make_refusal(outcome.error), "");
     response.status = base::error_answer(outcome.error).http_status;
   }
   response.body = body.serialize();
@@ -156,9 +148,7 @@
   if (reply.__isset.view) return view_answer(reply.view);
   if (reply.__isset.accepted) return accepted_answer(reply.accepted.program, 200);
   // No leader answered: the request may or may not have taken effect.
-  auto refusal = refusal_of(wire::ErrorKind::kSlotUnavailable);
-  refusal.ran = wire::Ran::kUnknown;
-  return refusal_answer(refusal);
+  return refusal_answer(base::make_refusal(wire::ErrorKind::kSlotUnavailable, wire::Ran::kUnknown));
 }
 
 std::string event_text(const std::string& name, const std::string& json) {
--- a/src/gateway/call_runner.cpp
+++ b/src/gateway/call_runner.cpp
@@ -75,7 +75,6 @@
   order.target_kind = admit.call.target_kind;
   order.target = admit.call.target;
   order.request_body = admit.call.request_body;
-  order.repeatable = admit.call.repeatable;
   order.grant = grant;
   const auto left = std::min(grant.deadline_in_ms, give_up_at - node::NodeRuntime::now());
   const bool fresh = grant_is_fresh(node::NodeRuntime::now() - granted_at,
--- a/src/gateway/caller_api.cpp
+++ b/src/gateway/caller_api.cpp
@@ -2,7 +2,7 @@
 
 #include <glog/logging.h>
 
-#include "base/error_table.hpp"
+#include "base/refusal.hpp"
 #include "gateway/answers.hpp"
 #include "gateway/call_request.hpp"
 #include "http/json_body.hpp"
@@ -156,12 +156,9 @@
   const bool live = node_.configuration_live();
   if (!stopping_ && live) return false;
   const auto kind = stopping_ ? Kind::kStopping : Kind::kConfigurationStale;
-  wire::Refusal refusal;
-  refusal.kind = kind;
-  refusal.retry_after_ms = base::error_answer(kind).retry_after;
-  refusal.ran = first_send ? wire::Ran::kNotRun : wire::Ran::kUnknown;
+  const auto ran = first_send ? wire::Ran::kNotRun : wire::Ran::kUnknown;
   statistics_.count_refusal(kind);
-  responder.send(refusal_answer(refusal));
+  responder.send(refusal_answer(base::make_refusal(kind, ran)));
   return true;
 }
 
@@ -198,8 +195,7 @@
   const auto reply =
       runner_.run(parsed.admit, parsed.first_send, parsed.deadline,
                   [&events](const std::string& piece) { return events.piece(piece); });
-  if (reply.__isset.outcome) statistics_.count_outcome(reply.outcome.outcome);
-  if (reply.__isset.refusal) statistics_.count_refusal(reply.refusal.kind);
+  count(reply);
   events.finish(reply);
 }
 
@@ -296,9 +292,13 @@
   return node_.route(program, request, kRequestPatience);
 }
 
-void CallerApi::answer(const wire::ProgramReply& reply, http::Responder& responder) {
+void CallerApi::count(const wire::ProgramReply& reply) {
   if (reply.__isset.outcome) statistics_.count_outcome(reply.outcome.outcome);
   if (reply.__isset.refusal) statistics_.count_refusal(reply.refusal.kind);
+}
+
+void CallerApi::answer(const wire::ProgramReply& reply, http::Responder& responder) {
+  count(reply);
   responder.send(reply_answer(reply));
 }
 
--- a/src/gateway/caller_api.hpp
+++ b/src/gateway/caller_api.hpp
@@ -41,6 +41,7 @@
   std::string tenant_of(const http::HttpRequest& request) const;
   void check_opening(const wire::ProgramOpened& opened) const;
   bool refuse_new_work(bool first_send, http::Responder& responder);
+  void count(const wire::ProgramReply& reply);
   void answer(const wire::ProgramReply& reply, http::Responder& responder);
   void refuse(wire::ErrorKind::type kind, const std::string& detail, http::Responder& responder);
   wire::ProgramReply ask(const std::string& program, const wire::ProgramRequest& request);
--- a/src/gateway/core/call_flow.cpp
+++ b/src/gateway/core/call_flow.cpp
@@ -1,6 +1,7 @@
 #include "gateway/core/call_flow.hpp"
 
-#include "base/error_table.hpp"
+#include "base/refusal.hpp"
+#include "wire/replies.hpp"
 
 namespace sailgate::gateway {
 namespace {
@@ -14,12 +15,6 @@
 /// Pause between look-ups of a call that another gateway is running.
 constexpr base::Millis kLookUpPause = 100;
 
-bool unusable(const wire::ProgramReply& reply) {
-  const bool some = reply.__isset.accepted || reply.__isset.grant || reply.__isset.outcome ||
-                    reply.__isset.refusal || reply.__isset.view;
-  return !some;
-}
-
 bool refused_with(const wire::ProgramReply& reply, wire::ErrorKind::type kind) {
   return reply.__isset.refusal && reply.refusal.kind == kind;
 }
@@ -71,7 +66,7 @@
 }
 
 FlowStep CallFlow::on_admit_reply(const wire::ProgramReply& reply, base::Millis now) {
-  if (unusable(reply)) return admit_again(now);
+  if (!wire::is_decisive(reply)) return admit_again(now);
   if (reply.__isset.grant) {
     grant_ = reply.grant;
     if (now >= give_up_at_) return refuse(Kind::kDeadlineExceeded, unsent_ran());
@@ -135,7 +130,7 @@
 FlowStep CallFlow::on_complete_reply(const wire::ProgramReply& reply, base::Millis now) {
   const bool not_run = ended_.outcome == wire::Outcome::kNotRun;
   const bool unknown = ended_.outcome == wire::Outcome::kUnknown;
-  if (unusable(reply)) {
+  if (!wire::is_decisive(reply)) {
     if (now + kRetryPause < give_up_at_) return complete(kRetryPause);
     if (not_run) return refuse(Kind::kBackendRefused, unsent_ran());
     return refuse(Kind::kOutcomeUnknown, unknown ? wire::Ran::kUnknown : wire::Ran::kRan);
@@ -166,7 +161,8 @@
     return reply.__isset.outcome ? answer(reply)
                                  : refuse(Kind::kCallInProgress, wire::Ran::kUnknown);
   }
-  if (unusable(reply) || refused_with(reply, Kind::kCallInProgress)) return look_up(kLookUpPause);
+  if (!wire::is_decisive(reply) || refused_with(reply, Kind::kCallInProgress))
+    return look_up(kLookUpPause);
   // The running attempt was given up without effect: this request takes its turn.
   if (refused_with(reply, Kind::kUnknownCall)) return admit_again(now);
   return answer(reply);
@@ -187,12 +183,8 @@
 }
 
 FlowStep CallFlow::refuse(wire::ErrorKind::type kind, wire::Ran::type ran) const {
-  wire::Refusal refusal;
-  refusal.kind = kind;
-  refusal.retry_after_ms = base::error_answer(kind).retry_after;
-  refusal.ran = ran;
   wire::ProgramReply reply;
-  reply.__set_refusal(refusal);
+  reply.__set_refusal(base::make_refusal(kind, ran));
   return answer(std::move(reply));
 }
 
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -36,7 +36,8 @@
   /// Sends a request to `address` ("host:port") and waits for the whole answer.
   /// @param fresh_connection uses a connection of its own: the library repeats a request by itself
   /// when a kept connection turns out closed, which must not happen to a call that may run only
-  /// once (docs/decisions/0005-no-silent-repeat.md).
+  /// once (docs/decisions/0005-no-silent-repeat.md). Kept connections are one per address and
+  /// timeout, so that a timeout that differs from request to request needs a fresh one too.
   HttpResult send(const std::string& address, const HttpRequest& request,
                   std::chrono::milliseconds timeout, bool fresh_connection = false);
 
--- a/src/node/bundle_file.cpp
+++ b/src/node/bundle_file.cpp
@@ -1,9 +1,5 @@
 #include "node/bundle_file.hpp"
 
-#include <sodium.h>
-
-#include <stdexcept>
-
 #include "base/digest.hpp"
 #include "configuration/bundle_check.hpp"
 #include "node/settings_reader.hpp"
@@ -86,17 +82,7 @@
 }
 
 wire::SignedBundle from_text(const std::string& text) {
-  return wire::decode<wire::SignedBundle>(from_hex(text));
-}
-
-std::string from_hex(const std::string& text) {
-  std::string bytes(text.size() / 2, '\0');
-  std::size_t length = 0;
-  const int status = sodium_hex2bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(),
-                                    text.data(), text.size(), "\r\n \t", &length, nullptr);
-  if (status != 0) throw std::invalid_argument("not hexadecimal text");
-  bytes.resize(length);
-  return bytes;
+  return wire::decode<wire::SignedBundle>(base::from_hex(text));
 }
 
 }  // namespace sailgate::node
--- a/src/node/bundle_file.hpp
+++ b/src/node/bundle_file.hpp
@@ -15,7 +15,4 @@
 /// @throws std::exception when the text is damaged.
 wire::SignedBundle from_text(const std::string& text);
 
-/// Bytes of hexadecimal text. @throws std::invalid_argument
-std::string from_hex(const std::string& text);
-
 }  // namespace sailgate::node
--- a/src/node/core/group_repair.cpp
+++ b/src/node/core/group_repair.cpp
@@ -4,14 +4,11 @@
 #include <set>
 #include <string>
 
+#include "wire/members.hpp"
+
 namespace sailgate::node {
 namespace {
 
-bool lists(const std::vector<wire::Member>& members, std::int64_t id) {
-  return std::any_of(members.begin(), members.end(),
-                     [id](const wire::Member& member) { return member.id == id; });
-}
-
 bool holds_zone(const std::vector<wire::Member>& members, const std::string& zone) {
   return std::any_of(members.begin(), members.end(),
                      [&zone](const wire::Member& member) { return member.zone == zone; });
@@ -109,7 +106,7 @@
                                 const membership::ReplicaCounts& counts, base::Millis now) const {
   auto& group = replica.group();
   for (const auto& [id, learner] : group.learners()) {
-    if (!lists(wanted, id)) wanted.push_back(learner);
+    if (!wire::contains_member(wanted, id)) wanted.push_back(learner);
   }
   auto usable = membership_.usable_members();
   // A member that is to go must not come back as its own replacement.
@@ -128,8 +125,9 @@
 bool GroupRepair::meets_rows(const SlotReplica& replica, const Members& members) {
   const auto& rows = replica.state().possible_rows();
   return std::all_of(rows.begin(), rows.end(), [&members](const wire::SlotRow& row) {
-    return std::any_of(row.members.begin(), row.members.end(),
-                       [&](const wire::Member& listed) { return lists(members, listed.id); });
+    return std::any_of(row.members.begin(), row.members.end(), [&](const wire::Member& listed) {
+      return wire::contains_member(members, listed.id);
+    });
   });
 }
 
--- a/src/node/core/node_core.cpp
+++ b/src/node/core/node_core.cpp
@@ -39,8 +39,7 @@
     if (message.slot < 0 || message.slot >= options_.knobs.slot_count) continue;
     auto& target = replica(message.slot, now);
     target.group().on_message(envelope.sender.id, message, now, outbox_);
-    target.group().flush(now, outbox_);
-    target.settle(now, actions_);
+    finish_slot_step(target, now);
   }
   finish_step();
 }
@@ -90,8 +89,7 @@
     rows_.record(*held, now, actions_);
     repair_.step(*held, replica_counts_, now);
     if (stopping_) held->group().transfer_leadership(successors, now, outbox_);
-    held->group().flush(now, outbox_);
-    held->settle(now, actions_);
+    finish_slot_step(*held, now);
   }
 }
 
@@ -103,8 +101,7 @@
     return;
   }
   held->submit(ticket, request, now, actions_);
-  held->group().flush(now, outbox_);
-  held->settle(now, actions_);
+  finish_slot_step(*held, now);
   finish_step();
 }
 
@@ -120,8 +117,7 @@
     recorded.version = answer.version;
     auto entry = wire::as_entry(std::move(recorded));
     founded.propose(entry);
-    founded.group().flush(now, outbox_);
-    founded.settle(now, actions_);
+    finish_slot_step(founded, now);
     publish_location(founded, now);
   }
   if (verdict == RowKeeper::Verdict::kFenced && held != nullptr) {
@@ -140,8 +136,7 @@
   auto* held = find_replica(order.slot);
   if (held == nullptr) return;
   Obligations::on_evicted(*held, order);
-  held->group().flush(now, outbox_);
-  held->settle(now, actions_);
+  finish_slot_step(*held, now);
   finish_step();
 }
 
@@ -149,8 +144,7 @@
   auto* held = find_replica(answer.inquiry.slot);
   if (held == nullptr) return;
   Obligations::on_inquiry_answer(*held, answer);
-  held->group().flush(now, outbox_);
-  held->settle(now, actions_);
+  finish_slot_step(*held, now);
   finish_step();
 }
 
@@ -248,8 +242,7 @@
       continue;
     }
     obligations_.scan(*held, now, actions_);
-    held->group().flush(now, outbox_);
-    held->settle(now, actions_);
+    finish_slot_step(*held, now);
   }
 }
 
@@ -295,6 +288,12 @@
 
 // ---------------------------------------------------------------- output
 
+/// Sends what the slot's replica appended and replies to what it applied.
+void NodeCore::finish_slot_step(SlotReplica& replica, base::Millis now) {
+  replica.group().flush(now, outbox_);
+  replica.settle(now, actions_);
+}
+
 void NodeCore::finish_step() {
   send_group_messages();
   auto outgoing = membership_.take_outgoing();
--- a/src/node/core/node_core.hpp
+++ b/src/node/core/node_core.hpp
@@ -85,6 +85,7 @@
  private:
   SlotReplica& replica(std::int32_t slot, base::Millis now);
   SlotReplica* find_replica(std::int32_t slot);
+  void finish_slot_step(SlotReplica& replica, base::Millis now);
   void finish_step();
   void tick_slots(base::Millis now);
   void seek_slots(base::Millis now);
--- a/src/node/core/program_replies.cpp
+++ b/src/node/core/program_replies.cpp
@@ -1,17 +1,12 @@
 #include "node/core/program_replies.hpp"
 
-#include "base/error_table.hpp"
+#include "base/refusal.hpp"
 
 namespace sailgate::node {
 
 wire::ProgramReply refusal_reply(wire::ErrorKind::type kind) {
-  const auto& answer = base::error_answer(kind);
-  wire::Refusal refusal;
-  refusal.kind = kind;
-  refusal.retry_after_ms = answer.retry_after;
-  refusal.ran = answer.ran;
   wire::ProgramReply reply;
-  reply.__set_refusal(refusal);
+  reply.__set_refusal(base::make_refusal(kind));
   return reply;
 }
 
--- a/src/node/core/slot_replica.cpp
+++ b/src/node/core/slot_replica.cpp
@@ -16,11 +16,6 @@
 /// Fences order by epoch, then by view.
 constexpr std::int64_t kViewsPerEpoch = std::int64_t{1} << 40U;
 
-/// Repeating a call must repeat its content; the sequence belongs to it.
-bool same_request(const wire::CallAdmitted& known, const wire::CallAdmitted& repeated) {
-  return known.request_digest == repeated.request_digest && known.sequence == repeated.sequence;
-}
-
 }  // namespace
 
 NodePolicies NodePolicies::standard() {
@@ -121,7 +116,7 @@
 void SlotReplica::answer_known_call(Ticket ticket, const wire::ProgramRequest& request,
                                     const wire::ProgramRecord& record, const wire::CallRecord& call,
                                     NodeActions& actions) {
-  if (!same_request(call.call, request.admit_call.call)) {
+  if (!program::SlotState::same_request(call.call, request.admit_call.call)) {
     actions.completed.push_back({ticket, refusal_reply(Kind::kKeyReused)});
     return;
   }
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -10,6 +10,7 @@
 
 #include "base/digest.hpp"
 #include "configuration/bundle_check.hpp"
+#include "wire/replies.hpp"
 
 namespace sailgate::node {
 namespace {
@@ -41,11 +42,6 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-bool usable(const wire::ProgramReply& reply) {
-  return reply.__isset.accepted || reply.__isset.grant || reply.__isset.outcome ||
-         reply.__isset.refusal || reply.__isset.view || reply.__isset.configuration_lease;
-}
-
 }  // namespace
 
 base::Millis NodeRuntime::now() {
@@ -270,7 +266,7 @@
       const auto remote = requests_.execute(address, slot, request, static_cast<int>(left));
       if (remote) reply = *remote;
     }
-    if (usable(reply)) return reply;
+    if (wire::is_decisive(reply)) return reply;
     hint = reply.__isset.redirect ? reply.redirect.leader : 0;
     ++hops;
     if (hint == 0 || hops > kMaximumHops) {
--- a/src/node/node_runtime.hpp
+++ b/src/node/node_runtime.hpp
@@ -60,7 +60,6 @@
   /// @return an unset reply when no leader could be reached in time.
   wire::ProgramReply route(const std::string& program, const wire::ProgramRequest& request,
                            base::Millis timeout);
-  /// Tells the core at once that a back end refused because it is leaving.
   /// Same, for a slot; kConfigurationSlot leads to the configuration authority.
   wire::ProgramReply route_slot(std::int32_t slot, const wire::ProgramRequest& request,
                                 base::Millis timeout);
@@ -74,6 +73,7 @@
   /// Without any bundle in force everything is allowed.
   std::optional<wire::ProgramRule> program_rule(const std::string& tenant,
                                                 const std::string& kind) const;
+  /// Tells the core at once that a back end refused because it is leaving.
   void report_leaving(const std::string& backend);
   /// Whether this node knows that a back end is leaving.
   bool backend_is_leaving(const std::string& backend) const;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -2,7 +2,7 @@
 
 #include <stdexcept>
 
-#include "node/bundle_file.hpp"
+#include "base/digest.hpp"
 #include "node/settings_reader.hpp"
 
 namespace sailgate::node {
@@ -42,7 +42,7 @@
 std::string read_public_key(SettingsTable& table) {
   constexpr std::size_t kKeyBytes = 32;
   try {
-    auto key = from_hex(table.required_text("public_key"));
+    auto key = base::from_hex(table.required_text("public_key"));
     if (key.size() == kKeyBytes) return key;
   } catch (const std::invalid_argument&) {
     // Answered below, as a key of the wrong length.
--- a/src/platform/table_service.cpp
+++ b/src/platform/table_service.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "base/digest.hpp"
-#include "node/bundle_file.hpp"
 #include "wire/codec.hpp"
 
 namespace sailgate::platform {
@@ -22,7 +21,7 @@
 void take_row(const std::string& body, node::TableAnswer& answer) {
   const auto json = value::parse(body);
   answer.version = json.at("version").as_number().to_int64();
-  answer.row = wire::decode<wire::SlotRow>(node::from_hex(json.at("value").as_string()));
+  answer.row = wire::decode<wire::SlotRow>(base::from_hex(json.at("value").as_string()));
 }
 
 }  // namespace
--- a/src/program/slot_state.cpp
+++ b/src/program/slot_state.cpp
@@ -27,10 +27,6 @@
          base::chain_digest(call.call.request_body, call.outcome.result);
 }
 
-bool same_request(const wire::CallAdmitted& left, const wire::CallAdmitted& right) {
-  return left.request_digest == right.request_digest && left.sequence == right.sequence;
-}
-
 wire::Turn to_turn(const wire::CallRecord& call) {
   wire::Turn turn;
   turn.sequence = call.call.sequence;
@@ -337,6 +333,10 @@
   return found == programs_.end() ? nullptr : &found->second;
 }
 
+bool SlotState::same_request(const wire::CallAdmitted& known, const wire::CallAdmitted& repeated) {
+  return known.request_digest == repeated.request_digest && known.sequence == repeated.sequence;
+}
+
 const wire::CallRecord* SlotState::find_call(const wire::ProgramRecord& record,
                                              const std::string& request_key) {
   const auto found = std::find_if(
--- a/src/program/slot_state.hpp
+++ b/src/program/slot_state.hpp
@@ -36,6 +36,8 @@
 
   /// @return the record, or nullptr when the slot has no such program.
   const wire::ProgramRecord* find(const std::string& program) const;
+  /// Whether a request with a known key is a repetition: its content and sequence are the same.
+  static bool same_request(const wire::CallAdmitted& known, const wire::CallAdmitted& repeated);
   /// @return the call with this key, or nullptr.
   static const wire::CallRecord* find_call(const wire::ProgramRecord& record,
                                            const std::string& request_key);
--- a/src/replication/group_constants.hpp
+++ b/src/replication/group_constants.hpp
@@ -1,13 +1,10 @@
 /// @file Constants and helpers shared by the parts of ReplicaGroup.
 #pragma once
 
-#include <algorithm>
-#include <cstdint>
 #include <limits>
-#include <vector>
 
 #include "base/time.hpp"
-#include "sailgate_types.h"
+#include "wire/members.hpp"
 
 namespace sailgate::replication {
 
@@ -20,10 +17,6 @@
 /// The lease of a group whose only member is its leader.
 constexpr base::Millis kAlways = std::numeric_limits<base::Millis>::max();
 
-/// Whether a list names this member.
-inline bool contains_member(const std::vector<wire::Member>& members, std::int64_t id) {
-  return std::any_of(members.begin(), members.end(),
-                     [id](const wire::Member& member) { return member.id == id; });
-}
+using wire::contains_member;
 
 }  // namespace sailgate::replication
--- a/src/replication/replica_group.hpp
+++ b/src/replication/replica_group.hpp
@@ -9,11 +9,10 @@
 ///     holds a lease counted from the send time of heartbeats that a majority acknowledged; the
 ///     lease is shorter than the election timeout by more than the clock drift.
 ///  4. A record is committed when a majority and every member not suspected holds it.
-///  5. Members change by joint consensus: from the record that proposes a list until the record
-///  that
-///     ends the change, both lists are in force and every decision needs a majority of each. So a
-///     member can be replaced without ever needing the newcomer or the lost one. A newcomer is
-///     first a learner, fed by a snapshot and the log, and is listed once it has caught up.
+///  5. Members change by joint consensus: from the record that proposes a list to the one that ends
+///     the change, both lists are in force and every decision needs a majority of each. So a member
+///     can be replaced without ever needing the newcomer or the lost one. A newcomer is first a
+///     learner, fed by a snapshot and the log, and is listed once it has caught up.
 ///  6. Epochs number foundings and recoveries of the slot; the table service arbitrates them. A
 ///     replica of an older epoch that learns of a newer one drops what it holds.
 ///  7. For a planned stop the leader gives up its lease, then tells an up-to-date follower to
@@ -189,7 +188,6 @@
   std::int32_t generation_ = 0;  ///< how often forget_state() dropped a log
   base::Millis heard_leader_at_ = 0;
   base::Millis election_due_ = 0;
-  base::Millis led_since_ = 0;
   base::Millis transfer_until_ = 0;
   bool campaign_is_trial_ = false;
   bool campaign_is_transfer_ = false;
--- a/src/replication/replica_group_roles.cpp
+++ b/src/replication/replica_group_roles.cpp
@@ -68,7 +68,6 @@
 void ReplicaGroup::lead(base::Millis now) {
   role_ = Role::kLeader;
   leader_ = context_.self;
-  led_since_ = now;
   transfer_until_ = 0;
   peers_.clear();
   learners_.clear();
--- a/src/rpc/peer_sender.cpp
+++ b/src/rpc/peer_sender.cpp
@@ -13,7 +13,6 @@
 
 #include "Node.h"
 #include "rpc/transport_limits.hpp"
-#include "wire/codec.hpp"
 
 namespace sailgate::rpc {
 namespace {
@@ -26,6 +25,22 @@
 /// A channel without traffic for this long closes its connection.
 constexpr std::chrono::seconds kIdleClose{30};
 
+/// Socket that counts what it sends, so that no message is encoded twice to be measured.
+class CountingSocket : public thrift::transport::TSocket {
+ public:
+  /// @param sent_bytes must outlive the socket.
+  CountingSocket(const membership::Address& address, std::atomic<std::uint64_t>& sent_bytes)
+      : TSocket(address.host, address.port), sent_bytes_(sent_bytes) {}
+
+  void write(const std::uint8_t* bytes, std::uint32_t length) override {
+    TSocket::write(bytes, length);
+    sent_bytes_ += length;
+  }
+
+ private:
+  std::atomic<std::uint64_t>& sent_bytes_;
+};
+
 }  // namespace
 
 class PeerSender::Channel {
@@ -86,7 +101,6 @@
     try {
       client_->deliver(envelope);
       ++sent_;
-      sent_bytes_ += wire::encode(envelope).size();
     } catch (const std::exception&) {
       client_.reset();
       ++dropped_;
@@ -97,15 +111,15 @@
     const auto now = std::chrono::steady_clock::now();
     if (now < retry_at_) return false;
     try {
-      auto socket = std::make_shared<thrift::transport::TSocket>(address_.host, address_.port);
+      auto socket = std::make_shared<CountingSocket>(address_, sent_bytes_);
       socket->setConnTimeout(kConnectTimeoutMillis);
       socket->setSendTimeout(kSendTimeoutMillis);
       socket->setNoDelay(true);
       socket->open();
-      transport_ =
+      auto transport =
           std::make_shared<thrift::transport::TFramedTransport>(socket, transport_limits());
       client_ = std::make_unique<wire::NodeClient>(
-          std::make_shared<thrift::protocol::TCompactProtocol>(transport_));
+          std::make_shared<thrift::protocol::TCompactProtocol>(transport));
       return true;
     } catch (const std::exception&) {
       retry_at_ = now + kReconnectPause;
@@ -122,7 +136,6 @@
   std::atomic<std::uint64_t> sent_{0};
   std::atomic<std::uint64_t> sent_bytes_{0};
   // Used by the channel's thread only.
-  std::shared_ptr<thrift::transport::TFramedTransport> transport_;
   std::unique_ptr<wire::NodeClient> client_;
   std::chrono::steady_clock::time_point retry_at_;
   std::thread thread_;  // last: starts when the rest stands
--- a/src/simulation/simulated_node.cpp
+++ b/src/simulation/simulated_node.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "simulation/simulated_cluster.hpp"
+#include "wire/replies.hpp"
 
 namespace sailgate::simulation {
 namespace {
@@ -233,9 +234,7 @@
 void SimulatedNode::retry_request(const wire::ProgramRequest& request, std::int32_t slot,
                                   base::Millis until, const Answer& answer) {
   route(slot, request, 0, 0, [this, request, slot, until, answer](const auto& reply) {
-    const bool usable = reply.__isset.accepted || reply.__isset.outcome || reply.__isset.refusal ||
-                        reply.__isset.view;
-    if (usable) {
+    if (wire::is_decisive(reply)) {
       answer(reply);
     } else if (local_now() + kRequestRetry >= until) {
       answer(node::refusal_reply(wire::ErrorKind::kSlotUnavailable));
