--- /dev/null
+++ b/idl/ledger.thrift
@@ -0,0 +1,29 @@
+/** Rows of the program ledger in the table store. */
+namespace cpp sailgate.wire
+
+/** One finished turn of a program. */
+struct TurnSegment {
+  1: string turn
+  2: binary input
+  /** The data of each event of the answer, each followed by a line feed. */
+  3: binary output
+}
+
+/**
+ * A finished turn with as many of its predecessors as fit one row. Reading a chain takes one read
+ * for each `earlier` that is set.
+ */
+struct TurnRow {
+  /** Oldest first; the last one is the turn this row belongs to. */
+  1: list<TurnSegment> segments
+  /** Turn whose row holds what came before the first segment; empty at the start of a chain. */
+  2: string earlier
+}
+
+/**
+ * Tokens of one program's budget that each node process may let its turns generate. A node's tokens
+ * count as spent until it lowers its own entry.
+ */
+struct BudgetRow {
+  1: map<i64, i64> granted
+}
--- a/idl/sailgate.thrift
+++ b/idl/sailgate.thrift
@@ -38,6 +38,12 @@
   kConfigurationStale = 27
   kBundleConflict = 28
   kBundleRefused = 29
+  kHeaderTooLarge = 30
+  kRequestTimeout = 31
+  kUnknownTurn = 32
+  kStoreUnavailable = 33
+  kNotConfigured = 34
+  kBackendBusy = 35
 }
 
 /** What is known about the execution of a call on its back end. */
--- /dev/null
+++ b/src/balancing/engine.hpp
@@ -0,0 +1,33 @@
+/// @file Engines as the store lists them, and what this node knows of each.
+#pragma once
+
+#include <string>
+
+#include "net/asio.hpp"
+
+namespace sailgate::balancing {
+
+/// One incarnation of an engine, as it registered itself.
+struct EngineRecord {
+  std::string id;
+  std::string service;
+  net::Endpoint endpoint;
+  std::string zone;
+  int slots = 1;
+  bool draining = false;
+  net::Millis warm_up_left{0};
+};
+
+/// An engine with this node's own observations. Requests under way hold it by shared pointer, so it
+/// outlives its entry in the registry.
+struct Engine {
+  EngineRecord record;
+  int in_flight = 0;                 ///< requests of this node at the engine
+  int consecutive_failures = 0;      ///< since the last good answer
+  net::TimePoint avoid_until{};      ///< after a refusal or failure: other engines come first
+  bool leaving = false;              ///< said so itself, or its entry is gone: no new requests
+
+  bool usable() const { return !leaving && !record.draining; }
+};
+
+}  // namespace sailgate::balancing
--- /dev/null
+++ b/src/balancing/engine_registry.cpp
@@ -0,0 +1,58 @@
+#include "balancing/engine_registry.hpp"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace sailgate::balancing {
+
+void EngineRegistry::put(EngineRecord record) {
+  auto& entry = by_id_[record.id];
+  if (entry == nullptr) {
+    entry = std::make_shared<Engine>();
+    entry->record = std::move(record);
+    by_service_[entry->record.service].push_back(entry);
+    return;
+  }
+  const bool was_usable = entry->usable();
+  // An incarnation that is leaving does not come back.
+  record.draining = record.draining || entry->record.draining;
+  record.service = entry->record.service;
+  entry->record = std::move(record);
+  if (was_usable && !entry->usable() && on_leaving_) on_leaving_(*entry);
+}
+
+void EngineRegistry::remove(const std::string& id) {
+  const auto entry = by_id_.find(id);
+  if (entry == by_id_.end()) return;
+  const auto engine = entry->second;
+  const bool was_usable = engine->usable();
+  engine->leaving = true;
+  auto& service = by_service_[engine->record.service];
+  service.erase(std::remove(service.begin(), service.end(), engine), service.end());
+  by_id_.erase(entry);
+  if (was_usable && on_leaving_) on_leaving_(*engine);
+}
+
+void EngineRegistry::replace(std::vector<EngineRecord> records) {
+  std::unordered_set<std::string> listed;
+  for (const auto& record : records) listed.insert(record.id);
+  std::vector<std::string> absent;
+  for (const auto& [id, engine] : by_id_) {
+    if (listed.count(id) == 0) absent.push_back(id);
+  }
+  for (const auto& id : absent) remove(id);
+  for (auto& record : records) put(std::move(record));
+}
+
+EnginePointer EngineRegistry::find(const std::string& id) const {
+  const auto entry = by_id_.find(id);
+  return entry == by_id_.end() ? nullptr : entry->second;
+}
+
+const std::vector<EnginePointer>& EngineRegistry::of_service(const std::string& service) const {
+  static const std::vector<EnginePointer> kNone;
+  const auto entry = by_service_.find(service);
+  return entry == by_service_.end() ? kNone : entry->second;
+}
+
+}  // namespace sailgate::balancing
--- /dev/null
+++ b/src/balancing/engine_selector.cpp
@@ -0,0 +1,68 @@
+#include "balancing/engine_selector.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace sailgate::balancing {
+
+namespace {
+
+/// Cost of a round trip to another zone, in slots' shares.
+constexpr double kOtherZoneCost = 0.5;
+/// Cost between the first and the last place of a rendezvous order.
+constexpr double kAffinityCost = 2.0;
+/// Load beyond which an engine is only used when all are beyond it, as a share of its slots.
+constexpr double kSaturation = 0.75;
+
+/// Uniform in [0, 1) for a pair of key and engine.
+double rendezvous_draw(const std::string& key, const std::string& engine_id) {
+  const auto seed = XXH64(engine_id.data(), engine_id.size(), 0);
+  const auto hash = XXH64(key.data(), key.size(), seed);
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(hash) / kRange;
+}
+
+struct Rank {
+  bool avoided;
+  bool saturated;
+  double cost;
+  std::uint64_t tie;
+
+  bool operator<(const Rank& other) const {
+    return std::tie(avoided, saturated, cost, tie) <
+           std::tie(other.avoided, other.saturated, other.cost, other.tie);
+  }
+};
+
+Rank rank(const Engine& engine, const SelectionQuery& query) {
+  const double load = static_cast<double>(engine.in_flight) / engine.record.slots;
+  const double zone = engine.record.zone == query.zone ? 0.0 : kOtherZoneCost;
+  const double affinity =
+      query.affinity_key.empty()
+          ? 0.0
+          : kAffinityCost * rendezvous_draw(query.affinity_key, engine.record.id);
+  const auto tie = XXH64(engine.record.id.data(), engine.record.id.size(), query.draw);
+  return {query.now < engine.avoid_until, load >= kSaturation, load + zone + affinity, tie};
+}
+
+}  // namespace
+
+EnginePointer select_engine(const EngineRegistry& registry, const SelectionQuery& query) {
+  EnginePointer best;
+  Rank best_rank{};
+  for (const auto& engine : registry.of_service(query.service)) {
+    if (!engine->usable()) continue;
+    const auto& excluded = query.excluded;
+    if (std::find(excluded.begin(), excluded.end(), engine->record.id) != excluded.end()) continue;
+    const auto candidate = rank(*engine, query);
+    if (best == nullptr || candidate < best_rank) {
+      best = engine;
+      best_rank = candidate;
+    }
+  }
+  return best;
+}
+
+}  // namespace sailgate::balancing
--- /dev/null
+++ b/src/balancing/engine_selector.hpp
@@ -0,0 +1,31 @@
+/// @file Which engine serves a request.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "balancing/engine_registry.hpp"
+
+namespace sailgate::balancing {
+
+/// What the choice depends on.
+struct SelectionQuery {
+  std::string service;
+  std::string affinity_key;  ///< requests with the same key share cached prompts; empty: none
+  std::string zone;          ///< of this node
+  net::TimePoint now;
+  std::uint64_t draw = 0;                  ///< random tie-break
+  std::vector<std::string> excluded;       ///< engines this request was already offered to
+};
+
+/// Pure decision over the registry's state: no clock, no randomness of its own.
+///
+/// Engines are ranked by, in order: not avoided, load below saturation, then cost. Cost sums the
+/// share of slots this node keeps busy, a charge for another zone, and with an affinity key the
+/// distance from the top of the key's rendezvous order, so that all nodes agree on a key's engine
+/// without talking to each other.
+///
+/// @return nullptr when no usable engine is left.
+EnginePointer select_engine(const EngineRegistry& registry, const SelectionQuery& query);
+
+}  // namespace sailgate::balancing
--- a/src/base/error_table.cpp
+++ b/src/base/error_table.cpp
@@ -70,6 +70,18 @@
                 "Another bundle was accepted since this one was prepared."},
     ErrorAnswer{Kind::kBundleRefused, "bundle_refused", 422, Ran::kNotRun, RetryRule::kNever, 0,
                 "The bundle or its signatures are not valid."},
+    ErrorAnswer{Kind::kHeaderTooLarge, "header_too_large", 431, Ran::kNotRun, RetryRule::kNever, 0,
+                "The request's header exceeds the size limit."},
+    ErrorAnswer{Kind::kRequestTimeout, "request_timeout", 408, Ran::kNotRun, RetryRule::kNever, 0,
+                "The request did not arrive whole in time."},
+    ErrorAnswer{Kind::kUnknownTurn, "unknown_turn", 404, Ran::kNotRun, RetryRule::kNever, 0,
+                "The turn to go on from does not exist, or is no longer kept."},
+    ErrorAnswer{Kind::kStoreUnavailable, "store_unavailable", 503, Ran::kNotRun,
+                RetryRule::kFixed, 300, "The program's record cannot be reached now."},
+    ErrorAnswer{Kind::kNotConfigured, "not_configured", 503, Ran::kNotRun, RetryRule::kFixed, 200,
+                "This node has no configuration yet; use another."},
+    ErrorAnswer{Kind::kBackendBusy, "backend_busy", 503, Ran::kNotRun, RetryRule::kFixed, 100,
+                "No back end took the call."},
 };
 
 }  // namespace
--- /dev/null
+++ b/src/ledger/program_ledger.cpp
@@ -0,0 +1,189 @@
+#include "ledger/program_ledger.hpp"
+
+#include <algorithm>
+
+#include "base/digest.hpp"
+#include "ledger/turn_row.hpp"
+#include "wire/codec.hpp"
+
+namespace sailgate::ledger {
+
+namespace {
+
+using store::StoreStatus;
+
+constexpr const char* kBudgetTable = "budgets";
+constexpr const char* kTurnTable = "turns";
+/// Rows are spread over this many parts: a part is written in turn.
+constexpr std::uint64_t kParts = 256;
+/// One call to the store; a silent one is tried again while the deadline allows.
+constexpr net::Millis kStoreTimeout{700};
+constexpr net::Millis kRetryPause{60};
+constexpr std::size_t kTurnCacheBytes = std::size_t{24} << 20U;
+
+std::string part_of(const std::string& key) {
+  const auto digest = static_cast<std::uint64_t>(base::fast_digest(key));
+  return std::to_string(digest % kParts);
+}
+
+/// Time for one call that ends before `deadline`.
+net::Millis call_time(net::TimePoint deadline) {
+  const auto left = std::chrono::duration_cast<net::Millis>(deadline - net::Clock::now());
+  return std::clamp(left, net::Millis(1), kStoreTimeout);
+}
+
+bool time_left(net::TimePoint deadline) { return net::Clock::now() + kRetryPause < deadline; }
+
+}  // namespace
+
+ProgramLedger::ProgramLedger(net::asio::io_context& context, store::TableStore& store,
+                             observe::StructuredLog& log, std::int64_t holder)
+    : context_(context), store_(store), log_(log), holder_(holder), turns_(kTurnCacheBytes) {}
+
+ProgramLedger::ProgramPointer ProgramLedger::program(const std::string& id) {
+  auto& entry = programs_[id];
+  if (entry == nullptr) entry = std::make_shared<Program>(context_, holder_);
+  entry->last_used = net::Clock::now();
+  return entry;
+}
+
+net::asio::awaitable<ReserveOutcome> ProgramLedger::reserve(std::string id, std::int64_t tokens,
+                                                            std::int64_t budget,
+                                                            net::TimePoint deadline) {
+  auto entry = program(id);
+  if (entry->account.reserve(tokens)) co_return ReserveOutcome::kReserved;
+  const auto guard = co_await entry->mutex.lock();
+  while (!entry->account.reserve(tokens)) {
+    const auto outcome = co_await raise_grant(id, entry, tokens, budget, deadline);
+    if (outcome != ReserveOutcome::kReserved) co_return outcome;
+  }
+  co_return ReserveOutcome::kReserved;
+}
+
+net::asio::awaitable<ReserveOutcome> ProgramLedger::raise_grant(std::string id,
+                                                                ProgramPointer program,
+                                                                std::int64_t tokens,
+                                                                std::int64_t budget,
+                                                                net::TimePoint deadline) {
+  bool fresh = false;  // the row was read after this call began
+  while (time_left(deadline)) {
+    auto row = program->account.plan_grant(tokens, budget);
+    if (!row && !fresh) {
+      fresh = co_await read_budget(id, program, deadline);
+      if (!fresh) co_await net::sleep_for(context_, kRetryPause);
+      continue;
+    }
+    if (!row) {
+      log_.event("budget_exhausted")
+          .with("program", id)
+          .with("tokens", tokens)
+          .with("budget", budget)
+          .with("holders", program->account.other_holders().size())
+          .with("row_version", program->account.version());
+      co_return ReserveOutcome::kExhausted;
+    }
+    const auto status = co_await write_budget(id, program, std::move(*row), deadline);
+    if (status == StoreStatus::kDone) co_return ReserveOutcome::kReserved;
+    fresh = fresh || status == StoreStatus::kConflict;
+    if (status != StoreStatus::kConflict) co_await net::sleep_for(context_, kRetryPause);
+  }
+  co_return ReserveOutcome::kUnavailable;
+}
+
+net::asio::awaitable<StoreStatus> ProgramLedger::write_budget(std::string id,
+                                                              ProgramPointer program,
+                                                              wire::BudgetRow row,
+                                                              net::TimePoint deadline) {
+  const store::RowId row_id{kBudgetTable, part_of(id), id};
+  store::Transaction transaction;
+  transaction.conditions.push_back({row_id, program->account.version()});
+  store::Row put;
+  put.id = row_id;
+  put.value = wire::encode(row);
+  transaction.puts.push_back(std::move(put));
+  // NOTE: a write without an answer may still take effect. It is repeated under the same condition:
+  // at most one of them does, and a conflict shows the row as it is.
+  auto result = co_await store_.transact(std::move(transaction), call_time(deadline));
+  if (result.status == StoreStatus::kDone) {
+    program->account.adopt(std::move(row), result.version);
+  } else if (result.status == StoreStatus::kConflict) {
+    adopt_rows(*program, result);
+  }
+  co_return result.status;
+}
+
+net::asio::awaitable<bool> ProgramLedger::read_budget(std::string id, ProgramPointer program,
+                                                      net::TimePoint deadline) {
+  store::RangeRead range;
+  range.table = kBudgetTable;
+  range.part = part_of(id);
+  range.from_key = id;
+  range.limit = 1;
+  auto result = co_await store_.read(range, call_time(deadline));
+  if (result.status != StoreStatus::kDone) co_return false;
+  if (!result.rows.empty() && result.rows.front().id.key != id) result.rows.clear();
+  adopt_rows(*program, result);
+  co_return true;
+}
+
+void ProgramLedger::adopt_rows(Program& program, const store::StoreResult& result) {
+  if (result.rows.empty() || result.rows.front().version == 0) {
+    program.account.adopt_absent();
+    return;
+  }
+  const auto& row = result.rows.front();
+  program.account.adopt(wire::decode<wire::BudgetRow>(row.value), row.version);
+}
+
+void ProgramLedger::settle(const std::string& id, std::int64_t reserved, std::int64_t used) {
+  program(id)->account.settle(reserved, used);
+}
+
+net::asio::awaitable<Lookup> ProgramLedger::find_turn(std::string id, net::TimePoint deadline) {
+  std::vector<wire::TurnRow> rows;  // newest first
+  TurnPointer known = turns_.find(id);
+  std::string wanted = id;
+  while (known == nullptr && !wanted.empty()) {
+    if (!time_left(deadline)) co_return Lookup{LookupOutcome::kUnavailable, nullptr};
+    store::RangeRead range;
+    range.table = kTurnTable;
+    range.part = part_of(wanted);
+    range.from_key = wanted;
+    range.limit = 1;
+    const auto result = co_await store_.read(range, call_time(deadline));
+    if (result.status != StoreStatus::kDone) {
+      co_await net::sleep_for(context_, kRetryPause);
+      continue;
+    }
+    if (result.rows.empty() || result.rows.front().id.key != wanted) {
+      log_.event("turn_absent").with("turn", wanted).with("store_version", result.version);
+      co_return Lookup{LookupOutcome::kAbsent, nullptr};
+    }
+    rows.push_back(wire::decode<wire::TurnRow>(result.rows.front().value));
+    wanted = rows.back().earlier;
+    if (!wanted.empty()) known = turns_.find(wanted);
+  }
+  for (auto row = rows.rbegin(); row != rows.rend(); ++row) {
+    known = decode_turn(*row, known);
+    turns_.put(known);
+  }
+  co_return Lookup{LookupOutcome::kFound, known};
+}
+
+net::asio::awaitable<bool> ProgramLedger::record_turn(TurnPointer turn, net::TimePoint deadline) {
+  store::Row row;
+  row.id = {kTurnTable, part_of(turn->id), turn->id};
+  row.value = wire::encode(encode_turn(*turn));
+  while (true) {
+    store::Transaction transaction;
+    transaction.puts.push_back(row);
+    const auto result = co_await store_.transact(std::move(transaction), call_time(deadline));
+    if (result.status == StoreStatus::kDone) break;
+    if (!time_left(deadline)) co_return false;
+    co_await net::sleep_for(context_, kRetryPause);
+  }
+  turns_.put(std::move(turn));
+  co_return true;
+}
+
+}  // namespace sailgate::ledger
--- /dev/null
+++ b/src/ledger/program_ledger.hpp
@@ -0,0 +1,77 @@
+/// @file Budgets and histories of programs, kept in the table store.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "ledger/budget_account.hpp"
+#include "ledger/turn_cache.hpp"
+#include "net/async_mutex.hpp"
+#include "observe/structured_log.hpp"
+#include "store/table_store.hpp"
+
+namespace sailgate::ledger {
+
+enum class ReserveOutcome {
+  kReserved,
+  kExhausted,    ///< the budget cannot hold the turn
+  kUnavailable,  ///< nobody can tell now
+};
+
+enum class LookupOutcome { kFound, kAbsent, kUnavailable };
+
+struct Lookup {
+  LookupOutcome outcome = LookupOutcome::kUnavailable;
+  TurnPointer turn;
+};
+
+/// Not thread-safe: belongs to the event loop. All waits end before the given deadline.
+class ProgramLedger {
+ public:
+  /// @param holder identifies this process among all that ever ran.
+  ProgramLedger(net::asio::io_context& context, store::TableStore& store,
+                observe::StructuredLog& log, std::int64_t holder);
+
+  /// Sets `tokens` of the program's budget aside for one turn.
+  net::asio::awaitable<ReserveOutcome> reserve(std::string program, std::int64_t tokens,
+                                               std::int64_t budget, net::TimePoint deadline);
+  /// Ends a reservation. @param used tokens that were handed to the caller.
+  void settle(const std::string& program, std::int64_t reserved, std::int64_t used);
+
+  /// A finished turn with its whole chain.
+  net::asio::awaitable<Lookup> find_turn(std::string id, net::TimePoint deadline);
+  /// Makes a finished turn durable. @return whether it is.
+  net::asio::awaitable<bool> record_turn(TurnPointer turn, net::TimePoint deadline);
+
+ private:
+  struct Program {
+    Program(net::asio::io_context& context, std::int64_t holder)
+        : account(holder), mutex(context) {}
+    BudgetAccount account;
+    net::AsyncMutex mutex;  ///< one write of the budget row at a time
+    net::TimePoint last_used{};
+  };
+  using ProgramPointer = std::shared_ptr<Program>;
+
+  ProgramPointer program(const std::string& id);
+  net::asio::awaitable<ReserveOutcome> raise_grant(std::string id, ProgramPointer program,
+                                                   std::int64_t tokens, std::int64_t budget,
+                                                   net::TimePoint deadline);
+  net::asio::awaitable<store::StoreStatus> write_budget(std::string id, ProgramPointer program,
+                                                        wire::BudgetRow row,
+                                                        net::TimePoint deadline);
+  net::asio::awaitable<bool> read_budget(std::string id, ProgramPointer program,
+                                         net::TimePoint deadline);
+  static void adopt_rows(Program& program, const store::StoreResult& result);
+
+  net::asio::io_context& context_;
+  store::TableStore& store_;
+  observe::StructuredLog& log_;
+  std::int64_t holder_;
+  std::unordered_map<std::string, ProgramPointer> programs_;
+  TurnCache turns_;
+};
+
+}  // namespace sailgate::ledger
--- /dev/null
+++ b/src/ledger/turn.hpp
@@ -0,0 +1,23 @@
+/// @file A finished turn and what came before it.
+#pragma once
+
+#include <memory>
+#include <string>
+
+namespace sailgate::ledger {
+
+struct Turn;
+using TurnPointer = std::shared_ptr<const Turn>;
+
+/// Immutable; turns that go on from the same one share it.
+struct Turn {
+  std::string id;
+  std::string input;
+  std::string output;    ///< data of each event, each followed by a line feed
+  TurnPointer previous;  ///< nullptr at the start of a chain
+};
+
+/// What an engine is to read for a turn that goes on from `previous` with `input`.
+std::string assemble_prompt(const TurnPointer& previous, const std::string& input);
+
+}  // namespace sailgate::ledger
--- /dev/null
+++ b/src/net/endpoint.hpp
@@ -0,0 +1,16 @@
+/// @file Textual addresses.
+#pragma once
+
+#include <string>
+
+#include "net/asio.hpp"
+
+namespace sailgate::net {
+
+/// Parses "IP:PORT" (no name look-up). @throws std::invalid_argument
+Endpoint parse_endpoint(const std::string& text);
+
+/// @return "IP:PORT".
+std::string format_endpoint(const Endpoint& endpoint);
+
+}  // namespace sailgate::net
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,60 @@
+#include "net/http_client.hpp"
+
+#include "net/endpoint.hpp"
+#include "net/socket_state.hpp"
+
+namespace sailgate::net {
+
+namespace {
+
+constexpr std::uint64_t kResponseLimit = 32U << 20U;
+
+}  // namespace
+
+asio::awaitable<std::unique_ptr<HttpClient::Connection>> HttpClient::acquire(TimePoint deadline) {
+  while (!idle_.empty()) {
+    auto connection = std::move(idle_.back());
+    idle_.pop_back();
+    if (peek(connection->stream.socket()) == SocketState::kQuiet) co_return connection;
+  }
+  auto connection = std::make_unique<Connection>(context_);
+  connection->stream.expires_at(deadline);
+  Error error;
+  co_await connection->stream.async_connect(server_, awaiting(error));
+  if (error) co_return nullptr;
+  tune(connection->stream.socket());
+  co_return connection;
+}
+
+asio::awaitable<ExchangeResult> HttpClient::exchange(TextRequest request, Millis timeout) {
+  const auto deadline = Clock::now() + timeout;
+  ExchangeResult result;
+  auto connection = co_await acquire(deadline);
+  if (connection == nullptr) {
+    result.failure = ExchangeFailure::kNotSent;
+    co_return result;
+  }
+  request.version(11);
+  request.set(http::field::host, format_endpoint(server_));
+  request.prepare_payload();
+  auto& stream = connection->stream;
+  stream.expires_at(deadline);
+  Error error;
+  co_await http::async_write(stream, request, awaiting(error));
+  if (!error) {
+    http::response_parser<http::string_body> parser;
+    // NOTE: Boost 1.74 takes an absent limit for zero.
+    parser.body_limit(kResponseLimit);
+    co_await http::async_read(stream, connection->buffer, parser, awaiting(error));
+    if (!error) result.response = parser.release();
+  }
+  if (error) {
+    result.failure = ExchangeFailure::kNoAnswer;
+    co_return result;
+  }
+  const bool reusable = result.response.keep_alive() && connection->buffer.size() == 0;
+  if (reusable && idle_.size() < kMostIdle) idle_.push_back(std::move(connection));
+  co_return result;
+}
+
+}  // namespace sailgate::net
--- /dev/null
+++ b/src/net/socket_state.cpp
@@ -0,0 +1,34 @@
+#include "net/socket_state.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace sailgate::net {
+
+namespace {
+
+/// Unacknowledged bytes end a connection after this time (TCP_USER_TIMEOUT, milliseconds).
+constexpr int kUserTimeoutMs = 5000;
+
+}  // namespace
+
+SocketState peek(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0) return SocketState::kData;
+  if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+    return SocketState::kQuiet;
+  }
+  return SocketState::kClosed;
+}
+
+void tune(asio::ip::tcp::socket& socket) {
+  Error ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  const int timeout = kUserTimeoutMs;
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+}  // namespace sailgate::net
--- /dev/null
+++ b/src/serving/call.hpp
@@ -0,0 +1,42 @@
+/// @file One request of a caller while it is being served.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/http_client.hpp"
+#include "routing/route_table.hpp"
+#include "serving/client_channel.hpp"
+#include "serving/edge_protocol.hpp"
+#include "serving/engine_exchange.hpp"
+
+namespace sailgate::serving {
+
+/// Lives in the coroutine that serves the request.
+struct Call {
+  Call(ClientChannel& caller, net::TextRequest caller_request)
+      : channel(caller), request(std::move(caller_request)) {}
+
+  ClientChannel& channel;
+  net::TextRequest request;
+  CallDescription description;
+  std::shared_ptr<const routing::RouteTable> routes;  ///< the version the request began under
+  const routing::Route* route = nullptr;
+  std::string service;
+  net::TimePoint received_at;
+  net::TimePoint deadline;  ///< the earlier of the caller's and the route's
+
+  std::vector<std::string> offered;     ///< engines the request was offered to
+  bool may_have_run = false;            ///< some engine may have worked on it
+  EngineExchange* exchange = nullptr;   ///< under way, for the caller's leaving
+
+  net::Millis elapsed() const {
+    return std::chrono::duration_cast<net::Millis>(net::Clock::now() - received_at);
+  }
+  net::Millis time_left() const {
+    return std::chrono::duration_cast<net::Millis>(deadline - net::Clock::now());
+  }
+};
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/call_handler.cpp
@@ -0,0 +1,116 @@
+#include "serving/call_handler.hpp"
+
+#include <algorithm>
+
+#include "serving/plain_call.hpp"
+#include "serving/refusal.hpp"
+#include "serving/stream_call.hpp"
+
+namespace sailgate::serving {
+
+namespace {
+
+using Kind = wire::ErrorKind;
+namespace http = net::http;
+
+std::string text(net::beast::string_view view) { return {view.data(), view.size()}; }
+
+bool well_formed(const net::TextRequest& request) {
+  return request.count(http::field::host) == 1 && !request.target().empty() &&
+         request.target().front() == '/';
+}
+
+}  // namespace
+
+net::asio::awaitable<CallEnd> refuse(Call& call, wire::ErrorKind::type kind,
+                                     net::Millis retry_after) {
+  CallEnd end;
+  end.outcome = base::error_answer(kind).name;
+  end.connection_usable = co_await send_refusal(call.channel, kind, retry_after);
+  co_return end;
+}
+
+net::asio::awaitable<CallEnd> answer_failure(Call& call, DispatchFailure failure) {
+  switch (failure) {
+    case DispatchFailure::kNoEngine:
+      co_return co_await refuse(call, Kind::kNoFeasibleBackend, net::Millis(200));
+    case DispatchFailure::kRefused:
+      co_return co_await refuse(call, Kind::kBackendBusy);
+    case DispatchFailure::kTimedOut:
+      if (!call.may_have_run) co_return co_await refuse(call, Kind::kBackendBusy);
+      co_return co_await refuse(call, Kind::kBackendTimeout);
+    case DispatchFailure::kCallerGone:
+      co_return CallEnd{"caller_gone", false};
+    case DispatchFailure::kOutcomeUnknown:
+    case DispatchFailure::kNone:
+      break;
+  }
+  co_return co_await refuse(call, Kind::kBackendFailed);
+}
+
+net::asio::awaitable<CallEnd> CallHandler::refuse_or_run(Call& call) {
+  if (!well_formed(call.request)) co_return co_await refuse(call, Kind::kMalformedRequest);
+  if (state_.routes == nullptr || !state_.engines_known) {
+    co_return co_await refuse(call, Kind::kNotConfigured);
+  }
+  call.description = state_.protocol.describe(call.request);
+  if (call.description.request_id.empty()) {
+    co_return co_await refuse(call, Kind::kMalformedRequest);
+  }
+  call.routes = state_.routes;
+  call.route = call.routes->find(text(call.request[http::field::host]),
+                                 text(call.request.target()));
+  if (call.route == nullptr) co_return co_await refuse(call, Kind::kUnknownResource);
+  constexpr double kDrawRange = 1 << 20U;
+  const double draw = static_cast<double>(state_.random.below(1 << 20U)) / kDrawRange;
+  call.service = routing::choose_service(*call.route, draw);
+  const auto held = call.description.deadline
+                        ? std::min(*call.description.deadline, call.route->timeout)
+                        : call.route->timeout;
+  call.deadline = call.received_at + held;
+  co_return co_await run(call);
+}
+
+net::asio::awaitable<CallEnd> CallHandler::run(Call& call) {
+  call.channel.watch([&call] {
+    if (call.exchange != nullptr) call.exchange->abort();
+  });
+  CallEnd end;
+  if (call.route->kind == routing::RouteKind::kStream) {
+    StreamCall stream(state_, call);
+    end = co_await stream.run();
+  } else {
+    PlainCall plain(state_, call);
+    end = co_await plain.run();
+  }
+  call.channel.unwatch();
+  co_return end;
+}
+
+void CallHandler::log_end(const Call& call, const CallEnd& end) {
+  state_.metrics.request_ended(end.outcome, call.elapsed());
+  state_.log.event("request")
+      .with("id", call.description.request_id)
+      .with("program", call.description.program)
+      .with("route", call.route == nullptr ? "" : call.route->name)
+      .with("configuration", call.routes == nullptr ? 0 : call.routes->version())
+      .with("outcome", end.outcome)
+      .with("may_have_run", static_cast<int>(call.may_have_run))
+      .with("offers", call.offered.size())
+      .with("engine", call.offered.empty() ? "" : call.offered.back())
+      .with("elapsed_ms", call.elapsed().count());
+}
+
+net::asio::awaitable<bool> CallHandler::handle(ClientChannel& channel, net::TextRequest request,
+                                               net::TimePoint received_at) {
+  Call call(channel, std::move(request));
+  call.received_at = received_at;
+  channel.reset_answer();
+  ++state_.active_requests;
+  const auto end = co_await refuse_or_run(call);
+  --state_.active_requests;
+  log_end(call, end);
+  co_return end.connection_usable && channel.keep();
+}
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/client_channel.hpp
@@ -0,0 +1,63 @@
+/// @file The connection to a caller, for the code that answers a request.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/asio.hpp"
+#include "serving/edge_protocol.hpp"
+
+namespace sailgate::serving {
+
+/// Writes answers and notices when the caller leaves. Not thread-safe.
+class ClientChannel {
+ public:
+  explicit ClientChannel(net::asio::ip::tcp::socket socket) : stream_(std::move(socket)) {}
+  ClientChannel(const ClientChannel&) = delete;
+  ClientChannel& operator=(const ClientChannel&) = delete;
+  ~ClientChannel() { unwatch(); }
+
+  /// Calls `on_gone` once when the caller closes its connection, until unwatch().
+  void watch(std::function<void()> on_gone);
+  void unwatch();
+  bool gone() const { return gone_; }
+
+  /// Writes bytes as they are. @return whether all were taken.
+  net::asio::awaitable<bool> write(std::string bytes);
+
+  /// Writes a whole answer. `head` gives status and fields; framing fields are set here.
+  net::asio::awaitable<bool> write_answer(net::http::response_header<> head, std::string body,
+                                          bool head_only);
+  /// Starts an answer of unknown length.
+  net::asio::awaitable<bool> begin_chunked(net::http::response_header<> head);
+  net::asio::awaitable<bool> write_chunk(const std::string& bytes);
+  net::asio::awaitable<bool> end_chunked();
+  /// Whether any byte of an answer was written since reset_answer().
+  bool answer_begun() const { return answer_begun_; }
+  void reset_answer() { answer_begun_ = false; }
+
+  /// Answers carry "Connection: close" from now on.
+  void close_after_answer() { keep_ = false; }
+  bool keep() const { return keep_ && !gone_; }
+
+  net::beast::tcp_stream& stream() { return stream_; }
+  net::beast::flat_buffer& buffer() { return buffer_; }
+
+ private:
+  struct Watch {
+    bool active = true;
+    std::function<void()> on_gone;
+  };
+
+  void finish_head(net::http::response_header<>& head) const;
+
+  net::beast::tcp_stream stream_;
+  net::beast::flat_buffer buffer_;
+  std::shared_ptr<Watch> watch_;
+  bool gone_ = false;
+  bool keep_ = true;
+  bool answer_begun_ = false;
+};
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/dispatcher.cpp
@@ -0,0 +1,201 @@
+#include "serving/dispatcher.hpp"
+
+#include <algorithm>
+
+#include "balancing/engine_selector.hpp"
+
+namespace sailgate::serving {
+
+namespace {
+
+namespace http = net::http;
+
+/// Most engines one request is offered to.
+constexpr std::size_t kMostOffers = 4;
+/// An engine that refused for want of room is passed over this long.
+constexpr net::Millis kRefusalPause{80};
+/// An engine that failed is passed over this long for each failure in a row.
+constexpr net::Millis kFailurePause{300};
+constexpr int kMostCountedFailures = 8;
+/// The engine's work must end before ours: it gets this much less time than is left.
+constexpr net::Millis kDeadlineMargin{20};
+
+void remove_hop_fields(net::TextRequest& request) {
+  std::vector<std::string> listed;
+  for (const auto& token : http::token_list(request[http::field::connection])) {
+    listed.emplace_back(token.data(), token.size());
+  }
+  for (const auto& name : listed) request.erase(name);
+  for (const auto field :
+       {http::field::connection, http::field::keep_alive, http::field::te, http::field::trailer,
+        http::field::transfer_encoding, http::field::upgrade, http::field::expect,
+        http::field::content_length, http::field::proxy_authorization}) {
+    request.erase(field);
+  }
+  request.erase("Proxy-Connection");
+}
+
+/// A status by which an answer promises that the request did not run and never will.
+bool promises_not_run(unsigned status) {
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+bool is_success(unsigned status) { return status >= 200 && status < 300; }
+
+}  // namespace
+
+void note_success(balancing::Engine& engine) {
+  engine.consecutive_failures = 0;
+  engine.avoid_until = {};
+}
+
+std::shared_ptr<const net::TextRequest> Dispatcher::engine_request(
+    const Call& call, const balancing::Engine& engine, const std::string& body,
+    const std::string& last_event_id) const {
+  auto request = std::make_shared<net::TextRequest>(call.request.base());
+  remove_hop_fields(*request);
+  DispatchDirectives directives;
+  directives.expected_instance = engine.record.id;
+  directives.deadline = std::max(call.time_left() - kDeadlineMargin, net::Millis(1));
+  directives.priority = call.route->priority;
+  directives.last_event_id = last_event_id;
+  state_.protocol.direct(*request, directives);
+  request->version(11);
+  request->body() = body;
+  request->prepare_payload();
+  return request;
+}
+
+balancing::EnginePointer Dispatcher::select(const Call& call) {
+  balancing::SelectionQuery query;
+  query.service = call.service;
+  if (call.route->kind == routing::RouteKind::kStream) {
+    query.affinity_key = call.description.program;
+  }
+  query.zone = state_.settings.zone;
+  query.now = net::Clock::now();
+  query.draw = state_.random.below(UINT64_MAX);
+  query.excluded = call.offered;
+  return balancing::select_engine(state_.engines, query);
+}
+
+void Dispatcher::log_offer(const Call& call, const balancing::Engine& engine,
+                           const char* outcome) {
+  state_.log.event("offer")
+      .with("id", call.description.request_id)
+      .with("engine", engine.record.id)
+      .with("in_flight", engine.in_flight)
+      .with("slots", engine.record.slots)
+      .with("outcome", outcome)
+      .with("elapsed_ms", call.elapsed().count());
+}
+
+void Dispatcher::note_refusal(EngineExchange& exchange) {
+  auto& engine = exchange.engine();
+  if (exchange.facts().misdirected) {
+    engine.leaving = true;
+    state_.connections.drop(engine.record.id);
+    return;
+  }
+  engine.avoid_until = net::Clock::now() + kRefusalPause;
+}
+
+void Dispatcher::note_failure(balancing::Engine& engine, const char* what) {
+  engine.consecutive_failures = std::min(engine.consecutive_failures + 1, kMostCountedFailures);
+  engine.avoid_until = net::Clock::now() + kFailurePause * engine.consecutive_failures;
+  state_.log.event("engine_failed")
+      .with("engine", engine.record.id)
+      .with("what", what)
+      .with("failures", engine.consecutive_failures);
+}
+
+net::asio::awaitable<DispatchResult> Dispatcher::dispatch(Call& call, const std::string& body,
+                                                          bool repeatable,
+                                                          std::string last_event_id) {
+  DispatchResult result;
+  bool refused = false;
+  for (std::size_t offers = 0; offers < kMostOffers; ++offers) {
+    if (call.channel.gone()) {
+      result.failure = DispatchFailure::kCallerGone;
+      co_return result;
+    }
+    if (call.time_left() <= kDeadlineMargin) {
+      result.failure = DispatchFailure::kTimedOut;
+      co_return result;
+    }
+    const auto engine = select(call);
+    if (engine == nullptr) break;
+    call.offered.push_back(engine->record.id);
+    auto exchange = std::make_unique<EngineExchange>(state_.connections, state_.protocol, engine,
+                                                     call.deadline);
+    call.exchange = exchange.get();
+    const auto request = engine_request(call, *engine, body, last_event_id);
+    const auto outcome = co_await exchange->open(request, call.description.request_id);
+    if (outcome == OpenOutcome::kAborted) {
+      call.may_have_run = true;
+      call.exchange = nullptr;
+      result.failure = DispatchFailure::kCallerGone;
+      co_return result;
+    }
+    if (outcome == OpenOutcome::kNotSent) {
+      call.exchange = nullptr;
+      log_offer(call, *engine, "not_sent");
+      note_failure(*engine, "connect");
+      continue;
+    }
+    if (outcome == OpenOutcome::kAnswered) {
+      const auto status = exchange->head().result_int();
+      if (exchange->facts().not_run) {
+        log_offer(call, *engine, "refused");
+        note_refusal(*exchange);
+        refused = true;
+        std::string ignored;
+        while (co_await exchange->read_some(ignored) == ReadOutcome::kData) ignored.clear();
+        exchange->finish();
+        call.exchange = nullptr;
+        continue;
+      }
+      const bool acceptable = is_success(status) ? exchange->facts().sealed
+                                                 : !promises_not_run(status);
+      call.may_have_run = true;
+      if (acceptable) {
+        log_offer(call, *engine, "answered");
+        result.exchange = std::move(exchange);
+        co_return result;
+      }
+    }
+    call.may_have_run = true;
+    call.exchange = nullptr;
+    if (outcome == OpenOutcome::kTimedOut) {
+      log_offer(call, *engine, "timed_out");
+      result.failure = DispatchFailure::kTimedOut;
+      co_return result;
+    }
+    if (outcome == OpenOutcome::kAnswered) {
+      state_.log.event("answer_unacceptable")
+          .with("id", call.description.request_id)
+          .with("engine", engine->record.id)
+          .with("status", exchange->head().result_int())
+          .with("sealed", static_cast<int>(exchange->facts().sealed));
+    }
+    state_.log.event("exchange_broken")
+        .with("id", call.description.request_id)
+        .with("engine", engine->record.id)
+        .with("kept_connection", static_cast<int>(exchange->on_kept_connection()))
+        .with("why", exchange->failure());
+    log_offer(call, *engine, "broken");
+    note_failure(*engine, "broken");
+    if (!repeatable) {
+      result.failure = DispatchFailure::kOutcomeUnknown;
+      co_return result;
+    }
+  }
+  if (call.may_have_run) {
+    result.failure = DispatchFailure::kOutcomeUnknown;
+  } else {
+    result.failure = refused ? DispatchFailure::kRefused : DispatchFailure::kNoEngine;
+  }
+  co_return result;
+}
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/dispatcher.hpp
@@ -0,0 +1,53 @@
+/// @file Offers a request to engines until one answers it.
+#pragma once
+
+#include <memory>
+
+#include "serving/call.hpp"
+#include "serving/node_state.hpp"
+
+namespace sailgate::serving {
+
+enum class DispatchFailure {
+  kNone,
+  kNoEngine,        ///< no usable engine was left; none has run the request
+  kRefused,         ///< every engine that was asked said that it did not run the request
+  kOutcomeUnknown,  ///< an engine may have run it
+  kTimedOut,        ///< the deadline passed
+  kCallerGone,
+};
+
+struct DispatchResult {
+  DispatchFailure failure = DispatchFailure::kNone;
+  std::unique_ptr<EngineExchange> exchange;  ///< with the head of the answer
+};
+
+/// At most one engine works on a request at any time. A request that may have run is offered again
+/// only when it is repeatable.
+class Dispatcher {
+ public:
+  explicit Dispatcher(NodeState& state) : state_(state) {}
+
+  /// @param repeatable whether the request may run again.
+  /// @param body what the engine is to read; replaces the caller's body.
+  /// @param last_event_id where a stream goes on; empty at its start.
+  net::asio::awaitable<DispatchResult> dispatch(Call& call, const std::string& body,
+                                                bool repeatable, std::string last_event_id);
+
+ private:
+  std::shared_ptr<const net::TextRequest> engine_request(const Call& call,
+                                                         const balancing::Engine& engine,
+                                                         const std::string& body,
+                                                         const std::string& last_event_id) const;
+  balancing::EnginePointer select(const Call& call);
+  void note_refusal(EngineExchange& exchange);
+  void note_failure(balancing::Engine& engine, const char* what);
+  void log_offer(const Call& call, const balancing::Engine& engine, const char* outcome);
+
+  NodeState& state_;
+};
+
+/// Marks a good answer of an engine.
+void note_success(balancing::Engine& engine);
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/engine_connection_pool.cpp
@@ -0,0 +1,66 @@
+#include "serving/engine_connection_pool.hpp"
+
+#include <algorithm>
+
+#include "net/socket_state.hpp"
+
+namespace sailgate::serving {
+
+namespace {
+
+/// An engine that does not complete a handshake in this time is passed over.
+constexpr net::Millis kConnectTimeout{600};
+
+}  // namespace
+
+EngineConnectionPointer EngineConnectionPool::take_idle(const std::string& engine_id) {
+  const auto entry = idle_.find(engine_id);
+  if (entry == idle_.end()) return nullptr;
+  auto& connections = entry->second;
+  const auto now = net::Clock::now();
+  while (!connections.empty()) {
+    auto connection = std::move(connections.back());
+    connections.pop_back();
+    const bool fresh = now < connection->usable_until;
+    if (fresh && net::peek(connection->stream.socket()) == net::SocketState::kQuiet) {
+      connection->reused = true;
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+net::asio::awaitable<EngineConnectionPointer> EngineConnectionPool::acquire(
+    const balancing::Engine& engine, net::TimePoint deadline) {
+  if (auto kept = take_idle(engine.record.id)) co_return kept;
+  auto connection = std::make_shared<EngineConnection>(context_);
+  connection->stream.expires_at(std::min(deadline, net::Clock::now() + kConnectTimeout));
+  ++opened_;
+  net::Error error;
+  const auto endpoint = engine.record.endpoint;
+  co_await connection->stream.async_connect(endpoint, net::awaiting(error));
+  if (error) co_return nullptr;
+  net::tune(connection->stream.socket());
+  co_return connection;
+}
+
+void EngineConnectionPool::release(const balancing::Engine& engine,
+                                   EngineConnectionPointer connection) {
+  if (engine.leaving) return;
+  connection->stream.expires_never();
+  idle_[engine.record.id].push_back(std::move(connection));
+}
+
+void EngineConnectionPool::expire(net::TimePoint now) {
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    auto& connections = entry->second;
+    connections.erase(std::remove_if(connections.begin(), connections.end(),
+                                     [now](const EngineConnectionPointer& connection) {
+                                       return now >= connection->usable_until;
+                                     }),
+                      connections.end());
+    entry = connections.empty() ? idle_.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/engine_exchange.cpp
@@ -0,0 +1,152 @@
+#include "serving/engine_exchange.hpp"
+
+#include <charconv>
+
+namespace sailgate::serving {
+
+namespace {
+
+namespace http = net::http;
+
+/// Memory that one answer may take in this process.
+constexpr std::uint64_t kAnswerBodyLimit = 32U << 20U;
+constexpr std::uint32_t kAnswerHeaderLimit = 64U << 10U;
+/// Surplus answers that are skipped in front of the awaited one.
+constexpr int kMostForeignAnswers = 4;
+/// An idle connection is used this long when the engine does not say how long it keeps it.
+constexpr net::Millis kDefaultIdle{1500};
+/// Idle connections are given up this long before the engine would close them.
+constexpr net::Millis kIdleMargin{800};
+
+/// Time for which the engine keeps an idle connection open, from "Keep-Alive: timeout=SECONDS".
+net::Millis idle_time(const http::response_header<>& head) {
+  const auto value = head["Keep-Alive"];
+  const std::string_view text(value.data(), value.size());
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto start = text.find(kTimeout);
+  if (start == std::string_view::npos) return kDefaultIdle;
+  int seconds = 0;
+  std::from_chars(text.data() + start + kTimeout.size(), text.data() + text.size(), seconds);
+  return std::max(std::chrono::duration_cast<net::Millis>(std::chrono::seconds(seconds)) -
+                      kIdleMargin,
+                  net::Millis(0));
+}
+
+}  // namespace
+
+EngineExchange::EngineExchange(EngineConnectionPool& pool, const EdgeProtocol& protocol,
+                               std::shared_ptr<balancing::Engine> engine, net::TimePoint deadline)
+    : pool_(pool), protocol_(protocol), engine_(std::move(engine)), deadline_(deadline) {
+  ++engine_->in_flight;
+}
+
+EngineExchange::~EngineExchange() {
+  --engine_->in_flight;
+  if (connection_ != nullptr) connection_->stream.close();
+}
+
+ReadOutcome EngineExchange::outcome_of(const net::Error& error) {
+  failure_ = error.message();
+  if (aborted_) return ReadOutcome::kAborted;
+  if (error == net::beast::error::timeout) return ReadOutcome::kTimedOut;
+  return ReadOutcome::kBroken;
+}
+
+void EngineExchange::start_write(std::shared_ptr<const net::TextRequest> request) {
+  auto connection = connection_;
+  auto state = write_;
+  auto& stream = connection->stream;
+  const auto& message = *request;
+  http::async_write(stream, message,
+                    [connection, state, request](const net::Error& error, std::size_t) {
+                      state->done = true;
+                      state->error = error;
+                    });
+}
+
+net::asio::awaitable<ReadOutcome> EngineExchange::read_head(bool head_request) {
+  parser_.emplace();
+  // NOTE: Boost 1.74 takes an absent limit for zero.
+  parser_->body_limit(kAnswerBodyLimit);
+  parser_->header_limit(kAnswerHeaderLimit);
+  parser_->skip(head_request);
+  net::Error error;
+  co_await http::async_read_header(connection_->stream, connection_->buffer, *parser_,
+                                   net::awaiting(error));
+  if (error) co_return outcome_of(error);
+  parser_->eager(true);
+  facts_ = protocol_.inspect(head());
+  co_return ReadOutcome::kData;
+}
+
+net::asio::awaitable<ReadOutcome> EngineExchange::skip_body() {
+  if (parser_->need_eof()) co_return ReadOutcome::kBroken;
+  std::string ignored;
+  auto outcome = ReadOutcome::kData;
+  while (outcome == ReadOutcome::kData) {
+    ignored.clear();
+    outcome = co_await read_some(ignored);
+  }
+  co_return outcome;
+}
+
+net::asio::awaitable<OpenOutcome> EngineExchange::open(
+    std::shared_ptr<const net::TextRequest> request, std::string request_id) {
+  connection_ = co_await pool_.acquire(*engine_, deadline_);
+  if (aborted_) co_return OpenOutcome::kAborted;
+  if (connection_ == nullptr) co_return OpenOutcome::kNotSent;
+  connection_->stream.expires_at(deadline_);
+  const bool head_request = request->method() == http::verb::head;
+  start_write(std::move(request));
+  for (int foreign = 0; foreign <= kMostForeignAnswers; ++foreign) {
+    const auto outcome = co_await read_head(head_request);
+    if (outcome == ReadOutcome::kAborted) co_return OpenOutcome::kAborted;
+    if (outcome == ReadOutcome::kTimedOut) co_return OpenOutcome::kTimedOut;
+    if (outcome != ReadOutcome::kData) co_return OpenOutcome::kBroken;
+    const bool ours = facts_.request_id == request_id ||
+                      (facts_.request_id.empty() && facts_.not_run);
+    if (ours) co_return OpenOutcome::kAnswered;
+    failure_ = "foreign answer " + facts_.request_id;
+    const auto skipped = co_await skip_body();
+    if (skipped == ReadOutcome::kAborted) co_return OpenOutcome::kAborted;
+    if (skipped == ReadOutcome::kTimedOut) co_return OpenOutcome::kTimedOut;
+    if (skipped != ReadOutcome::kEnd) co_return OpenOutcome::kBroken;
+  }
+  co_return OpenOutcome::kBroken;
+}
+
+net::asio::awaitable<ReadOutcome> EngineExchange::read_some(std::string& body) {
+  while (true) {
+    auto& received = parser_->get().body();
+    if (!received.empty()) {
+      body.append(received);
+      received.clear();
+      co_return ReadOutcome::kData;
+    }
+    if (parser_->is_done()) {
+      whole_ = true;
+      co_return ReadOutcome::kEnd;
+    }
+    net::Error error;
+    co_await http::async_read_some(connection_->stream, connection_->buffer, *parser_,
+                                   net::awaiting(error));
+    if (error && received.empty()) co_return outcome_of(error);
+  }
+}
+
+void EngineExchange::finish() {
+  if (!whole_ || aborted_ || connection_ == nullptr) return;
+  const bool clean = write_->done && !write_->error && parser_->keep_alive() &&
+                     connection_->buffer.size() == 0;
+  if (!clean) return;
+  connection_->usable_until = net::Clock::now() + idle_time(head());
+  pool_.release(*engine_, std::move(connection_));
+  connection_ = nullptr;
+}
+
+void EngineExchange::abort() {
+  aborted_ = true;
+  if (connection_ != nullptr) connection_->stream.close();
+}
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/gateway.cpp
@@ -0,0 +1,202 @@
+#include "serving/gateway.hpp"
+
+#include "net/socket_state.hpp"
+
+namespace sailgate::serving {
+
+namespace {
+
+constexpr net::Millis kMaintenanceInterval{100};
+/// A node that has not reached the store for this long asks callers to go elsewhere.
+constexpr net::Millis kContactTime{3500};
+/// The entry asks for readiness once a second and believes the second refusal.
+constexpr net::Millis kEntryNotices{3200};
+/// A planned stop ends this long before it would be forced.
+constexpr net::Millis kStopMargin{700};
+constexpr net::Millis kStopPoll{50};
+constexpr net::Millis kAcceptPause{20};
+
+}  // namespace
+
+Gateway::Gateway(net::asio::io_context& context, NodeSettings settings,
+                 const EdgeProtocol& protocol, const PlatformRecords& records,
+                 store::TableStore& store, observe::StructuredLog& log, std::int64_t incarnation)
+    : context_(context),
+      state_(context, std::move(settings), protocol, store, log, incarnation),
+      records_(records),
+      configuration_follower_(context, store, log, records.configuration_table(),
+                              configuration_callbacks()),
+      engine_follower_(context, store, log, records.engine_table(), engine_callbacks()),
+      acceptor_(context, state_.settings.callers),
+      readiness_(context, state_.settings.readiness,
+                 [this](const net::TextRequest& request) { return answer_readiness(request); }) {
+  state_.engines.on_leaving([this](const balancing::Engine& engine) {
+    state_.connections.drop(engine.record.id);
+    state_.log.event("engine_leaving").with("engine", engine.record.id);
+  });
+  if (state_.settings.metrics) {
+    metrics_ = std::make_unique<net::TextServer>(
+        context, *state_.settings.metrics, [this](const net::TextRequest&) {
+          net::TextResponse response;
+          response.set(net::http::field::content_type, "text/plain; version=0.0.4");
+          response.body() = state_.metrics.text();
+          return response;
+        });
+  }
+}
+
+net::TextResponse Gateway::answer_readiness(const net::TextRequest& request) const {
+  net::TextResponse response;
+  const bool asked = request.target() == state_.protocol.readiness_path();
+  response.result(asked && ready() ? net::http::status::ok
+                                   : net::http::status::service_unavailable);
+  return response;
+}
+
+bool Gateway::ready() const {
+  return !state_.stopping && state_.routes != nullptr && state_.engines_known &&
+         net::Clock::now() - last_contact_ < kContactTime;
+}
+
+void Gateway::start() {
+  readiness_.start();
+  if (metrics_ != nullptr) metrics_->start();
+  net::asio::co_spawn(context_, accept(), net::asio::detached);
+  net::asio::co_spawn(context_, configuration_follower_.run(), net::asio::detached);
+  net::asio::co_spawn(context_, engine_follower_.run(), net::asio::detached);
+  net::asio::co_spawn(context_, maintain(), net::asio::detached);
+}
+
+void Gateway::note_contact(bool reached) {
+  if (reached) {
+    last_contact_ = net::Clock::now();
+  } else {
+    state_.metrics.store_lost();
+  }
+}
+
+store::FollowerCallbacks Gateway::configuration_callbacks() {
+  store::FollowerCallbacks callbacks;
+  callbacks.on_whole = [this](std::vector<store::Row> rows) {
+    for (const auto& row : rows) take_configuration(row);
+  };
+  callbacks.on_change = [this](const store::Row& row) { take_configuration(row); };
+  callbacks.on_contact = [this](bool reached) { note_contact(reached); };
+  return callbacks;
+}
+
+store::FollowerCallbacks Gateway::engine_callbacks() {
+  store::FollowerCallbacks callbacks;
+  callbacks.on_whole = [this](std::vector<store::Row> rows) {
+    std::vector<balancing::EngineRecord> engines;
+    for (const auto& row : rows) {
+      try {
+        engines.push_back(records_.decode_engine(row.id.key, row.value));
+      } catch (const std::exception& error) {
+        state_.log.event("engine_unreadable").with("engine", row.id.key).with("why", error.what());
+      }
+    }
+    state_.engines.replace(std::move(engines));
+    state_.engines_known = true;
+    state_.log.event("engines_read").with("count", state_.engines.size());
+  };
+  callbacks.on_change = [this](const store::Row& row) { take_engine(row); };
+  callbacks.on_contact = [this](bool reached) { note_contact(reached); };
+  return callbacks;
+}
+
+void Gateway::take_configuration(const store::Row& row) {
+  if (row.id.key != records_.configuration_key() || row.removed) return;
+  try {
+    auto configuration = records_.decode_configuration(row.value);
+    const auto version = configuration.version;
+    const auto current = state_.routes == nullptr ? 0 : state_.routes->version();
+    if (state_.routes != nullptr && version <= current) return;
+    state_.routes = std::make_shared<const routing::RouteTable>(std::move(configuration));
+    state_.log.event("configuration")
+        .with("version", version)
+        .with("before", current)
+        .with("row_version", row.version)
+        .with("routes", state_.routes->configuration().routes.size());
+  } catch (const std::exception& error) {
+    state_.log.event("configuration_unreadable")
+        .with("row_version", row.version)
+        .with("why", error.what());
+  }
+}
+
+void Gateway::take_engine(const store::Row& row) {
+  if (row.removed) {
+    state_.engines.remove(row.id.key);
+    return;
+  }
+  try {
+    const bool known = state_.engines.find(row.id.key) != nullptr;
+    auto record = records_.decode_engine(row.id.key, row.value);
+    if (!known) {
+      state_.log.event("engine_added")
+          .with("engine", record.id)
+          .with("service", record.service)
+          .with("row_version", row.version);
+    }
+    state_.engines.put(std::move(record));
+  } catch (const std::exception& error) {
+    state_.log.event("engine_unreadable").with("engine", row.id.key).with("why", error.what());
+  }
+}
+
+net::asio::awaitable<void> Gateway::serve(std::shared_ptr<CallerSession> session) {
+  sessions_.insert(session);
+  co_await session->run();
+  sessions_.erase(session);
+}
+
+net::asio::awaitable<void> Gateway::accept() {
+  while (acceptor_.is_open()) {
+    net::Error error;
+    auto socket = co_await acceptor_.async_accept(net::awaiting(error));
+    if (error) {
+      co_await net::sleep_for(context_, kAcceptPause);
+      continue;
+    }
+    net::tune(socket);
+    auto session = std::make_shared<CallerSession>(state_, std::move(socket));
+    net::asio::co_spawn(context_, serve(std::move(session)), net::asio::detached);
+  }
+}
+
+net::asio::awaitable<void> Gateway::maintain() {
+  while (true) {
+    co_await net::sleep_for(context_, kMaintenanceInterval);
+    state_.connections.expire(net::Clock::now());
+    state_.metrics.set_engines(state_.engines.size());
+    state_.metrics.set_connections_opened(state_.connections.opened());
+    state_.metrics.set_dropped_log_lines(state_.log.dropped());
+    state_.log.flush();
+  }
+}
+
+void Gateway::stop() {
+  if (state_.stopping) return;
+  state_.stopping = true;
+  stop_began_ = net::Clock::now();
+  state_.log.event("stopping").with("active_requests", state_.active_requests);
+  net::asio::co_spawn(context_, finish_stop(), net::asio::detached);
+}
+
+net::asio::awaitable<void> Gateway::finish_stop() {
+  co_await net::sleep_for(context_, kEntryNotices);
+  net::Error ignored;
+  acceptor_.close(ignored);
+  const auto limit = stop_began_ + state_.settings.stop_grace - kStopMargin;
+  while (state_.active_requests > 0 && net::Clock::now() < limit) {
+    co_await net::sleep_for(context_, kStopPoll);
+  }
+  const auto idle = sessions_;
+  for (const auto& session : idle) session->close_if_idle();
+  state_.log.event("stopped").with("active_requests", state_.active_requests);
+  state_.log.flush();
+  context_.stop();
+}
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/gateway.hpp
@@ -0,0 +1,59 @@
+/// @file A serving node: listens for callers, follows the store, stops when told to.
+#pragma once
+
+#include <memory>
+#include <unordered_set>
+
+#include "net/text_server.hpp"
+#include "serving/caller_session.hpp"
+#include "serving/node_state.hpp"
+#include "serving/platform_records.hpp"
+#include "store/table_follower.hpp"
+
+namespace sailgate::serving {
+
+/// Everything runs on the given event loop. Steps of a planned stop:
+///  1. readiness says no, answers say "Connection: close";
+///  2. after the entry had time to notice, the listener closes;
+///  3. idle connections close; when no request is left, or the grace is nearly over, it ends.
+class Gateway {
+ public:
+  Gateway(net::asio::io_context& context, NodeSettings settings, const EdgeProtocol& protocol,
+          const PlatformRecords& records, store::TableStore& store, observe::StructuredLog& log,
+          std::int64_t incarnation);
+
+  /// Starts listening and following. @throws boost::system::system_error on an address in use.
+  void start();
+  /// Begins a planned stop; the event loop ends when it is over.
+  void stop();
+  /// Whether new callers may be sent here.
+  bool ready() const;
+
+  NodeState& state() { return state_; }
+
+ private:
+  net::asio::awaitable<void> accept();
+  net::asio::awaitable<void> serve(std::shared_ptr<CallerSession> session);
+  net::asio::awaitable<void> maintain();
+  net::asio::awaitable<void> finish_stop();
+  void take_configuration(const store::Row& row);
+  void take_engine(const store::Row& row);
+  void note_contact(bool reached);
+  store::FollowerCallbacks configuration_callbacks();
+  store::FollowerCallbacks engine_callbacks();
+  net::TextResponse answer_readiness(const net::TextRequest& request) const;
+
+  net::asio::io_context& context_;
+  NodeState state_;
+  const PlatformRecords& records_;
+  store::TableFollower configuration_follower_;
+  store::TableFollower engine_follower_;
+  net::asio::ip::tcp::acceptor acceptor_;
+  net::TextServer readiness_;
+  std::unique_ptr<net::TextServer> metrics_;
+  std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
+  net::TimePoint last_contact_{};
+  net::TimePoint stop_began_{};
+};
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/gateway_metrics.cpp
@@ -0,0 +1,63 @@
+#include "serving/gateway_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace sailgate::serving {
+
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+
+double seconds(net::Millis duration) {
+  return static_cast<double>(duration.count()) / kMillisPerSecond;
+}
+
+prometheus::Histogram::BucketBoundaries latency_buckets() {
+  return {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0};
+}
+
+prometheus::Gauge& gauge(prometheus::Registry& registry, const std::string& name,
+                         const std::string& help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+prometheus::Histogram& histogram(prometheus::Registry& registry, const std::string& name,
+                                 const std::string& help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add(
+      {}, latency_buckets());
+}
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics() : registry_(std::make_shared<prometheus::Registry>()) {
+  auto& registry = *registry_;
+  requests_ = &prometheus::BuildCounter()
+                   .Name("sailgate_requests_total")
+                   .Help("Requests by how they ended")
+                   .Register(registry);
+  durations_ = &histogram(registry, "sailgate_request_seconds", "From the request to its end");
+  first_events_ =
+      &histogram(registry, "sailgate_first_event_seconds", "From the request to the first event");
+  store_losses_ = &prometheus::BuildCounter()
+                       .Name("sailgate_store_losses_total")
+                       .Help("Times the table store was lost")
+                       .Register(registry)
+                       .Add({});
+  engines_ = &gauge(registry, "sailgate_engines", "Engines known");
+  connections_ =
+      &gauge(registry, "sailgate_engine_connections_opened", "Connections opened to engines");
+  log_drops_ = &gauge(registry, "sailgate_log_lines_dropped", "Log lines that did not fit");
+}
+
+void GatewayMetrics::request_ended(const std::string& outcome, net::Millis duration) {
+  requests_->Add({{"outcome", outcome}}).Increment();
+  durations_->Observe(seconds(duration));
+}
+
+void GatewayMetrics::first_event(net::Millis after) { first_events_->Observe(seconds(after)); }
+
+std::string GatewayMetrics::text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/gateway_metrics.hpp
@@ -0,0 +1,44 @@
+/// @file Counters and latency histograms of a serving node; listed in docs/OPERATIONS.md.
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+#include "net/asio.hpp"
+
+namespace sailgate::serving {
+
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+
+  /// A request ended. @param outcome stable name of how, as in the log.
+  void request_ended(const std::string& outcome, net::Millis duration);
+  void first_event(net::Millis after);
+  void store_lost() { store_losses_->Increment(); }
+  void set_engines(std::size_t count) { engines_->Set(static_cast<double>(count)); }
+  void set_connections_opened(std::uint64_t count) {
+    connections_->Set(static_cast<double>(count));
+  }
+  void set_dropped_log_lines(std::uint64_t count) { log_drops_->Set(static_cast<double>(count)); }
+
+  /// All figures in Prometheus' text format.
+  std::string text() const;
+
+ private:
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Counter>* requests_;
+  prometheus::Histogram* durations_;
+  prometheus::Histogram* first_events_;
+  prometheus::Counter* store_losses_;
+  prometheus::Gauge* engines_;
+  prometheus::Gauge* connections_;
+  prometheus::Gauge* log_drops_;
+};
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/node_settings.hpp
@@ -0,0 +1,24 @@
+/// @file What a serving node needs to know before it starts.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/asio.hpp"
+
+namespace sailgate::serving {
+
+struct NodeSettings {
+  std::string node;
+  std::string zone;
+  net::Endpoint callers;              ///< where callers connect
+  net::Endpoint readiness;            ///< where readiness is asked for
+  net::Endpoint peers;                ///< where other nodes connect
+  std::optional<net::Endpoint> metrics;
+  net::Endpoint store;
+  std::vector<net::Endpoint> seeds;   ///< peers that may be up
+  net::Millis stop_grace{8000};       ///< a stop is forced after this time
+};
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/plain_call.cpp
@@ -0,0 +1,47 @@
+#include "serving/plain_call.hpp"
+
+namespace sailgate::serving {
+
+namespace {
+
+/// Most times a repeatable request is sent again after its answer broke off.
+constexpr int kMostRepeats = 2;
+
+DispatchFailure failure_of(ReadOutcome outcome) {
+  if (outcome == ReadOutcome::kTimedOut) return DispatchFailure::kTimedOut;
+  if (outcome == ReadOutcome::kAborted) return DispatchFailure::kCallerGone;
+  return DispatchFailure::kOutcomeUnknown;
+}
+
+}  // namespace
+
+net::asio::awaitable<CallEnd> PlainCall::run() {
+  const bool repeatable = call_.route->repeatable();
+  auto failure = DispatchFailure::kNone;
+  for (int repeats = 0; repeats <= kMostRepeats; ++repeats) {
+    auto dispatch =
+        co_await dispatcher_.dispatch(call_, call_.request.body(), repeatable, std::string());
+    if (dispatch.failure != DispatchFailure::kNone) {
+      co_return co_await answer_failure(call_, dispatch.failure);
+    }
+    auto& exchange = *dispatch.exchange;
+    std::string body;
+    auto outcome = ReadOutcome::kData;
+    while (outcome == ReadOutcome::kData) outcome = co_await exchange.read_some(body);
+    call_.exchange = nullptr;
+    if (outcome == ReadOutcome::kEnd) {
+      note_success(exchange.engine());
+      auto head = exchange.head();
+      exchange.finish();
+      const bool head_only = call_.request.method() == net::http::verb::head;
+      const bool taken =
+          co_await call_.channel.write_answer(std::move(head), std::move(body), head_only);
+      co_return CallEnd{taken ? "answered" : "caller_gone", taken};
+    }
+    failure = failure_of(outcome);
+    if (failure != DispatchFailure::kOutcomeUnknown || !repeatable) break;
+  }
+  co_return co_await answer_failure(call_, failure);
+}
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/stream_call.hpp
@@ -0,0 +1,51 @@
+/// @file A request that is answered by a series of events; a turn of a program, mostly.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "ledger/turn.hpp"
+#include "serving/call_handler.hpp"
+#include "serving/event_scanner.hpp"
+
+namespace sailgate::serving {
+
+/// Path of a turn:
+///  1. find the turn it goes on from, where the system keeps the history;
+///  2. reserve the turn's most tokens in the program's budget;
+///  3. pass the engine's events on, whole ones only; resume at another engine where allowed;
+///  4. settle the budget, make the turn durable, and only then end the answer.
+class StreamCall {
+ public:
+  StreamCall(NodeState& state, Call& call) : state_(state), call_(call), dispatcher_(state) {}
+
+  net::asio::awaitable<CallEnd> run();
+
+ private:
+  /// How the relay of one engine's stream ended.
+  enum class RelayEnd { kWhole, kBroken, kTimedOut, kCallerGone };
+
+  net::asio::awaitable<std::optional<CallEnd>> prepare();
+  net::asio::awaitable<std::optional<CallEnd>> find_previous();
+  net::asio::awaitable<std::optional<CallEnd>> reserve_budget();
+  net::asio::awaitable<CallEnd> serve();
+  net::asio::awaitable<CallEnd> pass_on_whole(EngineExchange& exchange);
+  net::asio::awaitable<RelayEnd> relay(EngineExchange& exchange);
+  net::asio::awaitable<bool> pass_on(std::vector<StreamEvent> events, EngineExchange& exchange);
+  net::asio::awaitable<CallEnd> complete();
+  net::asio::awaitable<CallEnd> fail(DispatchFailure failure);
+  void settle_budget();
+
+  NodeState& state_;
+  Call& call_;
+  Dispatcher dispatcher_;
+  ledger::TurnPointer previous_;
+  std::string prompt_;
+  std::string output_;  ///< data of the events so far, each followed by a line feed
+  std::string last_event_id_;
+  std::int64_t reserved_ = 0;
+  std::int64_t events_ = 0;
+  bool begun_ = false;
+};
+
+}  // namespace sailgate::serving
--- a/src/simulation/simulated_cluster.cpp
+++ b/src/simulation/simulated_cluster.cpp
@@ -120,7 +120,7 @@
     auto answered = std::make_shared<bool>(false);
     auto refused = std::make_shared<std::string>("no answer");
     for (int attempt = 0; attempt < kFinalReads && !*answered; ++attempt) {
-      ask(body, caller->program(), kQuiescence, [=](const wire::ProgramReply& reply) {
+      ask(body, caller->program(), kQuiescence, [=, this](const wire::ProgramReply& reply) {
         *answered = reply.__isset.view;
         if (reply.__isset.refusal) *refused = base::error_answer(reply.refusal.kind).name;
         if (reply.__isset.view) oracle_.program_read(reply.view, told);
--- /dev/null
+++ b/src/store/table_follower.cpp
@@ -0,0 +1,103 @@
+#include "store/table_follower.hpp"
+
+#include <algorithm>
+
+namespace sailgate::store {
+
+namespace {
+
+/// A feed without changes answers after this time.
+constexpr net::Millis kFeedWait{2000};
+/// An answer that is later than this is not waited for.
+constexpr net::Millis kFeedTimeout{2500};
+constexpr net::Millis kReadTimeout{800};
+constexpr net::Millis kRetryPause{150};
+
+}  // namespace
+
+TableFollower::TableFollower(net::asio::io_context& context, TableStore& store,
+                             observe::StructuredLog& log, std::string table,
+                             FollowerCallbacks callbacks)
+    : context_(context),
+      store_(store),
+      log_(log),
+      table_(std::move(table)),
+      callbacks_(std::move(callbacks)) {}
+
+void TableFollower::note_version(std::int64_t version) {
+  newest_seen_ = std::max(newest_seen_, version);
+}
+
+void TableFollower::note_contact(bool reached) {
+  callbacks_.on_contact(reached);
+  if (reached == reached_) return;
+  reached_ = reached;
+  log_.event(reached ? "store_reached" : "store_lost")
+      .with("table", table_)
+      .with("version", version_);
+}
+
+net::asio::awaitable<bool> TableFollower::read_whole() {
+  std::vector<Row> rows;
+  std::string from;
+  std::int64_t version = 0;
+  bool more = true;
+  while (more) {
+    RangeRead range;
+    range.table = table_;
+    range.from_key = from;
+    auto page = co_await store_.read(range, kReadTimeout);
+    if (page.status != StoreStatus::kDone) {
+      note_contact(false);
+      co_return false;
+    }
+    if (version == 0) version = page.version;
+    more = page.more && !page.rows.empty();
+    if (more) from = page.rows.back().id.key + '\0';
+    std::move(page.rows.begin(), page.rows.end(), std::back_inserter(rows));
+  }
+  note_contact(true);
+  if (version < newest_seen_) {
+    log_.event("stale_read")
+        .with("table", table_)
+        .with("version", version)
+        .with("newest_seen", newest_seen_);
+    co_return false;
+  }
+  version_ = version;
+  note_version(version);
+  whole_ = true;
+  callbacks_.on_whole(std::move(rows));
+  co_return true;
+}
+
+net::asio::awaitable<bool> TableFollower::follow() {
+  auto changes = co_await store_.follow(table_, version_, kFeedWait, kFeedTimeout);
+  if (stopped_) co_return false;
+  if (changes.status == StoreStatus::kHistoryLost) {
+    log_.event("feed_history_lost").with("table", table_).with("version", version_);
+    note_version(changes.version);
+    whole_ = false;
+    co_return true;
+  }
+  note_contact(changes.status == StoreStatus::kDone);
+  if (changes.status != StoreStatus::kDone) co_return false;
+  for (const auto& row : changes.rows) callbacks_.on_change(row);
+  version_ = std::max(version_, changes.version);
+  note_version(version_);
+  co_return true;
+}
+
+net::asio::awaitable<void> TableFollower::run() {
+  while (!stopped_) {
+    bool progress = false;
+    if (whole_) {
+      progress = co_await follow();
+    } else {
+      progress = co_await read_whole();
+    }
+    if (!progress) co_await net::sleep_for(context_, kRetryPause);
+  }
+}
+
+}  // namespace sailgate::store
--- /dev/null
+++ b/src/store/table_follower.hpp
@@ -0,0 +1,50 @@
+/// @file Mirrors one part-less table of the store by its change feed.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "observe/structured_log.hpp"
+#include "store/table_store.hpp"
+
+namespace sailgate::store {
+
+/// What a follower tells its owner.
+struct FollowerCallbacks {
+  std::function<void(std::vector<Row>)> on_whole;  ///< the table as it is
+  std::function<void(const Row&)> on_change;       ///< one row changed or is gone
+  std::function<void(bool)> on_contact;            ///< the store was reached, or was not
+};
+
+/// Steps: read the table whole; follow its changes; when the history is lost, read it whole again.
+/// An answer older than one already seen is not taken over. Every wait has a timeout of its own, so
+/// that a silent store is noticed.
+class TableFollower {
+ public:
+  TableFollower(net::asio::io_context& context, TableStore& store, observe::StructuredLog& log,
+                std::string table, FollowerCallbacks callbacks);
+
+  net::asio::awaitable<void> run();
+  void stop() { stopped_ = true; }
+  /// Somebody has seen this version of the store: older answers are stale.
+  void note_version(std::int64_t version);
+
+ private:
+  net::asio::awaitable<bool> read_whole();
+  net::asio::awaitable<bool> follow();
+  void note_contact(bool reached);
+
+  net::asio::io_context& context_;
+  TableStore& store_;
+  observe::StructuredLog& log_;
+  std::string table_;
+  FollowerCallbacks callbacks_;
+  std::int64_t version_ = 0;  ///< of the mirror
+  std::int64_t newest_seen_ = 0;
+  bool whole_ = false;
+  bool reached_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace sailgate::store
