Give each program a home node in its zone that keeps its tokens and last turns

Cause: turns of a program meet any node; each node took tokens of its own and read the history from the store; budgets split between nodes ran out early. Change: rendezvous over live nodes (beacons by UDP) picks the home; one call starts a turn, one ends it; a holder gives tokens back when another's runs short. The store's row still decides alone. Ruled out: homes over all zones (2.8 ms more a turn and bytes between zones).

--- /dev/null
+++ b/idl/cluster.thrift
@@ -0,0 +1,60 @@
+/** What serving nodes tell each other. */
+namespace cpp sailgate.wire
+
+include "ledger.thrift"
+
+/** A node's row in the table store, keyed by the node's name. */
+struct PeerRow {
+  1: i64 incarnation
+  2: string zone
+  3: string address
+  4: i32 port
+}
+
+/** Requests of one node at one engine. */
+struct EngineLoad {
+  1: string engine
+  2: i32 in_flight
+}
+
+/** Datagram: the sender is alive, and how it loads engines. */
+struct Beacon {
+  1: i64 incarnation
+  2: list<EngineLoad> loads
+}
+
+/** How a look-up or reservation ended; the values of ledger::LookupOutcome and ReserveOutcome. */
+enum TurnLookup { kFound = 0, kAbsent = 1, kUnavailable = 2 }
+enum TurnReservation { kReserved = 0, kExhausted = 1, kUnavailable = 2 }
+
+/** Gateway to the program's home: find the earlier turn and reserve budget. */
+struct BeginTurn {
+  1: string program
+  /** Turn whose chain is wanted; empty: none. */
+  2: string previous
+  /** Tokens to reserve; 0: none. */
+  3: i64 tokens
+  4: i64 budget
+  5: i32 time_left_ms
+}
+
+struct BeginTurnReply {
+  1: TurnLookup lookup
+  /** The whole chain, when one was asked for and found. */
+  2: ledger.TurnRow chain
+  3: TurnReservation reservation
+}
+
+/** To a holder of tokens: give back what no turn uses. */
+struct ReleaseBudget {
+  1: string program
+}
+
+/** Gateway to the program's home: the turn ended. */
+struct EndTurn {
+  1: string program
+  2: i64 reserved
+  3: i64 used
+  /** The finished turn with its chain, for the home's cache; no segments when there is none. */
+  4: ledger.TurnRow chain
+}
--- a/src/balancing/engine.hpp
+++ b/src/balancing/engine.hpp
@@ -23,6 +23,7 @@
 struct Engine {
   EngineRecord record;
   int in_flight = 0;                 ///< requests of this node at the engine
+  int peer_in_flight = 0;            ///< requests of other nodes there, as their beacons said
   int consecutive_failures = 0;      ///< since the last good answer
   net::TimePoint avoid_until{};      ///< after a refusal or failure: other engines come first
   bool leaving = false;              ///< said so itself, or its entry is gone: no new requests
--- a/src/balancing/engine_registry.cpp
+++ b/src/balancing/engine_registry.cpp
@@ -49,6 +49,12 @@
   return entry == by_id_.end() ? nullptr : entry->second;
 }
 
+std::vector<EnginePointer> EngineRegistry::all() const {
+  std::vector<EnginePointer> engines;
+  for (const auto& [id, engine] : by_id_) engines.push_back(engine);
+  return engines;
+}
+
 const std::vector<EnginePointer>& EngineRegistry::of_service(const std::string& service) const {
   static const std::vector<EnginePointer> kNone;
   const auto entry = by_service_.find(service);
--- a/src/balancing/engine_registry.hpp
+++ b/src/balancing/engine_registry.hpp
@@ -27,6 +27,7 @@
   EnginePointer find(const std::string& id) const;
   /// Engines of a service, usable or not.
   const std::vector<EnginePointer>& of_service(const std::string& service) const;
+  std::vector<EnginePointer> all() const;
   std::size_t size() const { return by_id_.size(); }
 
   /// Called for each engine that stops being usable.
--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -37,7 +37,8 @@
 };
 
 Rank rank(const Engine& engine, const SelectionQuery& query) {
-  const double load = static_cast<double>(engine.in_flight) / engine.record.slots;
+  const double load = static_cast<double>(engine.in_flight + engine.peer_in_flight) /
+                      engine.record.slots;
   const double zone = engine.record.zone == query.zone ? 0.0 : kOtherZoneCost;
   const double affinity =
       query.affinity_key.empty()
--- /dev/null
+++ b/src/cluster/peer_directory.cpp
@@ -0,0 +1,91 @@
+#include "cluster/peer_directory.hpp"
+
+#include <xxhash.h>
+
+namespace sailgate::cluster {
+
+namespace {
+
+constexpr net::Millis kSuspicion{600};
+
+std::uint64_t rendezvous_weight(const std::string& key, const std::string& node) {
+  return XXH64(key.data(), key.size(), XXH64(node.data(), node.size(), 0));
+}
+
+}  // namespace
+
+void PeerDirectory::put(const std::string& node, const wire::PeerRow& row,
+                        net::TimePoint seen_at) {
+  if (node == self_) return;
+  auto& peer = peers_[node];
+  if (peer.incarnation == row.incarnation) return;
+  peer = Peer{};
+  peer.node = node;
+  peer.incarnation = row.incarnation;
+  peer.zone = row.zone;
+  net::Error error;
+  const auto address = net::asio::ip::make_address(row.address, error);
+  if (error) {
+    peers_.erase(node);
+    return;
+  }
+  peer.endpoint = {address, static_cast<std::uint16_t>(row.port)};
+  peer.last_heard = seen_at;
+}
+
+void PeerDirectory::remove(const std::string& node) { peers_.erase(node); }
+
+bool PeerDirectory::on_beacon(const wire::Beacon& beacon, net::TimePoint now) {
+  for (auto& [node, peer] : peers_) {
+    if (peer.incarnation != beacon.incarnation) continue;
+    peer.last_heard = now;
+    peer.loads.clear();
+    for (const auto& load : beacon.loads) peer.loads[load.engine] = load.in_flight;
+    return true;
+  }
+  return false;
+}
+
+void PeerDirectory::suspect(const std::string& node, net::TimePoint now) {
+  const auto peer = peers_.find(node);
+  if (peer != peers_.end()) peer->second.suspected_until = now + kSuspicion;
+}
+
+bool PeerDirectory::is_live(const Peer& peer, net::TimePoint now, net::Millis silence) {
+  return now < peer.last_heard + silence && now >= peer.suspected_until;
+}
+
+std::optional<Peer> PeerDirectory::home(const std::string& key, net::TimePoint now,
+                                        net::Millis silence) const {
+  auto best_weight = rendezvous_weight(key, self_);
+  const Peer* best = nullptr;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.zone != zone_ || !is_live(peer, now, silence)) continue;
+    const auto weight = rendezvous_weight(key, node);
+    if (weight <= best_weight) continue;
+    best_weight = weight;
+    best = &peer;
+  }
+  if (best == nullptr) return std::nullopt;
+  return *best;
+}
+
+const Peer* PeerDirectory::find(std::int64_t incarnation) const {
+  for (const auto& [node, peer] : peers_) {
+    if (peer.incarnation == incarnation) return &peer;
+  }
+  return nullptr;
+}
+
+int PeerDirectory::peer_load(const std::string& engine, net::TimePoint now,
+                             net::Millis silence) const {
+  int sum = 0;
+  for (const auto& [node, peer] : peers_) {
+    if (!is_live(peer, now, silence)) continue;
+    const auto load = peer.loads.find(engine);
+    if (load != peer.loads.end()) sum += load->second;
+  }
+  return sum;
+}
+
+}  // namespace sailgate::cluster
--- /dev/null
+++ b/src/cluster/peer_directory.hpp
@@ -0,0 +1,64 @@
+/// @file The serving nodes this node knows, and which of them live.
+///
+/// Every node keeps a row of itself in the table store; all follow that table. Whether a node lives
+/// is told by its beacons alone: rows of lost machines stay until the machine comes back.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cluster_types.h"
+#include "net/asio.hpp"
+
+namespace sailgate::cluster {
+
+struct Peer {
+  std::string node;
+  std::int64_t incarnation = 0;
+  std::string zone;
+  net::Endpoint endpoint;  ///< calls (TCP) and beacons (UDP)
+  net::TimePoint last_heard{};
+  net::TimePoint suspected_until{};  ///< a call failed: not used until then
+  std::map<std::string, int> loads;  ///< engine id to requests in flight
+};
+
+/// Deterministic, not thread-safe.
+class PeerDirectory {
+ public:
+  /// @param self name of this node; its own row is ignored.
+  PeerDirectory(std::string self, std::string zone)
+      : self_(std::move(self)), zone_(std::move(zone)) {}
+
+  /// Takes a node's row over. @param seen_at when a new incarnation counts as heard of.
+  void put(const std::string& node, const wire::PeerRow& row, net::TimePoint seen_at);
+  void remove(const std::string& node);
+  /// Takes a beacon over. @return whether its sender is known.
+  bool on_beacon(const wire::Beacon& beacon, net::TimePoint now);
+  /// A call to the peer failed.
+  void suspect(const std::string& node, net::TimePoint now);
+
+  /// Heard of lately and not suspected. @param silence longest time between its beacons.
+  static bool is_live(const Peer& peer, net::TimePoint now, net::Millis silence);
+
+  /// Node that keeps `key` for the nodes of this zone: the first of the key's rendezvous order
+  /// among this node and its live peers. nullopt: this node itself.
+  std::optional<Peer> home(const std::string& key, net::TimePoint now, net::Millis silence) const;
+
+  /// @return the peer with this incarnation, live or not; nullptr when it is unknown.
+  const Peer* find(std::int64_t incarnation) const;
+
+  /// Requests of live peers in flight at an engine.
+  int peer_load(const std::string& engine, net::TimePoint now, net::Millis silence) const;
+
+  const std::map<std::string, Peer>& peers() const { return peers_; }
+
+ private:
+  std::string self_;
+  std::string zone_;
+  std::map<std::string, Peer> peers_;
+};
+
+}  // namespace sailgate::cluster
--- /dev/null
+++ b/src/cluster/turn_keeper.cpp
@@ -0,0 +1,206 @@
+#include "cluster/turn_keeper.hpp"
+
+#include <algorithm>
+
+#include "ledger/turn_row.hpp"
+#include "wire/codec.hpp"
+
+namespace sailgate::cluster {
+
+namespace {
+
+constexpr const char* kBeginPath = "/peer/turns/begin";
+constexpr const char* kReleasePath = "/peer/budgets/release";
+constexpr const char* kEndPath = "/peer/turns/end";
+/// A home that answers later than this is passed over.
+constexpr net::Millis kHomeTimeout{250};
+/// The home's own time at the store, which is part of the answer's.
+constexpr net::Millis kHomeStoreTime{180};
+constexpr net::Millis kEndTimeout{400};
+constexpr net::Millis kReleaseTimeout{150};
+
+using ledger::LookupOutcome;
+using ledger::ReserveOutcome;
+
+net::TextRequest post(const char* path, std::string body) {
+  net::TextRequest request;
+  request.method(net::http::verb::post);
+  request.target(path);
+  request.body() = std::move(body);
+  return request;
+}
+
+net::Millis left_until(net::TimePoint deadline) {
+  return std::chrono::duration_cast<net::Millis>(deadline - net::Clock::now());
+}
+
+}  // namespace
+
+net::HttpClient& TurnKeeper::client(const Peer& peer) {
+  auto& entry = clients_[peer.node];
+  if (entry.http == nullptr || entry.incarnation != peer.incarnation) {
+    entry.incarnation = peer.incarnation;
+    entry.http = std::make_unique<net::HttpClient>(context_, peer.endpoint);
+  }
+  return *entry.http;
+}
+
+net::asio::awaitable<TurnStart> TurnKeeper::begin_here(TurnRequest request,
+                                                       net::TimePoint deadline) {
+  TurnStart start;
+  if (!request.previous.empty()) {
+    auto found = co_await ledger_.find_turn(request.previous, deadline);
+    start.lookup = found.outcome;
+    start.previous = std::move(found.turn);
+    if (start.lookup != LookupOutcome::kFound) co_return start;
+  }
+  if (request.tokens > 0) {
+    start.reservation =
+        co_await ledger_.reserve(request.program, request.tokens, request.budget, deadline);
+    if (start.reservation == ReserveOutcome::kExhausted &&
+        co_await gather_tokens(request.program)) {
+      start.reservation =
+          co_await ledger_.reserve(request.program, request.tokens, request.budget, deadline);
+    }
+  }
+  co_return start;
+}
+
+net::asio::awaitable<bool> TurnKeeper::gather_tokens(std::string program) {
+  bool released = false;
+  for (const auto holder : ledger_.other_holders(program)) {
+    const auto* peer = directory_.find(holder);
+    if (peer == nullptr) continue;
+    const Peer target = *peer;
+    wire::ReleaseBudget message;
+    message.program = program;
+    auto call = post(kReleasePath, wire::encode(message));
+    auto& http = client(target);
+    const auto exchange = co_await http.exchange(std::move(call), kReleaseTimeout);
+    const bool done = exchange.failure == net::ExchangeFailure::kNone &&
+                      exchange.response.result() == net::http::status::ok;
+    released = released || done;
+    log_.event("tokens_gathered")
+        .with("program", program)
+        .with("peer", target.node)
+        .with("done", static_cast<int>(done));
+  }
+  co_return released;
+}
+
+net::asio::awaitable<bool> TurnKeeper::begin_at(Peer home, const TurnRequest& request,
+                                                net::TimePoint deadline, TurnStart& start) {
+  wire::BeginTurn message;
+  message.program = request.program;
+  start.previous = ledger_.cached_turn(request.previous);
+  if (start.previous == nullptr) message.previous = request.previous;
+  message.tokens = request.tokens;
+  message.budget = request.budget;
+  const auto timeout = std::min(kHomeTimeout, left_until(deadline));
+  message.time_left_ms = static_cast<std::int32_t>(std::min(kHomeStoreTime, timeout).count());
+  auto& http = client(home);
+  auto call = post(kBeginPath, wire::encode(message));
+  auto exchange = co_await http.exchange(std::move(call), timeout);
+  const bool answered = exchange.failure == net::ExchangeFailure::kNone &&
+                        exchange.response.result() == net::http::status::ok;
+  if (!answered) {
+    directory_.suspect(home.node, net::Clock::now());
+    log_.event("peer_lost").with("peer", home.node).with("program", request.program);
+    co_return false;
+  }
+  const auto reply = wire::decode<wire::BeginTurnReply>(exchange.response.body());
+  start.keeper = home.node;
+  start.keeper_incarnation = home.incarnation;
+  start.reservation = static_cast<ReserveOutcome>(reply.reservation);
+  if (!message.previous.empty()) {
+    start.lookup = static_cast<LookupOutcome>(reply.lookup);
+    if (start.lookup == LookupOutcome::kFound) {
+      start.previous = ledger_.remember_chain(reply.chain, nullptr);
+    }
+  }
+  co_return start.lookup != LookupOutcome::kUnavailable &&
+      start.reservation != ReserveOutcome::kUnavailable;
+}
+
+net::asio::awaitable<TurnStart> TurnKeeper::begin(TurnRequest request, net::TimePoint deadline) {
+  const bool needs_home = request.tokens > 0 || !request.previous.empty();
+  if (!needs_home) co_return TurnStart{};
+  const auto home =
+      directory_.home(request.program, net::Clock::now(), beacons_.silence_limit());
+  if (home) {
+    TurnStart start;
+    if (co_await begin_at(*home, request, deadline, start)) co_return start;
+  }
+  co_return co_await begin_here(std::move(request), deadline);
+}
+
+void TurnKeeper::end(const std::string& program, const TurnStart& start, std::int64_t reserved,
+                     std::int64_t used, ledger::TurnPointer turn) {
+  if (start.keeper.empty()) {
+    if (reserved > 0) ledger_.settle(program, reserved, used);
+    return;
+  }
+  const auto peer = directory_.peers().find(start.keeper);
+  const bool same = peer != directory_.peers().end() &&
+                    peer->second.incarnation == start.keeper_incarnation;
+  if (!same) return;  // what was reserved there counts as used
+  wire::EndTurn message;
+  message.program = program;
+  message.reserved = reserved;
+  message.used = used;
+  if (turn != nullptr) message.chain = ledger::encode_whole_chain(*turn);
+  net::asio::co_spawn(context_, end_at(peer->second, std::move(message)), net::asio::detached);
+}
+
+net::asio::awaitable<void> TurnKeeper::end_at(Peer home, wire::EndTurn message) {
+  auto& http = client(home);
+  // NOTE: sent once. A lost message leaves the reservation at its most, which is safe.
+  auto call = post(kEndPath, wire::encode(message));
+  co_await http.exchange(std::move(call), kEndTimeout);
+}
+
+net::asio::awaitable<void> TurnKeeper::serve_begin(const net::TextRequest& request,
+                                                   net::TextResponse& response) {
+  const auto message = wire::decode<wire::BeginTurn>(request.body());
+  const auto time = std::clamp(net::Millis(message.time_left_ms), net::Millis(0), kHomeStoreTime);
+  TurnRequest turn;
+  turn.program = message.program;
+  turn.previous = message.previous;
+  turn.tokens = message.tokens;
+  turn.budget = message.budget;
+  const auto start = co_await begin_here(std::move(turn), net::Clock::now() + time);
+  wire::BeginTurnReply reply;
+  reply.lookup = static_cast<wire::TurnLookup::type>(start.lookup);
+  reply.reservation = static_cast<wire::TurnReservation::type>(start.reservation);
+  if (start.previous != nullptr) reply.chain = ledger::encode_whole_chain(*start.previous);
+  response.body() = wire::encode(reply);
+}
+
+net::asio::awaitable<net::TextResponse> TurnKeeper::serve(net::TextRequest request) {
+  net::TextResponse response;
+  try {
+    if (request.target() == kBeginPath) {
+      co_await serve_begin(request, response);
+    } else if (request.target() == kReleasePath) {
+      const auto message = wire::decode<wire::ReleaseBudget>(request.body());
+      const auto deadline = net::Clock::now() + kReleaseTimeout;
+      if (!co_await ledger_.release(message.program, deadline)) {
+        response.result(net::http::status::service_unavailable);
+      }
+    } else if (request.target() == kEndPath) {
+      const auto message = wire::decode<wire::EndTurn>(request.body());
+      if (message.reserved > 0) ledger_.settle(message.program, message.reserved, message.used);
+      if (!message.chain.segments.empty()) {
+        ledger_.remember_chain(message.chain, nullptr);
+      }
+    } else {
+      response.result(net::http::status::not_found);
+    }
+  } catch (const std::exception& error) {
+    log_.event("peer_message_unreadable").with("why", error.what());
+    response.result(net::http::status::bad_request);
+  }
+  co_return response;
+}
+
+}  // namespace sailgate::cluster
--- /dev/null
+++ b/src/cluster/turn_keeper.hpp
@@ -0,0 +1,80 @@
+/// @file Budgets and histories of programs, through the program's home.
+///
+/// The home of a program is one node of the zone, by rendezvous over the live ones. It holds the
+/// program's tokens and its last turns in memory, so that most turns need no call to the store at
+/// their start. The home is a hint: when it does not answer, this node does the same by itself from
+/// the store, where only the rows decide.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "cluster/beacon_sender.hpp"
+#include "cluster/peer_directory.hpp"
+#include "ledger/program_ledger.hpp"
+#include "net/http_client.hpp"
+#include "observe/structured_log.hpp"
+
+namespace sailgate::cluster {
+
+/// What a turn needs before it starts.
+struct TurnRequest {
+  std::string program;
+  std::string previous;     ///< empty: the turn goes on from none
+  std::int64_t tokens = 0;  ///< to reserve; 0: none
+  std::int64_t budget = 0;
+};
+
+struct TurnStart {
+  ledger::LookupOutcome lookup = ledger::LookupOutcome::kFound;
+  ledger::TurnPointer previous;
+  ledger::ReserveOutcome reservation = ledger::ReserveOutcome::kReserved;
+  std::string keeper;  ///< node that keeps the reservation; empty: this one
+  std::int64_t keeper_incarnation = 0;
+};
+
+/// Not thread-safe: belongs to the event loop.
+class TurnKeeper {
+ public:
+  TurnKeeper(net::asio::io_context& context, ledger::ProgramLedger& ledger,
+             PeerDirectory& directory, const BeaconSender& beacons, observe::StructuredLog& log)
+      : context_(context),
+        ledger_(ledger),
+        directory_(directory),
+        beacons_(beacons),
+        log_(log) {}
+
+  net::asio::awaitable<TurnStart> begin(TurnRequest request, net::TimePoint deadline);
+  /// The turn ended. @param turn the finished turn, for the home's cache; nullptr: none.
+  void end(const std::string& program, const TurnStart& start, std::int64_t reserved,
+           std::int64_t used, ledger::TurnPointer turn);
+
+  /// Calls of other nodes.
+  net::asio::awaitable<net::TextResponse> serve(net::TextRequest request);
+
+ private:
+  net::asio::awaitable<TurnStart> begin_here(TurnRequest request, net::TimePoint deadline);
+  /// Asks the other holders of a program's tokens for what they do not use.
+  net::asio::awaitable<bool> gather_tokens(std::string program);
+  net::asio::awaitable<bool> begin_at(Peer home, const TurnRequest& request,
+                                      net::TimePoint deadline, TurnStart& start);
+  net::asio::awaitable<void> end_at(Peer home, wire::EndTurn message);
+  net::asio::awaitable<void> serve_begin(const net::TextRequest& request,
+                                         net::TextResponse& response);
+  net::HttpClient& client(const Peer& peer);
+
+  struct Client {
+    std::int64_t incarnation = 0;
+    std::unique_ptr<net::HttpClient> http;
+  };
+
+  net::asio::io_context& context_;
+  ledger::ProgramLedger& ledger_;
+  PeerDirectory& directory_;
+  const BeaconSender& beacons_;
+  observe::StructuredLog& log_;
+  std::unordered_map<std::string, Client> clients_;
+};
+
+}  // namespace sailgate::cluster
--- a/src/ledger/budget_account.cpp
+++ b/src/ledger/budget_account.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-/// A grant takes up to this share of what is left, so that other nodes find tokens too.
-constexpr std::int64_t kGrantDivisor = 4;
+/// A grant takes up to this share of what is left: tokens of a holder that dies are lost.
+constexpr std::int64_t kGrantDivisor = 2;
 /// A grant covers at most this many turns like the one that asked.
-constexpr std::int64_t kGrantTurns = 6;
+constexpr std::int64_t kGrantTurns = 8;
 
 }  // namespace
 
@@ -20,8 +20,8 @@
 }
 
 void BudgetAccount::settle(std::int64_t reserved, std::int64_t used) {
-  reserved_ -= reserved;
-  used_ += used;
+  reserved_ -= std::min(reserved, reserved_);
+  used_ += std::max<std::int64_t>(used, 0);
 }
 
 std::int64_t BudgetAccount::granted_to_others() const {
@@ -33,7 +33,8 @@
 }
 
 std::optional<wire::BudgetRow> BudgetAccount::plan_grant(std::int64_t tokens,
-                                                         std::int64_t budget) const {
+                                                         std::int64_t budget) {
+  attempted_ = true;
   const std::int64_t left = budget - granted_to_others() - used_ - reserved_;
   if (left < tokens) return std::nullopt;
   const std::int64_t ample = std::min(left / kGrantDivisor, tokens * kGrantTurns);
@@ -68,6 +69,8 @@
   version_ = version;
   const auto entry = row_.granted.find(holder_);
   const std::int64_t granted = entry == row_.granted.end() ? 0 : entry->second;
+  if (!attempted_) used_ = std::max(used_, granted);
+  attempted_ = true;
   granted_ = same_version ? std::min(granted_, granted) : granted;
 }
 
--- a/src/ledger/budget_account.hpp
+++ b/src/ledger/budget_account.hpp
@@ -31,14 +31,15 @@
 
   /// Row that makes at least `tokens` available, with some for later turns when the budget is
   /// ample. nullopt when the rest of the budget is too small.
-  std::optional<wire::BudgetRow> plan_grant(std::int64_t tokens, std::int64_t budget) const;
+  std::optional<wire::BudgetRow> plan_grant(std::int64_t tokens, std::int64_t budget);
   /// Row that gives back what is neither used nor reserved, and takes it out of use at once.
   /// nullopt when there is nothing to give.
   std::optional<wire::BudgetRow> begin_release();
   /// Holders, other than this one, that have tokens granted.
   std::vector<std::int64_t> other_holders() const;
 
-  /// Takes the row as the store has it. A row of the version already known does not raise the
+  /// Takes the row as the store has it. An entry of this holder that this object did not write
+  /// counts as spent. A row of the version already known does not raise the
   /// grant: a write whose answer was lost may still lower it.
   void adopt(wire::BudgetRow row, std::int64_t version);
   /// The store has no row: a later write must create it.
@@ -52,6 +53,7 @@
   std::int64_t granted_ = 0;
   std::int64_t used_ = 0;
   std::int64_t reserved_ = 0;
+  bool attempted_ = false;  ///< this object wrote or read the row before
   wire::BudgetRow row_;
   std::int64_t version_ = 0;
 };
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -1,6 +1,7 @@
 #include "ledger/program_ledger.hpp"
 
 #include <algorithm>
+#include <stdexcept>
 
 #include "base/digest.hpp"
 #include "ledger/turn_row.hpp"
@@ -18,7 +19,7 @@
 constexpr std::uint64_t kParts = 256;
 /// One call to the store; a silent one is tried again while the deadline allows.
 constexpr net::Millis kStoreTimeout{700};
-constexpr net::Millis kRetryPause{60};
+constexpr net::Millis kRetryPause{40};
 constexpr std::size_t kTurnCacheBytes = std::size_t{24} << 20U;
 
 std::string part_of(const std::string& key) {
@@ -32,7 +33,7 @@
   return std::clamp(left, net::Millis(1), kStoreTimeout);
 }
 
-bool time_left(net::TimePoint deadline) { return net::Clock::now() + kRetryPause < deadline; }
+bool time_left(net::TimePoint deadline) { return net::Clock::now() < deadline; }
 
 }  // namespace
 
@@ -135,6 +136,25 @@
   program.account.adopt(wire::decode<wire::BudgetRow>(row.value), row.version);
 }
 
+net::asio::awaitable<bool> ProgramLedger::release(std::string id, net::TimePoint deadline) {
+  const auto entry = programs_.find(id);
+  if (entry == programs_.end()) co_return true;
+  auto held = entry->second;
+  const auto guard = co_await held->mutex.lock();
+  while (time_left(deadline)) {
+    auto row = held->account.begin_release();
+    if (!row) co_return true;
+    const auto status = co_await write_budget(id, held, std::move(*row), deadline);
+    if (status == StoreStatus::kDone) co_return true;
+    if (status != StoreStatus::kConflict) co_await net::sleep_for(context_, kRetryPause);
+  }
+  co_return false;
+}
+
+std::vector<std::int64_t> ProgramLedger::other_holders(const std::string& id) {
+  return program(id)->account.other_holders();
+}
+
 void ProgramLedger::settle(const std::string& id, std::int64_t reserved, std::int64_t used) {
   program(id)->account.settle(reserved, used);
 }
@@ -163,13 +183,25 @@
     wanted = rows.back().earlier;
     if (!wanted.empty()) known = turns_.find(wanted);
   }
-  for (auto row = rows.rbegin(); row != rows.rend(); ++row) {
-    known = decode_turn(*row, known);
-    turns_.put(known);
-  }
+  for (auto row = rows.rbegin(); row != rows.rend(); ++row) known = remember_chain(*row, known);
   co_return Lookup{LookupOutcome::kFound, known};
 }
 
+TurnPointer ProgramLedger::remember_chain(const wire::TurnRow& row, TurnPointer earlier) {
+  if (row.segments.empty()) throw std::invalid_argument("a turn's row has no segments");
+  TurnPointer last = std::move(earlier);
+  for (const auto& segment : row.segments) {
+    auto cached = turns_.find(segment.turn);
+    if (cached == nullptr) {
+      cached = std::make_shared<const Turn>(
+          Turn{segment.turn, segment.input, segment.output, std::move(last)});
+      turns_.put(cached);
+    }
+    last = std::move(cached);
+  }
+  return last;
+}
+
 net::asio::awaitable<bool> ProgramLedger::record_turn(TurnPointer turn, net::TimePoint deadline) {
   store::Row row;
   row.id = {kTurnTable, part_of(turn->id), turn->id};
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -40,8 +40,19 @@
   /// Ends a reservation. @param used tokens that were handed to the caller.
   void settle(const std::string& program, std::int64_t reserved, std::int64_t used);
 
+  /// Gives back tokens of the program that no turn uses. @return whether the store has it so.
+  net::asio::awaitable<bool> release(std::string program, net::TimePoint deadline);
+  /// Other processes that hold tokens of the program, as far as this one knows.
+  std::vector<std::int64_t> other_holders(const std::string& program);
+
   /// A finished turn with its whole chain.
   net::asio::awaitable<Lookup> find_turn(std::string id, net::TimePoint deadline);
+  /// A turn that needs no read; nullptr when there is none.
+  TurnPointer cached_turn(const std::string& id) const { return turns_.find(id); }
+  /// Takes turns that another node knows to be durable. Cached ones are shared, not copied.
+  /// @return the last one. @throws std::invalid_argument when there are no segments.
+  TurnPointer remember_chain(const wire::TurnRow& row, TurnPointer earlier);
+
   /// Makes a finished turn durable. @return whether it is.
   net::asio::awaitable<bool> record_turn(TurnPointer turn, net::TimePoint deadline);
 
--- a/src/ledger/turn_row.cpp
+++ b/src/ledger/turn_row.cpp
@@ -1,7 +1,7 @@
 #include "ledger/turn_row.hpp"
 
 #include <algorithm>
-#include <stdexcept>
+#include <cstdint>
 
 namespace sailgate::ledger {
 
@@ -18,16 +18,15 @@
   return segment;
 }
 
-}  // namespace
-
-wire::TurnRow encode_turn(const Turn& turn) {
+/// Copies predecessors until the segments hold `byte_limit` bytes.
+wire::TurnRow encode_up_to(const Turn& turn, std::size_t byte_limit) {
   wire::TurnRow row;
   row.segments.push_back(segment_of(turn));
   std::size_t size = turn.input.size() + turn.output.size();
   const Turn* next = turn.previous.get();
   while (next != nullptr) {
     size += next->input.size() + next->output.size();
-    if (size > kRowBytes) break;
+    if (size > byte_limit) break;
     row.segments.push_back(segment_of(*next));
     next = next->previous.get();
   }
@@ -36,14 +35,10 @@
   return row;
 }
 
-TurnPointer decode_turn(const wire::TurnRow& row, TurnPointer earlier) {
-  if (row.segments.empty()) throw std::invalid_argument("a turn's row has no segments");
-  TurnPointer last = std::move(earlier);
-  for (const auto& segment : row.segments) {
-    last = std::make_shared<const Turn>(
-        Turn{segment.turn, segment.input, segment.output, std::move(last)});
-  }
-  return last;
-}
+}  // namespace
+
+wire::TurnRow encode_turn(const Turn& turn) { return encode_up_to(turn, kRowBytes); }
+
+wire::TurnRow encode_whole_chain(const Turn& turn) { return encode_up_to(turn, SIZE_MAX); }
 
 }  // namespace sailgate::ledger
--- a/src/net/asio.hpp
+++ b/src/net/asio.hpp
@@ -28,6 +28,9 @@
 using Error = boost::system::error_code;
 using Endpoint = asio::ip::tcp::endpoint;
 
+// NOTE: GCC 12 destroys temporaries twice that are built from braces inside a co_await expression.
+// Arguments of awaited functions are named variables that are moved.
+
 /// Completion token: the awaited operation reports its error in `error` and never throws.
 inline auto awaiting(Error& error) { return asio::redirect_error(asio::use_awaitable, error); }
 
--- a/src/net/text_server.cpp
+++ b/src/net/text_server.cpp
@@ -8,8 +8,8 @@
 
 constexpr Millis kIdleTimeout{20'000};
 constexpr Millis kAcceptPause{50};
-constexpr int kMostConnections = 64;
-constexpr std::uint64_t kBodyLimit = 64U << 10U;
+constexpr int kMostConnections = 512;
+constexpr std::uint64_t kBodyLimit = 8U << 20U;
 
 }  // namespace
 
@@ -47,13 +47,14 @@
     parser.body_limit(kBodyLimit);
     co_await http::async_read(stream, buffer, parser, awaiting(error));
     if (error) break;
-    const auto request = parser.release();
-    auto response = handler_(request);
+    auto request = parser.release();
+    const bool keep = request.keep_alive();
+    auto response = co_await handler_(std::move(request));
     response.version(11);
-    response.keep_alive(request.keep_alive());
+    response.keep_alive(keep);
     response.prepare_payload();
     co_await http::async_write(stream, response, awaiting(error));
-    if (!request.keep_alive()) break;
+    if (!keep) break;
   }
   stream.close();
   --open_;
--- a/src/net/text_server.hpp
+++ b/src/net/text_server.hpp
@@ -1,4 +1,4 @@
-/// @file Small HTTP server for short answers: readiness, metrics.
+/// @file Small HTTP server for short answers: readiness, metrics, calls of peers.
 #pragma once
 
 #include <functional>
@@ -7,10 +7,10 @@
 
 namespace sailgate::net {
 
-/// Answers each request from a function that does not wait. Bounded in connections and body size.
+/// Answers each request from a coroutine. Bounded in connections and body size.
 class TextServer {
  public:
-  using Handler = std::function<TextResponse(const TextRequest&)>;
+  using Handler = std::function<asio::awaitable<TextResponse>(TextRequest)>;
 
   /// @throws boost::system::system_error when the address cannot be listened on.
   TextServer(asio::io_context& context, Endpoint endpoint, Handler handler);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -1,11 +1,15 @@
 #include "serving/gateway.hpp"
 
 #include "net/socket_state.hpp"
+#include "wire/codec.hpp"
 
 namespace sailgate::serving {
 
 namespace {
 
+constexpr const char* kPeerTable = "nodes";
+constexpr net::Millis kStoreTimeout{700};
+constexpr net::Millis kRegisterPause{300};
 constexpr net::Millis kMaintenanceInterval{100};
 /// A node that has not reached the store for this long asks callers to go elsewhere.
 constexpr net::Millis kContactTime{3500};
@@ -22,29 +26,42 @@
                  const EdgeProtocol& protocol, const PlatformRecords& records,
                  store::TableStore& store, observe::StructuredLog& log, std::int64_t incarnation)
     : context_(context),
+      store_(store),
+      incarnation_(incarnation),
       state_(context, std::move(settings), protocol, store, log, incarnation),
       records_(records),
       configuration_follower_(context, store, log, records.configuration_table(),
                               configuration_callbacks()),
       engine_follower_(context, store, log, records.engine_table(), engine_callbacks()),
+      peer_follower_(context, store, log, kPeerTable, peer_callbacks()),
       acceptor_(context, state_.settings.callers),
       readiness_(context, state_.settings.readiness,
-                 [this](const net::TextRequest& request) { return answer_readiness(request); }) {
+                 [this](net::TextRequest request) -> net::asio::awaitable<net::TextResponse> {
+                   co_return answer_readiness(request);
+                 }),
+      peer_server_(context, state_.settings.peers, [this](net::TextRequest request) {
+        return state_.turns.serve(std::move(request));
+      }) {
   state_.engines.on_leaving([this](const balancing::Engine& engine) {
     state_.connections.drop(engine.record.id);
     state_.log.event("engine_leaving").with("engine", engine.record.id);
   });
   if (state_.settings.metrics) {
     metrics_ = std::make_unique<net::TextServer>(
-        context, *state_.settings.metrics, [this](const net::TextRequest&) {
-          net::TextResponse response;
-          response.set(net::http::field::content_type, "text/plain; version=0.0.4");
-          response.body() = state_.metrics.text();
-          return response;
+        context, *state_.settings.metrics,
+        [this](net::TextRequest) -> net::asio::awaitable<net::TextResponse> {
+          co_return answer_metrics();
         });
   }
 }
 
+net::TextResponse Gateway::answer_metrics() const {
+  net::TextResponse response;
+  response.set(net::http::field::content_type, "text/plain; version=0.0.4");
+  response.body() = state_.metrics.text();
+  return response;
+}
+
 net::TextResponse Gateway::answer_readiness(const net::TextRequest& request) const {
   net::TextResponse response;
   const bool asked = request.target() == state_.protocol.readiness_path();
@@ -60,13 +77,63 @@
 
 void Gateway::start() {
   readiness_.start();
+  peer_server_.start();
   if (metrics_ != nullptr) metrics_->start();
+  state_.beacons.start();
   net::asio::co_spawn(context_, accept(), net::asio::detached);
   net::asio::co_spawn(context_, configuration_follower_.run(), net::asio::detached);
   net::asio::co_spawn(context_, engine_follower_.run(), net::asio::detached);
+  net::asio::co_spawn(context_, peer_follower_.run(), net::asio::detached);
+  net::asio::co_spawn(context_, register_self(), net::asio::detached);
   net::asio::co_spawn(context_, maintain(), net::asio::detached);
 }
 
+net::asio::awaitable<void> Gateway::register_self() {
+  wire::PeerRow self;
+  self.incarnation = incarnation_;
+  self.zone = state_.settings.zone;
+  self.address = state_.settings.peers.address().to_string();
+  self.port = state_.settings.peers.port();
+  store::Row row;
+  row.id = {kPeerTable, "", state_.settings.node};
+  row.value = wire::encode(self);
+  while (!state_.stopping) {
+    store::Transaction transaction;
+    transaction.puts.push_back(row);
+    const auto result = co_await store_.transact(std::move(transaction), kStoreTimeout);
+    if (result.status == store::StoreStatus::kDone) co_return;
+    co_await net::sleep_for(context_, kRegisterPause);
+  }
+}
+
+net::asio::awaitable<void> Gateway::unregister_self() {
+  store::Transaction transaction;
+  transaction.removals.push_back({kPeerTable, "", state_.settings.node});
+  co_await store_.transact(std::move(transaction), kStoreTimeout);
+}
+
+store::FollowerCallbacks Gateway::peer_callbacks() {
+  store::FollowerCallbacks callbacks;
+  callbacks.on_whole = [this](std::vector<store::Row> rows) {
+    for (const auto& row : rows) take_peer(row);
+  };
+  callbacks.on_change = [this](const store::Row& row) { take_peer(row); };
+  callbacks.on_contact = [](bool) {};
+  return callbacks;
+}
+
+void Gateway::take_peer(const store::Row& row) {
+  if (row.removed) {
+    state_.peers.remove(row.id.key);
+    return;
+  }
+  try {
+    state_.peers.put(row.id.key, wire::decode<wire::PeerRow>(row.value), net::Clock::now());
+  } catch (const std::exception& error) {
+    state_.log.event("peer_unreadable").with("peer", row.id.key).with("why", error.what());
+  }
+}
+
 void Gateway::note_contact(bool reached) {
   if (reached) {
     last_contact_ = net::Clock::now();
@@ -168,7 +235,12 @@
 net::asio::awaitable<void> Gateway::maintain() {
   while (true) {
     co_await net::sleep_for(context_, kMaintenanceInterval);
-    state_.connections.expire(net::Clock::now());
+    const auto now = net::Clock::now();
+    state_.connections.expire(now);
+    for (const auto& engine : state_.engines.all()) {
+      engine->peer_in_flight =
+          state_.peers.peer_load(engine->record.id, now, state_.beacons.silence_limit());
+    }
     state_.metrics.set_engines(state_.engines.size());
     state_.metrics.set_connections_opened(state_.connections.opened());
     state_.metrics.set_dropped_log_lines(state_.log.dropped());
@@ -185,6 +257,7 @@
 }
 
 net::asio::awaitable<void> Gateway::finish_stop() {
+  co_await unregister_self();
   co_await net::sleep_for(context_, kEntryNotices);
   net::Error ignored;
   acceptor_.close(ignored);
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -41,15 +41,24 @@
   void note_contact(bool reached);
   store::FollowerCallbacks configuration_callbacks();
   store::FollowerCallbacks engine_callbacks();
+  store::FollowerCallbacks peer_callbacks();
+  void take_peer(const store::Row& row);
+  net::asio::awaitable<void> register_self();
+  net::asio::awaitable<void> unregister_self();
   net::TextResponse answer_readiness(const net::TextRequest& request) const;
+  net::TextResponse answer_metrics() const;
 
   net::asio::io_context& context_;
+  store::TableStore& store_;
+  std::int64_t incarnation_;
   NodeState state_;
   const PlatformRecords& records_;
   store::TableFollower configuration_follower_;
   store::TableFollower engine_follower_;
+  store::TableFollower peer_follower_;
   net::asio::ip::tcp::acceptor acceptor_;
   net::TextServer readiness_;
+  net::TextServer peer_server_;
   std::unique_ptr<net::TextServer> metrics_;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
   net::TimePoint last_contact_{};
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -6,6 +6,9 @@
 
 #include "balancing/engine_registry.hpp"
 #include "base/random.hpp"
+#include "cluster/beacon_sender.hpp"
+#include "cluster/peer_directory.hpp"
+#include "cluster/turn_keeper.hpp"
 #include "ledger/program_ledger.hpp"
 #include "observe/structured_log.hpp"
 #include "routing/route_table.hpp"
@@ -27,8 +30,25 @@
         log(structured_log),
         connections(loop),
         ledger(loop, table_store, structured_log, incarnation),
+        peers(settings.node, settings.zone),
+        beacons(loop, settings.peers, peers, [this, incarnation] { return beacon(incarnation); }),
+        turns(loop, ledger, peers, beacons, structured_log),
         random(static_cast<std::uint64_t>(incarnation)) {}
 
+  /// What this node tells its peers.
+  wire::Beacon beacon(std::int64_t incarnation) const {
+    wire::Beacon message;
+    message.incarnation = incarnation;
+    for (const auto& engine : engines.all()) {
+      if (engine->in_flight == 0) continue;
+      wire::EngineLoad load;
+      load.engine = engine->record.id;
+      load.in_flight = engine->in_flight;
+      message.loads.push_back(std::move(load));
+    }
+    return message;
+  }
+
   net::asio::io_context& context;
   NodeSettings settings;
   const EdgeProtocol& protocol;
@@ -38,6 +58,9 @@
   bool engines_known = false;
   EngineConnectionPool connections;
   ledger::ProgramLedger ledger;
+  cluster::PeerDirectory peers;
+  cluster::BeaconSender beacons;
+  cluster::TurnKeeper turns;
   GatewayMetrics metrics;
   base::Random random;
   bool stopping = false;
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -14,7 +14,13 @@
 /// A finished turn is kept trying to become durable this long while its caller waits.
 constexpr net::Millis kRecordTime{1800};
 /// Reading and reserving leave the engine at least this much of the request's time.
-constexpr net::Millis kEngineTime{300};
+constexpr net::Millis kEngineTime{80};
+/// A turn waits this long for the store before its caller is told to come back.
+constexpr net::Millis kStoreHold{900};
+/// Callers heed a time to come back of up to this part of the time they have left.
+constexpr int kReturnShare = 3;
+constexpr net::Millis kShortestReturn{50};
+constexpr net::Millis kLongestReturn{1000};
 
 DispatchFailure failure_of(ReadOutcome outcome) {
   if (outcome == ReadOutcome::kTimedOut) return DispatchFailure::kTimedOut;
@@ -27,60 +33,57 @@
 net::asio::awaitable<CallEnd> StreamCall::run() {
   if (const auto refused = co_await prepare()) co_return *refused;
   auto end = co_await serve();
-  settle_budget();
+  end_turn(nullptr);
   co_return end;
 }
 
-net::asio::awaitable<std::optional<CallEnd>> StreamCall::prepare() {
-  if (auto refused = co_await find_previous()) co_return refused;
-  co_return co_await reserve_budget();
+cluster::TurnRequest StreamCall::turn_request() const {
+  const auto& description = call_.description;
+  cluster::TurnRequest request;
+  request.program = description.program;
+  if (call_.route->retained) request.previous = description.previous_turn;
+  const bool bounded = !description.program.empty() && description.token_budget &&
+                       description.max_output_tokens > 0;
+  if (bounded) {
+    request.tokens = description.max_output_tokens;
+    request.budget = *description.token_budget;
+  }
+  return request;
 }
 
-net::asio::awaitable<std::optional<CallEnd>> StreamCall::find_previous() {
-  const auto& wanted = call_.description.previous_turn;
-  if (!call_.route->retained) {
-    prompt_ = call_.request.body();
-    co_return std::nullopt;
-  }
-  if (!wanted.empty()) {
-    const auto found = co_await state_.ledger.find_turn(wanted, call_.deadline - kEngineTime);
-    if (found.outcome == ledger::LookupOutcome::kAbsent) {
-      co_return co_await refuse(call_, Kind::kUnknownTurn);
-    }
-    if (found.outcome == ledger::LookupOutcome::kUnavailable) {
-      co_return co_await refuse(call_, Kind::kStoreUnavailable);
-    }
-    previous_ = found.turn;
-  }
-  prompt_ = ledger::assemble_prompt(previous_, call_.request.body());
-  co_return std::nullopt;
+net::asio::awaitable<CallEnd> StreamCall::refuse_for_now() {
+  const auto wait = std::clamp(call_.time_left() / kReturnShare, kShortestReturn, kLongestReturn);
+  co_return co_await refuse(call_, Kind::kStoreUnavailable, wait);
 }
 
-net::asio::awaitable<std::optional<CallEnd>> StreamCall::reserve_budget() {
-  const auto& description = call_.description;
-  const bool bounded = !description.program.empty() && description.token_budget &&
-                       description.max_output_tokens > 0;
-  if (!bounded) co_return std::nullopt;
-  const auto outcome =
-      co_await state_.ledger.reserve(description.program, description.max_output_tokens,
-                                     *description.token_budget, call_.deadline - kEngineTime);
-  if (outcome == ledger::ReserveOutcome::kExhausted) {
+net::asio::awaitable<std::optional<CallEnd>> StreamCall::prepare() {
+  const auto request = turn_request();
+  const auto deadline = std::min(call_.deadline - kEngineTime, call_.received_at + kStoreHold);
+  start_ = co_await state_.turns.begin(request, deadline);
+  if (start_.lookup == ledger::LookupOutcome::kAbsent) {
+    co_return co_await refuse(call_, Kind::kUnknownTurn);
+  }
+  if (start_.lookup == ledger::LookupOutcome::kUnavailable) co_return co_await refuse_for_now();
+  if (start_.reservation == ledger::ReserveOutcome::kExhausted) {
     co_return co_await refuse(call_, Kind::kBudgetExceeded);
   }
-  if (outcome == ledger::ReserveOutcome::kUnavailable) {
-    co_return co_await refuse(call_, Kind::kStoreUnavailable);
+  if (start_.reservation == ledger::ReserveOutcome::kUnavailable) {
+    co_return co_await refuse_for_now();
   }
-  reserved_ = description.max_output_tokens;
+  reserved_ = request.tokens;
+  prompt_ = call_.route->retained
+                ? ledger::assemble_prompt(start_.previous, call_.request.body())
+                : call_.request.body();
   co_return std::nullopt;
 }
 
-void StreamCall::settle_budget() {
-  if (reserved_ == 0) return;
+void StreamCall::end_turn(ledger::TurnPointer turn) {
+  if (ended_) return;
+  ended_ = true;
   const auto* service = call_.routes->service(call_.service);
   const std::int64_t per_event = service == nullptr ? 1 : std::max(1, service->tokens_per_event);
   const auto used = std::min(events_ * per_event, reserved_);
-  state_.ledger.settle(call_.description.program, reserved_, used);
-  reserved_ = 0;
+  state_.turns.end(call_.description.program, start_, reserved_, used, std::move(turn));
 }
 
 net::asio::awaitable<CallEnd> StreamCall::serve() {
@@ -161,15 +164,16 @@
 }
 
 net::asio::awaitable<CallEnd> StreamCall::complete() {
-  settle_budget();
+  ledger::TurnPointer turn;
   if (call_.route->retained) {
-    auto turn = std::make_shared<const ledger::Turn>(ledger::Turn{
-        call_.description.request_id, call_.request.body(), output_, previous_});
+    turn = std::make_shared<const ledger::Turn>(ledger::Turn{
+        call_.description.request_id, call_.request.body(), output_, start_.previous});
     const auto deadline = std::min(call_.deadline, net::Clock::now() + kRecordTime);
-    if (!co_await state_.ledger.record_turn(std::move(turn), deadline)) {
+    if (!co_await state_.ledger.record_turn(turn, deadline)) {
       co_return CallEnd{"turn_not_durable", false};
     }
   }
+  end_turn(std::move(turn));
   const bool taken = co_await call_.channel.end_chunked();
   co_return CallEnd{taken ? "answered" : "caller_gone", taken};
 }
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -26,24 +26,25 @@
   enum class RelayEnd { kWhole, kBroken, kTimedOut, kCallerGone };
 
   net::asio::awaitable<std::optional<CallEnd>> prepare();
-  net::asio::awaitable<std::optional<CallEnd>> find_previous();
-  net::asio::awaitable<std::optional<CallEnd>> reserve_budget();
+  cluster::TurnRequest turn_request() const;
+  net::asio::awaitable<CallEnd> refuse_for_now();
   net::asio::awaitable<CallEnd> serve();
   net::asio::awaitable<CallEnd> pass_on_whole(EngineExchange& exchange);
   net::asio::awaitable<RelayEnd> relay(EngineExchange& exchange);
   net::asio::awaitable<bool> pass_on(std::vector<StreamEvent> events, EngineExchange& exchange);
   net::asio::awaitable<CallEnd> complete();
   net::asio::awaitable<CallEnd> fail(DispatchFailure failure);
-  void settle_budget();
+  void end_turn(ledger::TurnPointer turn);
 
   NodeState& state_;
   Call& call_;
   Dispatcher dispatcher_;
-  ledger::TurnPointer previous_;
+  cluster::TurnStart start_;
   std::string prompt_;
   std::string output_;  ///< data of the events so far, each followed by a line feed
   std::string last_event_id_;
   std::int64_t reserved_ = 0;
+  bool ended_ = false;  ///< the turn's keeper was told
   std::int64_t events_ = 0;
   bool begun_ = false;
 };
