--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -10,11 +10,15 @@
 namespace {
 
 /// Cost of a round trip to another zone, in slots' shares.
-constexpr double kOtherZoneCost = 0.5;
+constexpr double kOtherZoneCost = 0.4;
 /// Cost between the first and the last place of a rendezvous order.
 constexpr double kAffinityCost = 2.0;
+/// With an affinity key, load counts less: moving a program means reading its prompt anew.
+constexpr double kKeyedLoadWeight = 0.3;
+/// Cost of a new connection.
+constexpr double kConnectCost = 0.15;
 /// Load beyond which an engine is only used when all are beyond it, as a share of its slots.
-constexpr double kSaturation = 0.75;
+constexpr double kSaturation = 1.25;
 
 /// Uniform in [0, 1) for a pair of key and engine.
 double rendezvous_draw(const std::string& key, const std::string& engine_id) {
@@ -39,13 +43,14 @@
 Rank rank(const Engine& engine, const SelectionQuery& query) {
   const double load = static_cast<double>(engine.in_flight + engine.peer_in_flight) /
                       engine.record.slots;
+  const bool keyed = !query.affinity_key.empty();
   const double zone = engine.record.zone == query.zone ? 0.0 : kOtherZoneCost;
+  const double load_cost = keyed ? kKeyedLoadWeight * load : load;
   const double affinity =
-      query.affinity_key.empty()
-          ? 0.0
-          : kAffinityCost * rendezvous_draw(query.affinity_key, engine.record.id);
+      keyed ? kAffinityCost * rendezvous_draw(query.affinity_key, engine.record.id) : 0.0;
+  const double connect = engine.idle_connections > 0 ? 0.0 : kConnectCost;
   const auto tie = XXH64(engine.record.id.data(), engine.record.id.size(), query.draw);
-  return {query.now < engine.avoid_until, load >= kSaturation, load + zone + affinity, tie};
+  return {query.now < engine.avoid_until, load >= kSaturation, load_cost + zone + affinity + connect, tie};
 }
 
 }  // namespace
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -36,13 +36,13 @@
 
 }  // namespace
 
-net::HttpClient& TurnKeeper::client(const Peer& peer) {
+std::shared_ptr<net::HttpClient> TurnKeeper::client(const Peer& peer) {
   auto& entry = clients_[peer.node];
   if (entry.http == nullptr || entry.incarnation != peer.incarnation) {
     entry.incarnation = peer.incarnation;
-    entry.http = std::make_unique<net::HttpClient>(context_, peer.endpoint);
+    entry.http = std::make_shared<net::HttpClient>(context_, peer.endpoint);
   }
-  return *entry.http;
+  return entry.http;
 }
 
 net::asio::awaitable<TurnStart> TurnKeeper::begin_here(TurnRequest request,
@@ -68,15 +68,16 @@
 
 net::asio::awaitable<bool> TurnKeeper::gather_tokens(std::string program) {
   bool released = false;
-  for (const auto holder : ledger_.other_holders(program)) {
+  const auto holders = ledger_.other_holders(program);
+  for (const auto holder : holders) {
     const auto* peer = directory_.find(holder);
     if (peer == nullptr) continue;
     const Peer target = *peer;
     wire::ReleaseBudget message;
     message.program = program;
     auto call = post(kReleasePath, wire::encode(message));
-    auto& http = client(target);
-    const auto exchange = co_await http.exchange(std::move(call), kReleaseTimeout);
+    const auto http = client(target);
+    const auto exchange = co_await http->exchange(std::move(call), kReleaseTimeout);
     const bool done = exchange.failure == net::ExchangeFailure::kNone &&
                       exchange.response.result() == net::http::status::ok;
     released = released || done;
@@ -98,9 +99,9 @@
   message.budget = request.budget;
   const auto timeout = std::min(kHomeTimeout, left_until(deadline));
   message.time_left_ms = static_cast<std::int32_t>(std::min(kHomeStoreTime, timeout).count());
-  auto& http = client(home);
+  const auto http = client(home);
   auto call = post(kBeginPath, wire::encode(message));
-  auto exchange = co_await http.exchange(std::move(call), timeout);
+  auto exchange = co_await http->exchange(std::move(call), timeout);
   const bool answered = exchange.failure == net::ExchangeFailure::kNone &&
                         exchange.response.result() == net::http::status::ok;
   if (!answered) {
@@ -153,10 +154,10 @@
 }
 
 net::asio::awaitable<void> TurnKeeper::end_at(Peer home, wire::EndTurn message) {
-  auto& http = client(home);
+  const auto http = client(home);
   // NOTE: sent once. A lost message leaves the reservation at its most, which is safe.
   auto call = post(kEndPath, wire::encode(message));
-  co_await http.exchange(std::move(call), kEndTimeout);
+  co_await http->exchange(std::move(call), kEndTimeout);
 }
 
 net::asio::awaitable<void> TurnKeeper::serve_begin(const net::TextRequest& request,
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -62,11 +62,12 @@
   net::asio::awaitable<void> end_at(Peer home, wire::EndTurn message);
   net::asio::awaitable<void> serve_begin(const net::TextRequest& request,
                                          net::TextResponse& response);
-  net::HttpClient& client(const Peer& peer);
+  /// Calls under way share the client: it may be replaced when the peer comes back anew.
+  std::shared_ptr<net::HttpClient> client(const Peer& peer);
 
   struct Client {
     std::int64_t incarnation = 0;
-    std::unique_ptr<net::HttpClient> http;
+    std::shared_ptr<net::HttpClient> http;
   };
 
   net::asio::io_context& context_;
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -67,6 +67,9 @@
 }
 
 balancing::EnginePointer Dispatcher::select(const Call& call) {
+  for (const auto& engine : state_.engines.of_service(call.service)) {
+    engine->idle_connections = state_.connections.idle(engine->record.id);
+  }
   balancing::SelectionQuery query;
   query.service = call.service;
   if (call.route->kind == routing::RouteKind::kStream) {
--- a/src/serving/engine_connection_pool.cpp
+++ b/src/serving/engine_connection_pool.cpp
@@ -51,6 +51,11 @@
   idle_[engine.record.id].push_back(std::move(connection));
 }
 
+int EngineConnectionPool::idle(const std::string& engine_id) const {
+  const auto entry = idle_.find(engine_id);
+  return entry == idle_.end() ? 0 : static_cast<int>(entry->second.size());
+}
+
 void EngineConnectionPool::expire(net::TimePoint now) {
   for (auto entry = idle_.begin(); entry != idle_.end();) {
     auto& connections = entry->second;
--- a/src/serving/engine_connection_pool.hpp
+++ b/src/serving/engine_connection_pool.hpp
@@ -38,6 +38,8 @@
   /// Closes idle connections whose time is over.
   void expire(net::TimePoint now);
 
+  /// Idle connections to an engine.
+  int idle(const std::string& engine_id) const;
   std::uint64_t opened() const { return opened_; }
 
  private:
--- /dev/null
+++ b/tests/balancing/engine_selector_test.cpp
@@ -0,0 +1,129 @@
+#include "balancing/engine_selector.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+using namespace sailgate;
+using balancing::EngineRecord;
+using balancing::EngineRegistry;
+using balancing::SelectionQuery;
+
+namespace {
+
+EngineRecord record(const std::string& id, const std::string& zone, bool draining = false) {
+  EngineRecord record;
+  record.id = id;
+  record.service = "llm";
+  record.zone = zone;
+  record.slots = 4;
+  record.draining = draining;
+  return record;
+}
+
+EngineRegistry registry() {
+  EngineRegistry engines;
+  for (const auto* id : {"a", "b", "c", "d"}) engines.put(record(id, id[0] < 'c' ? "near" : "far"));
+  return engines;
+}
+
+SelectionQuery query(const std::string& key = "") {
+  SelectionQuery query;
+  query.service = "llm";
+  query.affinity_key = key;
+  query.zone = "near";
+  query.now = net::Clock::now();
+  return query;
+}
+
+}  // namespace
+
+TEST_CASE("draining, leaving and offered engines are not chosen", "[balancing]") {
+  EngineRegistry engines;
+  engines.put(record("draining", "near", true));
+  engines.put(record("offered", "near"));
+  engines.put(record("gone", "near"));
+  engines.remove("gone");
+  auto asked = query();
+  asked.excluded = {"offered"};
+  REQUIRE(balancing::select_engine(engines, asked) == nullptr);
+}
+
+TEST_CASE("an incarnation that drains does not come back", "[balancing]") {
+  EngineRegistry engines;
+  int leaving = 0;
+  engines.on_leaving([&](const balancing::Engine&) { ++leaving; });
+  engines.put(record("a", "near"));
+  engines.put(record("a", "near", true));
+  engines.put(record("a", "near"));
+  REQUIRE_FALSE(engines.find("a")->usable());
+  REQUIRE(leaving == 1);
+}
+
+TEST_CASE("a whole list removes what it lacks", "[balancing]") {
+  auto engines = registry();
+  const auto kept = engines.find("a");
+  const auto dropped = engines.find("b");
+  engines.replace({record("a", "near"), record("e", "near")});
+  REQUIRE(engines.find("a") == kept);
+  REQUIRE(engines.find("b") == nullptr);
+  REQUIRE(dropped->leaving);
+  REQUIRE(engines.of_service("llm").size() == 2);
+}
+
+TEST_CASE("all nodes choose the same engine for a key while load is moderate", "[balancing]") {
+  const auto one = registry();
+  EngineRegistry other;
+  for (const auto* id : {"d", "b", "a", "c"}) {
+    other.put(record(id, id[0] < 'c' ? "near" : "far"));
+  }
+  std::set<std::string> used;
+  for (int i = 0; i < 200; ++i) {
+    const auto key = "program-" + std::to_string(i);
+    auto asked = query(key);
+    const auto chosen = balancing::select_engine(one, asked)->record.id;
+    asked.draw = 77;
+    REQUIRE(balancing::select_engine(other, asked)->record.id == chosen);
+    used.insert(chosen);
+  }
+  REQUIRE(used.size() == 4);
+}
+
+TEST_CASE("a saturated engine loses its keys until it has room", "[balancing]") {
+  auto engines = registry();
+  const auto first = balancing::select_engine(engines, query("key"));
+  first->peer_in_flight = 6;
+  const auto second = balancing::select_engine(engines, query("key"));
+  REQUIRE(second != first);
+  first->peer_in_flight = 1;
+  REQUIRE(balancing::select_engine(engines, query("key")) == first);
+}
+
+TEST_CASE("an engine that failed is the last choice, but a choice", "[balancing]") {
+  EngineRegistry engines;
+  engines.put(record("a", "near"));
+  engines.put(record("b", "far"));
+  engines.find("a")->avoid_until = net::Clock::now() + net::Millis(60'000);
+  REQUIRE(balancing::select_engine(engines, query())->record.id == "b");
+  auto asked = query();
+  asked.excluded = {"b"};
+  REQUIRE(balancing::select_engine(engines, asked)->record.id == "a");
+}
+
+TEST_CASE("without a key the least loaded engine of the zone serves", "[balancing]") {
+  auto engines = registry();
+  engines.find("a")->in_flight = 1;
+  REQUIRE(balancing::select_engine(engines, query())->record.id == "b");
+  engines.find("b")->in_flight = 3;
+  REQUIRE(balancing::select_engine(engines, query())->record.id == "a");
+}
+
+TEST_CASE("a kept connection breaks a tie", "[balancing]") {
+  auto engines = registry();
+  engines.find("b")->idle_connections = 1;
+  for (std::uint64_t draw = 0; draw < 20; ++draw) {
+    auto asked = query();
+    asked.draw = draw;
+    REQUIRE(balancing::select_engine(engines, asked)->record.id == "b");
+  }
+}
--- /dev/null
+++ b/tests/ledger/program_ledger_test.cpp
@@ -0,0 +1,129 @@
+#include "ledger/program_ledger.hpp"
+
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+
+#include "support/memory_table.hpp"
+#include "support/run.hpp"
+
+using namespace sailgate;
+using ledger::LookupOutcome;
+using ledger::ProgramLedger;
+using ledger::ReserveOutcome;
+using ledger::Turn;
+using test::MemoryTable;
+using test::run;
+
+namespace {
+
+constexpr std::int64_t kBudget = 1000;
+
+struct Fixture {
+  net::asio::io_context context;
+  observe::StructuredLog log{::open("/dev/null", O_WRONLY)};
+  MemoryTable table{context};
+  ProgramLedger first{context, table, log, 1};
+  ProgramLedger second{context, table, log, 2};
+
+  ReserveOutcome reserve(ProgramLedger& ledger, std::int64_t tokens,
+                         net::Millis time = net::Millis(200)) {
+    return run(context, ledger.reserve("program", tokens, kBudget, net::Clock::now() + time));
+  }
+  ledger::Lookup find(ProgramLedger& ledger, const std::string& id,
+                      net::Millis time = net::Millis(200)) {
+    return run(context, ledger.find_turn(id, net::Clock::now() + time));
+  }
+  bool record(ProgramLedger& ledger, ledger::TurnPointer turn,
+              net::Millis time = net::Millis(200)) {
+    return run(context, ledger.record_turn(std::move(turn), net::Clock::now() + time));
+  }
+};
+
+ledger::TurnPointer turn(const std::string& id, ledger::TurnPointer previous) {
+  return std::make_shared<const Turn>(Turn{id, "in" + id, "out" + id + "\n", previous});
+}
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "turns within a grant need no call to the store", "[ledger]") {
+  REQUIRE(reserve(first, 100) == ReserveOutcome::kReserved);
+  const int writes = table.writes();
+  table.set_mode(MemoryTable::Mode::kRefuses);
+  REQUIRE(reserve(first, 100) == ReserveOutcome::kReserved);
+  REQUIRE(table.writes() == writes);
+}
+
+TEST_CASE_METHOD(Fixture, "nodes share a budget through its row", "[ledger]") {
+  REQUIRE(reserve(first, 600) == ReserveOutcome::kReserved);
+  REQUIRE(reserve(second, 400) == ReserveOutcome::kReserved);
+  REQUIRE(reserve(second, 1) == ReserveOutcome::kExhausted);
+}
+
+TEST_CASE_METHOD(Fixture, "exhausted is said from a fresh row only", "[ledger]") {
+  REQUIRE(reserve(first, 900) == ReserveOutcome::kReserved);
+  REQUIRE(reserve(second, 200) == ReserveOutcome::kExhausted);
+  first.settle("program", 900, 100);
+  REQUIRE(run(context, first.release("program", net::Clock::now() + net::Millis(200))));
+  REQUIRE(reserve(second, 200) == ReserveOutcome::kReserved);
+}
+
+TEST_CASE_METHOD(Fixture, "without the store nobody can tell", "[ledger]") {
+  table.set_mode(MemoryTable::Mode::kRefuses);
+  REQUIRE(reserve(first, 100) == ReserveOutcome::kUnavailable);
+  REQUIRE(find(first, "any").outcome == LookupOutcome::kUnavailable);
+  REQUIRE_FALSE(record(first, turn("1", nullptr)));
+}
+
+TEST_CASE_METHOD(Fixture, "a grant whose answer was lost is neither lost nor doubled", "[ledger]") {
+  table.set_mode(MemoryTable::Mode::kLosesAnswers);
+  REQUIRE(reserve(first, 400, net::Millis(60)) == ReserveOutcome::kUnavailable);
+  table.set_mode(MemoryTable::Mode::kUp);
+  REQUIRE(reserve(first, 400) == ReserveOutcome::kReserved);
+  REQUIRE(reserve(second, 500) == ReserveOutcome::kReserved);
+  REQUIRE(reserve(second, 1) == ReserveOutcome::kExhausted);
+}
+
+TEST_CASE_METHOD(Fixture, "a grant that takes effect late is seen", "[ledger]") {
+  table.set_mode(MemoryTable::Mode::kLate);
+  REQUIRE(reserve(first, 400, net::Millis(20)) == ReserveOutcome::kUnavailable);
+  table.set_mode(MemoryTable::Mode::kUp);
+  REQUIRE(reserve(second, 300) == ReserveOutcome::kReserved);
+  table.apply_late();
+  REQUIRE(reserve(first, 400) == ReserveOutcome::kReserved);
+  REQUIRE(reserve(second, 400) == ReserveOutcome::kExhausted);
+}
+
+TEST_CASE_METHOD(Fixture, "a finished turn is found by every node", "[ledger]") {
+  const auto one = turn("1", nullptr);
+  const auto two = turn("2", one);
+  REQUIRE(record(first, one));
+  REQUIRE(record(first, two));
+  const auto found = find(second, "2");
+  REQUIRE(found.outcome == LookupOutcome::kFound);
+  REQUIRE(ledger::assemble_prompt(found.turn, "x") == "in1out1\nin2out2\nx");
+}
+
+TEST_CASE_METHOD(Fixture, "a long chain is read over several rows", "[ledger]") {
+  ledger::TurnPointer last;
+  for (int i = 0; i < 9; ++i) {
+    const std::string text(5000, static_cast<char>('a' + i));
+    last = std::make_shared<const Turn>(Turn{std::to_string(i), text, "", last});
+    REQUIRE(record(first, last));
+  }
+  const auto found = find(second, "8");
+  REQUIRE(ledger::assemble_prompt(found.turn, "") == ledger::assemble_prompt(last, ""));
+  REQUIRE(table.reads() > 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a turn that nobody finished is absent", "[ledger]") {
+  REQUIRE(record(first, turn("2", nullptr)));
+  REQUIRE(find(second, "1").outcome == LookupOutcome::kAbsent);
+}
+
+TEST_CASE_METHOD(Fixture, "a turn whose answer was lost is written again until it is sure",
+                 "[ledger]") {
+  table.set_mode(MemoryTable::Mode::kLosesAnswers);
+  REQUIRE_FALSE(record(first, turn("1", nullptr), net::Millis(60)));
+  table.set_mode(MemoryTable::Mode::kUp);
+  REQUIRE(record(first, turn("1", nullptr)));
+}
--- /dev/null
+++ b/tests/store/table_follower_test.cpp
@@ -0,0 +1,99 @@
+#include "store/table_follower.hpp"
+
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <map>
+
+#include "support/memory_table.hpp"
+#include "support/run.hpp"
+
+using namespace sailgate;
+using test::MemoryTable;
+using test::run_until;
+
+namespace {
+
+struct Fixture {
+  net::asio::io_context context;
+  observe::StructuredLog log{::open("/dev/null", O_WRONLY)};
+  MemoryTable table{context};
+  std::map<std::string, std::string> mirror;
+  int wholes = 0;
+  bool reached = false;
+  store::TableFollower follower{context, table, log, "t", callbacks()};
+
+  store::FollowerCallbacks callbacks() {
+    store::FollowerCallbacks callbacks;
+    callbacks.on_whole = [this](std::vector<store::Row> rows) {
+      ++wholes;
+      mirror.clear();
+      for (const auto& row : rows) mirror[row.id.key] = row.value;
+    };
+    callbacks.on_change = [this](const store::Row& row) {
+      if (row.removed) {
+        mirror.erase(row.id.key);
+      } else {
+        mirror[row.id.key] = row.value;
+      }
+    };
+    callbacks.on_contact = [this](bool now) { reached = now; };
+    return callbacks;
+  }
+
+  void start() { net::asio::co_spawn(context, follower.run(), net::asio::detached); }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a table is read whole and then followed", "[store]") {
+  table.put("t", "", "a", "1");
+  start();
+  run_until(context, [&] { return mirror.count("a") == 1; });
+  table.put("t", "", "b", "2");
+  table.remove("t", "", "a");
+  run_until(context, [&] { return mirror.count("b") == 1 && mirror.count("a") == 0; });
+  REQUIRE(wholes == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "after a lost history the table is read whole again", "[store]") {
+  start();
+  run_until(context, [&] { return wholes == 1; });
+  table.put("t", "", "a", "1");
+  table.forget_history();
+  run_until(context, [&] { return mirror.count("a") == 1; });
+  REQUIRE(wholes == 2);
+}
+
+TEST_CASE_METHOD(Fixture, "a read older than what was seen is not taken over", "[store]") {
+  table.put("t", "", "a", "1");
+  start();
+  run_until(context, [&] { return mirror.count("a") == 1; });
+  table.put("t", "", "a", "2");
+  run_until(context, [&] { return mirror["a"] == "2"; });
+  table.serve_stale_reads(0);
+  table.put("t", "", "a", "3");
+  table.forget_history();
+  const int reads = table.reads();
+  run_until(context, [&] { return table.reads() >= reads + 2; });
+  REQUIRE(mirror["a"] == "2");
+  table.serve_stale_reads(-1);
+  run_until(context, [&] { return mirror["a"] == "3"; });
+}
+
+TEST_CASE_METHOD(Fixture, "an outage is noticed and its end too", "[store]") {
+  start();
+  run_until(context, [&] { return reached; });
+  table.set_mode(MemoryTable::Mode::kRefuses);
+  run_until(context, [&] { return !reached; });
+  table.set_mode(MemoryTable::Mode::kUp);
+  table.put("t", "", "a", "1");
+  run_until(context, [&] { return reached && mirror.count("a") == 1; });
+}
+
+TEST_CASE_METHOD(Fixture, "a version that somebody else saw makes older reads stale", "[store]") {
+  table.put("t", "", "a", "1");
+  follower.note_version(50);
+  start();
+  run_until(context, [&] { return table.reads() >= 2; });
+  REQUIRE(wholes == 0);
+}
--- /dev/null
+++ b/tests/support/memory_table.hpp
@@ -0,0 +1,67 @@
+/// @file A table store in memory, with the faults of a real one.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "store/table_store.hpp"
+
+namespace sailgate::test {
+
+class MemoryTable : public store::TableStore {
+ public:
+  enum class Mode {
+    kUp,
+    kRefuses,      ///< nothing is done
+    kLosesAnswers, ///< writes are done, the caller is not told
+    kLate,         ///< writes are done when apply_late() is called, the caller is not told
+  };
+
+  explicit MemoryTable(net::asio::io_context& context) : context_(context) {}
+
+  net::asio::awaitable<store::StoreResult> transact(store::Transaction transaction,
+                                                    net::Millis timeout) override;
+  net::asio::awaitable<store::StoreResult> read(store::RangeRead range,
+                                                net::Millis timeout) override;
+  net::asio::awaitable<store::StoreResult> follow(std::string table, std::int64_t after,
+                                                  net::Millis wait, net::Millis timeout) override;
+
+  void set_mode(Mode mode) { mode_ = mode; }
+  /// Writes that were held back take effect now, where their conditions hold.
+  void apply_late();
+  /// Feeds from before now answer that the history is lost.
+  void forget_history() { history_start_ = version_; }
+  /// The next whole reads show the table as it was at `version`.
+  void serve_stale_reads(std::int64_t version) { stale_version_ = version; }
+
+  /// Writes one row without conditions.
+  void put(const std::string& table, const std::string& part, const std::string& key,
+           const std::string& value);
+  void remove(const std::string& table, const std::string& part, const std::string& key);
+  bool has(const std::string& table, const std::string& key) const;
+  std::int64_t version() const { return version_; }
+  int writes() const { return writes_; }
+  int reads() const { return reads_; }
+
+ private:
+  using Key = std::tuple<std::string, std::string, std::string>;
+
+  static Key key_of(const store::RowId& id) { return {id.table, id.part, id.key}; }
+  store::StoreResult apply(const store::Transaction& transaction);
+
+  net::asio::io_context& context_;
+  Mode mode_ = Mode::kUp;
+  std::map<Key, store::Row> rows_;
+  std::vector<store::Row> history_;
+  std::deque<store::Transaction> late_;
+  std::int64_t version_ = 0;
+  std::int64_t history_start_ = 0;
+  std::int64_t stale_version_ = -1;
+  int writes_ = 0;
+  int reads_ = 0;
+};
+
+}  // namespace sailgate::test
