--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -20,6 +20,12 @@
 /// One call to the store; a silent one is tried again while the deadline allows.
 constexpr net::Millis kStoreTimeout{700};
 constexpr net::Millis kRetryPause{40};
+/// Turns that wait for the store take at most this much memory.
+constexpr std::size_t kDeferredBytes = std::size_t{32} << 20U;
+constexpr std::size_t kBatchBytes = std::size_t{512} << 10U;
+constexpr std::size_t kBatchRows = 80;
+constexpr net::Millis kDeferredTimeout{250};
+constexpr net::Millis kDeferredPause{40};
 constexpr std::size_t kTurnCacheBytes = std::size_t{24} << 20U;
 
 std::string part_of(const std::string& key) {
@@ -110,7 +116,7 @@
   } else if (result.status == StoreStatus::kConflict) {
     adopt_rows(*program, result);
   }
-  co_return result.status;
+  co_return note(result.status);
 }
 
 net::asio::awaitable<bool> ProgramLedger::read_budget(std::string id, ProgramPointer program,
@@ -121,7 +127,7 @@
   range.from_key = id;
   range.limit = 1;
   auto result = co_await store_.read(range, call_time(deadline));
-  if (result.status != StoreStatus::kDone) co_return false;
+  if (note(result.status) != StoreStatus::kDone) co_return false;
   if (!result.rows.empty() && result.rows.front().id.key != id) result.rows.clear();
   adopt_rows(*program, result);
   co_return true;
@@ -161,7 +167,7 @@
 
 net::asio::awaitable<Lookup> ProgramLedger::find_turn(std::string id, net::TimePoint deadline) {
   std::vector<wire::TurnRow> rows;  // newest first
-  TurnPointer known = turns_.find(id);
+  TurnPointer known = cached_turn(id);
   std::string wanted = id;
   while (known == nullptr && !wanted.empty()) {
     if (!time_left(deadline)) co_return Lookup{LookupOutcome::kUnavailable, nullptr};
@@ -171,7 +177,7 @@
     range.from_key = wanted;
     range.limit = 1;
     const auto result = co_await store_.read(range, call_time(deadline));
-    if (result.status != StoreStatus::kDone) {
+    if (note(result.status) != StoreStatus::kDone) {
       co_await net::sleep_for(context_, kRetryPause);
       continue;
     }
@@ -181,12 +187,17 @@
     }
     rows.push_back(wire::decode<wire::TurnRow>(result.rows.front().value));
     wanted = rows.back().earlier;
-    if (!wanted.empty()) known = turns_.find(wanted);
+    if (!wanted.empty()) known = cached_turn(wanted);
   }
   for (auto row = rows.rbegin(); row != rows.rend(); ++row) known = remember_chain(*row, known);
   co_return Lookup{LookupOutcome::kFound, known};
 }
 
+TurnPointer ProgramLedger::cached_turn(const std::string& id) const {
+  const auto waiting = deferred_.find(id);
+  return waiting == deferred_.end() ? turns_.find(id) : waiting->second;
+}
+
 TurnPointer ProgramLedger::remember_chain(const wire::TurnRow& row, TurnPointer earlier) {
   if (row.segments.empty()) throw std::invalid_argument("a turn's row has no segments");
   TurnPointer last = std::move(earlier);
@@ -202,20 +213,66 @@
   return last;
 }
 
-net::asio::awaitable<bool> ProgramLedger::record_turn(TurnPointer turn, net::TimePoint deadline) {
+store::StoreStatus ProgramLedger::note(StoreStatus status) {
+  const bool failed = status == StoreStatus::kRefused || status == StoreStatus::kUnknown;
+  if (failed) last_failure_ = net::Clock::now();
+  return status;
+}
+
+store::Row ProgramLedger::turn_row(const Turn& turn) const {
   store::Row row;
-  row.id = {kTurnTable, part_of(turn->id), turn->id};
-  row.value = wire::encode(encode_turn(*turn));
-  while (true) {
-    store::Transaction transaction;
-    transaction.puts.push_back(row);
-    const auto result = co_await store_.transact(std::move(transaction), call_time(deadline));
-    if (result.status == StoreStatus::kDone) break;
-    if (!time_left(deadline)) co_return false;
-    co_await net::sleep_for(context_, kRetryPause);
-  }
+  row.id = {kTurnTable, part_of(turn.id), turn.id};
+  row.value = wire::encode(encode_turn(turn));
+  return row;
+}
+
+net::asio::awaitable<bool> ProgramLedger::write_turn(TurnPointer turn, net::Millis timeout) {
+  store::Transaction transaction;
+  transaction.puts.push_back(turn_row(*turn));
+  const auto result = co_await store_.transact(std::move(transaction), timeout);
+  if (note(result.status) != StoreStatus::kDone) co_return false;
   turns_.put(std::move(turn));
   co_return true;
 }
 
+bool ProgramLedger::defer_turn(TurnPointer turn) {
+  const auto size = turn->input.size() + turn->output.size();
+  if (deferred_bytes_ + size > kDeferredBytes) return false;
+  turns_.put(turn);
+  if (deferred_.emplace(turn->id, turn).second) deferred_bytes_ += size;
+  return true;
+}
+
+net::asio::awaitable<bool> ProgramLedger::write_deferred_batch() {
+  store::Transaction transaction;
+  transaction.across_parts = true;
+  std::vector<std::string> written;
+  std::size_t bytes = 0;
+  for (const auto& [id, turn] : deferred_) {
+    auto row = turn_row(*turn);
+    bytes += row.value.size();
+    if (!written.empty() && (bytes > kBatchBytes || written.size() == kBatchRows)) break;
+    written.push_back(id);
+    transaction.puts.push_back(std::move(row));
+  }
+  const auto result = co_await store_.transact(std::move(transaction), kDeferredTimeout);
+  if (note(result.status) != StoreStatus::kDone) co_return false;
+  for (const auto& id : written) {
+    const auto entry = deferred_.find(id);
+    if (entry == deferred_.end()) continue;
+    deferred_bytes_ -= entry->second->input.size() + entry->second->output.size();
+    deferred_.erase(entry);
+  }
+  log_.event("deferred_turns_written").with("count", written.size()).with("left", deferred_.size());
+  co_return true;
+}
+
+net::asio::awaitable<void> ProgramLedger::write_deferred() {
+  while (true) {
+    const bool waiting = !deferred_.empty();
+    const bool written = waiting && co_await write_deferred_batch();
+    if (!written) co_await net::sleep_for(context_, kDeferredPause);
+  }
+}
+
 }  // namespace sailgate::ledger
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -48,13 +49,21 @@
   /// A finished turn with its whole chain.
   net::asio::awaitable<Lookup> find_turn(std::string id, net::TimePoint deadline);
   /// A turn that needs no read; nullptr when there is none.
-  TurnPointer cached_turn(const std::string& id) const { return turns_.find(id); }
+  TurnPointer cached_turn(const std::string& id) const;
   /// Takes turns that another node knows to be durable. Cached ones are shared, not copied.
   /// @return the last one. @throws std::invalid_argument when there are no segments.
   TurnPointer remember_chain(const wire::TurnRow& row, TurnPointer earlier);
 
-  /// Makes a finished turn durable. @return whether it is.
-  net::asio::awaitable<bool> record_turn(TurnPointer turn, net::TimePoint deadline);
+  /// Tries once to write a finished turn. @return whether the store has it.
+  net::asio::awaitable<bool> write_turn(TurnPointer turn, net::Millis timeout);
+
+  /// Keeps a finished turn in memory until the store takes it. @return false when there is no room.
+  bool defer_turn(TurnPointer turn);
+  std::size_t deferred_turns() const { return deferred_.size(); }
+  /// Writes deferred turns as soon as the store takes them; runs as long as the event loop.
+  net::asio::awaitable<void> write_deferred();
+  /// The store failed a call, at the time of the last failure.
+  net::TimePoint last_store_failure() const { return last_failure_; }
 
  private:
   struct Program {
@@ -77,12 +86,20 @@
                                          net::TimePoint deadline);
   static void adopt_rows(Program& program, const store::StoreResult& result);
 
+  /// Notes how a call to the store ended.
+  store::StoreStatus note(store::StoreStatus status);
+  store::Row turn_row(const Turn& turn) const;
+  net::asio::awaitable<bool> write_deferred_batch();
+
   net::asio::io_context& context_;
   store::TableStore& store_;
   observe::StructuredLog& log_;
   std::int64_t holder_;
   std::unordered_map<std::string, ProgramPointer> programs_;
   TurnCache turns_;
+  std::map<std::string, TurnPointer> deferred_;
+  std::size_t deferred_bytes_ = 0;
+  net::TimePoint last_failure_{};
 };
 
 }  // namespace sailgate::ledger
