Try: owners write deferred turns every 30 ms, copies later

Change: a node tries its own deferred turns every 30 ms without waiting for earlier tries. Conclusion: all power may go while the store is still down; a turn that only nodes' memory holds must not be answered whole.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -57,6 +57,11 @@
   1: ledger.TurnRow chain
 }
 
+/** To the nodes that keep copies: the table store has these turns. */
+struct ForgetTurns {
+  1: list<string> turns
+}
+
 /** Gateway to the program's home: the turn ended. */
 struct EndTurn {
   1: string program
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -12,6 +12,7 @@
 constexpr const char* kBeginPath = "/peer/turns/begin";
 constexpr const char* kReleasePath = "/peer/budgets/release";
 constexpr const char* kKeepPath = "/peer/turns/keep";
+constexpr const char* kForgetPath = "/peer/turns/forget";
 constexpr const char* kEndPath = "/peer/turns/end";
 /// A home that answers later than this is passed over.
 constexpr net::Millis kHomeTimeout{250};
@@ -29,6 +30,12 @@
 constexpr std::size_t kCopiesAsked = 11;
 constexpr std::size_t kCopiesNeeded = 4;
 constexpr net::Millis kRecordPause{60};
+/// A node tries to write its own deferred turns this often, without waiting for earlier tries: a
+/// store that was silent leaves those hanging.
+constexpr net::Millis kOwnWriteInterval{30};
+constexpr int kMostWritesUnderWay = 8;
+/// Copies are tried once in so many intervals: their owner comes first.
+constexpr int kCopyIntervals = 8;
 /// After trouble with the store a turn may be in some node's memory only.
 constexpr net::Millis kDeferredDoubt{6000};
 /// Longest retention: a process that is older has seen every turn's writers.
@@ -157,7 +164,7 @@
   const auto now = net::Clock::now();
   const bool old_enough = first_start_ || now - started_at_ > kStartDoubt;
   return old_enough && now - ledger_.last_store_failure() > kDeferredDoubt &&
-         ledger_.deferred_turns() == 0 &&
+         ledger_.deferred().size() == 0 &&
          !directory_.any_deferred(now, beacons_.silence_limit());
 }
 
@@ -205,13 +212,50 @@
   auto timeout = failing ? kLaterWriteTimeout : kFirstWriteTimeout;
   while (true) {
     if (co_await ledger_.write_turn(turn, timeout)) co_return true;
-    if (co_await replicate(turn)) co_return ledger_.defer_turn(turn);
+    if (co_await replicate(turn)) {
+      co_return ledger_.defer_turn(turn, ledger::DeferredTurns::Role::kOwner);
+    }
     if (net::Clock::now() >= deadline) co_return false;
     co_await net::sleep_for(context_, kRecordPause);
     timeout = kFirstWriteTimeout;
   }
 }
 
+net::asio::awaitable<void> TurnKeeper::tell_written(Peer peer, std::string message) {
+  const auto http = client(peer);
+  auto call = post(kForgetPath, std::move(message));
+  co_await http->exchange(std::move(call), kKeepTimeout);
+}
+
+net::asio::awaitable<void> TurnKeeper::write_deferred_of(ledger::DeferredTurns::Role role) {
+  ++writes_under_way_;
+  wire::ForgetTurns message;
+  message.turns = co_await ledger_.write_deferred(role);
+  --writes_under_way_;
+  if (message.turns.empty()) co_return;
+  const auto bytes = wire::encode(message);
+  const auto peers =
+      directory_.spread(kCopiesAsked, net::Clock::now(), beacons_.silence_limit());
+  for (const auto& peer : peers) {
+    net::asio::co_spawn(context_, tell_written(peer, bytes), net::asio::detached);
+  }
+}
+
+net::asio::awaitable<void> TurnKeeper::write_deferred() {
+  using Role = ledger::DeferredTurns::Role;
+  for (int round = 0;; ++round) {
+    co_await net::sleep_for(context_, kOwnWriteInterval);
+    if (writes_under_way_ >= kMostWritesUnderWay) continue;
+    const auto& deferred = ledger_.deferred();
+    const bool copies = round % kCopyIntervals == 0 && deferred.count(Role::kCopy) > 0;
+    if (deferred.count(Role::kOwner) > 0) {
+      net::asio::co_spawn(context_, write_deferred_of(Role::kOwner), net::asio::detached);
+    } else if (copies) {
+      net::asio::co_spawn(context_, write_deferred_of(Role::kCopy), net::asio::detached);
+    }
+  }
+}
+
 void TurnKeeper::end(const std::string& program, const TurnStart& start, std::int64_t reserved,
                      std::int64_t used, ledger::TurnPointer turn) {
   if (start.keeper.empty()) {
@@ -273,9 +317,13 @@
       }
     } else if (request.target() == kKeepPath) {
       const auto message = wire::decode<wire::KeepTurn>(request.body());
-      if (!ledger_.defer_turn(ledger_.remember_chain(message.chain, nullptr))) {
+      auto turn = ledger_.remember_chain(message.chain, nullptr);
+      if (!ledger_.defer_turn(std::move(turn), ledger::DeferredTurns::Role::kCopy)) {
         response.result(net::http::status::insufficient_storage);
       }
+    } else if (request.target() == kForgetPath) {
+      const auto message = wire::decode<wire::ForgetTurns>(request.body());
+      for (const auto& id : message.turns) ledger_.deferred().forget(id);
     } else {
       response.result(net::http::status::not_found);
     }
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -57,6 +57,9 @@
   /// several other nodes, each of which writes it when the store is back. @return whether it is.
   net::asio::awaitable<bool> record(ledger::TurnPointer turn, net::TimePoint deadline);
 
+  /// Writes deferred turns as soon as the store takes them; runs as long as the event loop.
+  net::asio::awaitable<void> write_deferred();
+
   /// Calls of other nodes.
   net::asio::awaitable<net::TextResponse> serve(net::TextRequest request);
 
@@ -72,6 +75,8 @@
   };
 
   net::asio::awaitable<TurnStart> begin_here(TurnRequest request, net::TimePoint deadline);
+  net::asio::awaitable<void> write_deferred_of(ledger::DeferredTurns::Role role);
+  net::asio::awaitable<void> tell_written(Peer peer, std::string message);
   net::asio::awaitable<bool> replicate(ledger::TurnPointer turn);
   net::asio::awaitable<void> replicate_to(Peer peer, std::string message,
                                           std::shared_ptr<Acknowledgements> acknowledgements);
@@ -99,6 +104,7 @@
   observe::StructuredLog& log_;
   bool first_start_;  ///< no process of the system ran before this one
   net::TimePoint started_at_;
+  int writes_under_way_ = 0;
   std::unordered_map<std::string, Client> clients_;
 };
 
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -25,7 +25,6 @@
 constexpr std::size_t kBatchBytes = std::size_t{512} << 10U;
 constexpr std::size_t kBatchRows = 80;
 constexpr net::Millis kDeferredTimeout{250};
-constexpr net::Millis kDeferredPause{40};
 constexpr std::size_t kTurnCacheBytes = std::size_t{24} << 20U;
 
 std::string part_of(const std::string& key) {
@@ -45,7 +44,8 @@
 
 ProgramLedger::ProgramLedger(net::asio::io_context& context, store::TableStore& store,
                              observe::StructuredLog& log, std::int64_t holder)
-    : context_(context), store_(store), log_(log), holder_(holder), turns_(kTurnCacheBytes) {}
+    : context_(context), store_(store), log_(log), holder_(holder),
+      turns_(kTurnCacheBytes), deferred_(kDeferredBytes) {}
 
 ProgramLedger::ProgramPointer ProgramLedger::program(const std::string& id) {
   auto& entry = programs_[id];
@@ -194,8 +194,8 @@
 }
 
 TurnPointer ProgramLedger::cached_turn(const std::string& id) const {
-  const auto waiting = deferred_.find(id);
-  return waiting == deferred_.end() ? turns_.find(id) : waiting->second;
+  auto waiting = deferred_.find(id);
+  return waiting == nullptr ? turns_.find(id) : waiting;
 }
 
 TurnPointer ProgramLedger::remember_chain(const wire::TurnRow& row, TurnPointer earlier) {
@@ -235,44 +235,30 @@
   co_return true;
 }
 
-bool ProgramLedger::defer_turn(TurnPointer turn) {
-  const auto size = turn->input.size() + turn->output.size();
-  if (deferred_bytes_ + size > kDeferredBytes) return false;
+bool ProgramLedger::defer_turn(TurnPointer turn, DeferredTurns::Role role) {
   turns_.put(turn);
-  if (deferred_.emplace(turn->id, turn).second) deferred_bytes_ += size;
-  return true;
+  return deferred_.put(std::move(turn), role);
 }
 
-net::asio::awaitable<bool> ProgramLedger::write_deferred_batch() {
+net::asio::awaitable<std::vector<std::string>> ProgramLedger::write_deferred(
+    DeferredTurns::Role role) {
+  const auto batch = deferred_.batch(role, kBatchRows, kBatchBytes);
+  std::vector<std::string> written;
+  if (batch.empty()) co_return written;
   store::Transaction transaction;
   transaction.across_parts = true;
-  std::vector<std::string> written;
-  std::size_t bytes = 0;
-  for (const auto& [id, turn] : deferred_) {
-    auto row = turn_row(*turn);
-    bytes += row.value.size();
-    if (!written.empty() && (bytes > kBatchBytes || written.size() == kBatchRows)) break;
-    written.push_back(id);
-    transaction.puts.push_back(std::move(row));
-  }
+  for (const auto& turn : batch) transaction.puts.push_back(turn_row(*turn));
   const auto result = co_await store_.transact(std::move(transaction), kDeferredTimeout);
-  if (note(result.status) != StoreStatus::kDone) co_return false;
-  for (const auto& id : written) {
-    const auto entry = deferred_.find(id);
-    if (entry == deferred_.end()) continue;
-    deferred_bytes_ -= entry->second->input.size() + entry->second->output.size();
-    deferred_.erase(entry);
-  }
-  log_.event("deferred_turns_written").with("count", written.size()).with("left", deferred_.size());
-  co_return true;
-}
-
-net::asio::awaitable<void> ProgramLedger::write_deferred() {
-  while (true) {
-    const bool waiting = !deferred_.empty();
-    const bool written = waiting && co_await write_deferred_batch();
-    if (!written) co_await net::sleep_for(context_, kDeferredPause);
+  if (note(result.status) != StoreStatus::kDone) co_return written;
+  for (const auto& turn : batch) {
+    deferred_.forget(turn->id);
+    written.push_back(turn->id);
   }
+  log_.event("deferred_turns_written")
+      .with("count", written.size())
+      .with("own", static_cast<int>(role == DeferredTurns::Role::kOwner))
+      .with("left", deferred_.size());
+  co_return written;
 }
 
 }  // namespace sailgate::ledger
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -2,12 +2,12 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
 
 #include "ledger/budget_account.hpp"
+#include "ledger/deferred_turns.hpp"
 #include "ledger/turn_cache.hpp"
 #include "net/async_mutex.hpp"
 #include "observe/structured_log.hpp"
@@ -57,11 +57,12 @@
   /// Tries once to write a finished turn. @return whether the store has it.
   net::asio::awaitable<bool> write_turn(TurnPointer turn, net::Millis timeout);
 
-  /// Keeps a finished turn in memory until the store takes it. @return false when there is no room.
-  bool defer_turn(TurnPointer turn);
-  std::size_t deferred_turns() const { return deferred_.size(); }
-  /// Writes deferred turns as soon as the store takes them; runs as long as the event loop.
-  net::asio::awaitable<void> write_deferred();
+  DeferredTurns& deferred() { return deferred_; }
+  const DeferredTurns& deferred() const { return deferred_; }
+  /// Makes a deferred turn readable at this node. @return false when there is no room for it.
+  bool defer_turn(TurnPointer turn, DeferredTurns::Role role);
+  /// Tries once to write some deferred turns of a role. @return those that the store has now.
+  net::asio::awaitable<std::vector<std::string>> write_deferred(DeferredTurns::Role role);
   /// The store failed a call, at the time of the last failure.
   net::TimePoint last_store_failure() const { return last_failure_; }
 
@@ -89,7 +90,6 @@
   /// Notes how a call to the store ended.
   store::StoreStatus note(store::StoreStatus status);
   store::Row turn_row(const Turn& turn) const;
-  net::asio::awaitable<bool> write_deferred_batch();
 
   net::asio::io_context& context_;
   store::TableStore& store_;
@@ -97,8 +97,7 @@
   std::int64_t holder_;
   std::unordered_map<std::string, ProgramPointer> programs_;
   TurnCache turns_;
-  std::map<std::string, TurnPointer> deferred_;
-  std::size_t deferred_bytes_ = 0;
+  DeferredTurns deferred_;
   net::TimePoint last_failure_{};
 };
 
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -39,7 +39,7 @@
   wire::Beacon beacon(std::int64_t incarnation) const {
     wire::Beacon message;
     message.incarnation = incarnation;
-    message.deferred_turns = static_cast<std::int32_t>(ledger.deferred_turns());
+    message.deferred_turns = static_cast<std::int32_t>(ledger.deferred().size());
     for (const auto& engine : engines.all()) {
       if (engine->in_flight == 0) continue;
       wire::EngineLoad load;
