Reach the store through a peer where it refuses a node; adapt patience to its speed

Cause: with a third of the nodes refused by the store, 34 of 1000 programs failed on them; a lost answer cost 450 ms. Change: while a node's own calls fail, a peer that says it reaches the store makes them; tries without an answer are repeated under the same conditions after a time that follows the store's latency.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -21,6 +21,53 @@
 struct Beacon {
   1: i64 incarnation
   2: list<EngineLoad> loads
+  /** Whether the table store answers the sender's own calls. */
+  3: bool reaches_store
+}
+
+/** Calls of the table store that a peer makes for the sender; see store/table_store.hpp. */
+struct StoreRowId {
+  1: string table
+  2: string part
+  3: string key
+}
+
+struct StoreRow {
+  1: StoreRowId id
+  2: binary value
+  3: i64 version
+  4: bool removed
+}
+
+struct StoreTransact {
+  1: list<StoreRow> conditions
+  2: list<StoreRow> puts
+  3: list<StoreRowId> removals
+  4: i32 timeout_ms
+}
+
+struct StoreRead {
+  1: string table
+  2: string part
+  3: string from_key
+  4: string to_key
+  5: i32 limit
+  6: i32 timeout_ms
+}
+
+struct StoreFollow {
+  1: string table
+  2: i64 after
+  3: i32 wait_ms
+  4: i32 timeout_ms
+}
+
+struct StoreReply {
+  /** Value of store::StoreStatus. */
+  1: i32 status
+  2: list<StoreRow> rows
+  3: i64 version
+  4: bool more
 }
 
 /** How a look-up or reservation ended; the values of ledger::LookupOutcome and ReserveOutcome. */
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -39,6 +39,7 @@
   for (auto& [node, peer] : peers_) {
     if (peer.incarnation != beacon.incarnation) continue;
     peer.last_heard = now;
+    peer.reaches_store = beacon.reaches_store;
     peer.loads.clear();
     for (const auto& load : beacon.loads) peer.loads[load.engine] = load.in_flight;
     return true;
@@ -77,6 +78,16 @@
   return nullptr;
 }
 
+std::vector<Peer> PeerDirectory::reaching_store(net::TimePoint now, net::Millis silence) const {
+  std::vector<Peer> near;
+  std::vector<Peer> far;
+  for (const auto& [node, peer] : peers_) {
+    if (!peer.reaches_store || !is_live(peer, now, silence)) continue;
+    (peer.zone == zone_ ? near : far).push_back(peer);
+  }
+  return near.empty() ? far : near;
+}
+
 int PeerDirectory::peer_load(const std::string& engine, net::TimePoint now,
                              net::Millis silence) const {
   int sum = 0;
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -23,6 +23,7 @@
   net::TimePoint last_heard{};
   net::TimePoint suspected_until{};  ///< a call failed: not used until then
   std::map<std::string, int> loads;  ///< engine id to requests in flight
+  bool reaches_store = false;        ///< the store answers its own calls
 };
 
 /// Deterministic, not thread-safe.
@@ -50,6 +51,9 @@
   /// @return the peer with this incarnation, live or not; nullptr when it is unknown.
   const Peer* find(std::int64_t incarnation) const;
 
+  /// Live peers that the store answers; those of this zone if there are any.
+  std::vector<Peer> reaching_store(net::TimePoint now, net::Millis silence) const;
+
   /// Requests of live peers in flight at an engine.
   int peer_load(const std::string& engine, net::TimePoint now, net::Millis silence) const;
 
--- /dev/null
+++ b/src/cluster/store_relay.cpp
@@ -0,0 +1,224 @@
+#include "cluster/store_relay.hpp"
+
+#include <algorithm>
+
+#include "wire/codec.hpp"
+
+namespace sailgate::cluster {
+
+namespace {
+
+constexpr const char* kTransactPath = "/peer/store/transact";
+constexpr const char* kReadPath = "/peer/store/read";
+constexpr const char* kFollowPath = "/peer/store/follow";
+/// While calls are relayed, one in this time is made directly, to see whether that works again.
+constexpr net::Millis kProbeInterval{400};
+/// A relayed call may take this much longer than a direct one.
+constexpr net::Millis kRelayTime{40};
+/// A relayed feed does not wait long: the peer may be lost meanwhile.
+constexpr net::Millis kRelayedWait{300};
+
+using store::StoreResult;
+using store::StoreStatus;
+
+wire::StoreRowId to_wire(const store::RowId& id) {
+  wire::StoreRowId message;
+  message.table = id.table;
+  message.part = id.part;
+  message.key = id.key;
+  return message;
+}
+
+store::RowId from_wire(const wire::StoreRowId& message) {
+  return {message.table, message.part, message.key};
+}
+
+wire::StoreRow to_wire(const store::Row& row) {
+  wire::StoreRow message;
+  message.id = to_wire(row.id);
+  message.value = row.value;
+  message.version = row.version;
+  message.removed = row.removed;
+  return message;
+}
+
+store::Row from_wire(const wire::StoreRow& message) {
+  store::Row row;
+  row.id = from_wire(message.id);
+  row.value = message.value;
+  row.version = message.version;
+  row.removed = message.removed;
+  return row;
+}
+
+wire::StoreReply to_wire(const StoreResult& result) {
+  wire::StoreReply message;
+  message.status = static_cast<std::int32_t>(result.status);
+  for (const auto& row : result.rows) message.rows.push_back(to_wire(row));
+  message.version = result.version;
+  message.more = result.more;
+  return message;
+}
+
+StoreResult from_wire(const wire::StoreReply& message) {
+  StoreResult result;
+  result.status = static_cast<StoreStatus>(message.status);
+  for (const auto& row : message.rows) result.rows.push_back(from_wire(row));
+  result.version = message.version;
+  result.more = message.more;
+  return result;
+}
+
+wire::StoreTransact to_wire(const store::Transaction& transaction, net::Millis timeout) {
+  wire::StoreTransact message;
+  for (const auto& condition : transaction.conditions) {
+    wire::StoreRow row;
+    row.id = to_wire(condition.id);
+    row.version = condition.version;
+    message.conditions.push_back(std::move(row));
+  }
+  for (const auto& row : transaction.puts) message.puts.push_back(to_wire(row));
+  for (const auto& id : transaction.removals) message.removals.push_back(to_wire(id));
+  message.timeout_ms = static_cast<std::int32_t>(timeout.count());
+  return message;
+}
+
+store::Transaction from_wire(const wire::StoreTransact& message) {
+  store::Transaction transaction;
+  for (const auto& row : message.conditions) {
+    transaction.conditions.push_back({from_wire(row.id), row.version});
+  }
+  for (const auto& row : message.puts) transaction.puts.push_back(from_wire(row));
+  for (const auto& id : message.removals) transaction.removals.push_back(from_wire(id));
+  return transaction;
+}
+
+bool failed(StoreStatus status) {
+  return status == StoreStatus::kRefused || status == StoreStatus::kUnknown;
+}
+
+net::Millis bounded(std::int32_t timeout_ms) {
+  constexpr net::Millis kLongest{3000};
+  return std::clamp(net::Millis(timeout_ms), net::Millis(1), kLongest);
+}
+
+}  // namespace
+
+void StoreRelay::note_direct(StoreStatus status) {
+  const bool works = !failed(status);
+  if (works == direct_works_) return;
+  direct_works_ = works;
+  log_.event(works ? "store_direct" : "store_relayed")
+      .with("peers", directory_.peers().size());
+}
+
+std::optional<Peer> StoreRelay::relay_for_now() {
+  if (direct_works_) return std::nullopt;
+  const auto now = net::Clock::now();
+  if (now >= next_probe_at_) {
+    next_probe_at_ = now + kProbeInterval;
+    return std::nullopt;
+  }
+  const auto able = directory_.reaching_store(now, silence_limit_);
+  if (able.empty()) return std::nullopt;
+  return able[random_.below(able.size())];
+}
+
+net::asio::awaitable<StoreResult> StoreRelay::relayed(Peer peer, const char* path,
+                                                      std::string body, net::Millis timeout) {
+  const auto http = clients_.get(peer);
+  auto call = peer_request(path, std::move(body));
+  const auto exchange = co_await http->exchange(std::move(call), timeout + kRelayTime);
+  StoreResult result;
+  result.status = exchange.failure == net::ExchangeFailure::kNotSent ? StoreStatus::kRefused
+                                                                     : StoreStatus::kUnknown;
+  if (!succeeded(exchange)) {
+    directory_.suspect(peer.node, net::Clock::now());
+    co_return result;
+  }
+  try {
+    result = from_wire(wire::decode<wire::StoreReply>(exchange.response.body()));
+  } catch (const std::exception&) {
+    result.status = StoreStatus::kUnknown;
+  }
+  co_return result;
+}
+
+net::asio::awaitable<StoreResult> StoreRelay::transact(store::Transaction transaction,
+                                                       net::Millis timeout) {
+  if (const auto peer = relay_for_now()) {
+    auto body = wire::encode(to_wire(transaction, timeout));
+    co_return co_await relayed(*peer, kTransactPath, std::move(body), timeout);
+  }
+  auto result = co_await direct_.transact(std::move(transaction), timeout);
+  note_direct(result.status);
+  co_return result;
+}
+
+net::asio::awaitable<StoreResult> StoreRelay::read(store::RangeRead range, net::Millis timeout) {
+  if (const auto peer = relay_for_now()) {
+    wire::StoreRead message;
+    message.table = range.table;
+    message.part = range.part;
+    message.from_key = range.from_key;
+    message.to_key = range.to_key;
+    message.limit = range.limit;
+    message.timeout_ms = static_cast<std::int32_t>(timeout.count());
+    auto body = wire::encode(message);
+    co_return co_await relayed(*peer, kReadPath, std::move(body), timeout);
+  }
+  auto result = co_await direct_.read(std::move(range), timeout);
+  note_direct(result.status);
+  co_return result;
+}
+
+net::asio::awaitable<StoreResult> StoreRelay::follow(std::string table, std::int64_t after,
+                                                     net::Millis wait, net::Millis timeout) {
+  if (const auto peer = relay_for_now()) {
+    wire::StoreFollow message;
+    message.table = table;
+    message.after = after;
+    message.wait_ms = static_cast<std::int32_t>(std::min(wait, kRelayedWait).count());
+    message.timeout_ms = static_cast<std::int32_t>(timeout.count());
+    auto body = wire::encode(message);
+    co_return co_await relayed(*peer, kFollowPath, std::move(body), timeout);
+  }
+  // While direct calls fail, a direct feed is a probe too: it must not hang for its whole wait.
+  const bool probing = !direct_works_;
+  const auto direct_wait = probing ? std::min(wait, kRelayedWait) : wait;
+  const auto direct_timeout = probing ? kRelayedWait * 2 : timeout;
+  auto result = co_await direct_.follow(std::move(table), after, direct_wait, direct_timeout);
+  note_direct(result.status);
+  co_return result;
+}
+
+bool StoreRelay::serves(std::string_view path) {
+  return path == kTransactPath || path == kReadPath || path == kFollowPath;
+}
+
+net::asio::awaitable<net::TextResponse> StoreRelay::serve(net::TextRequest request) {
+  net::TextResponse response;
+  StoreResult result;
+  if (request.target() == kTransactPath) {
+    const auto message = wire::decode<wire::StoreTransact>(request.body());
+    auto transaction = from_wire(message);
+    result = co_await direct_.transact(std::move(transaction), bounded(message.timeout_ms));
+  } else if (request.target() == kReadPath) {
+    const auto message = wire::decode<wire::StoreRead>(request.body());
+    store::RangeRead range;
+    range.table = message.table;
+    range.part = message.part;
+    range.from_key = message.from_key;
+    range.to_key = message.to_key;
+    range.limit = message.limit;
+    result = co_await direct_.read(std::move(range), bounded(message.timeout_ms));
+  } else {
+    const auto message = wire::decode<wire::StoreFollow>(request.body());
+    result = co_await direct_.follow(message.table, message.after, bounded(message.wait_ms),
+                                     bounded(message.timeout_ms));
+  }
+  response.body() = wire::encode(to_wire(result));
+  co_return response;
+}
+
+}  // namespace sailgate::cluster
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -22,29 +22,12 @@
 using ledger::LookupOutcome;
 using ledger::ReserveOutcome;
 
-net::TextRequest post(const char* path, std::string body) {
-  net::TextRequest request;
-  request.method(net::http::verb::post);
-  request.target(path);
-  request.body() = std::move(body);
-  return request;
-}
-
 net::Millis left_until(net::TimePoint deadline) {
   return std::chrono::duration_cast<net::Millis>(deadline - net::Clock::now());
 }
 
 }  // namespace
 
-std::shared_ptr<net::HttpClient> TurnKeeper::client(const Peer& peer) {
-  auto& entry = clients_[peer.node];
-  if (entry.http == nullptr || entry.incarnation != peer.incarnation) {
-    entry.incarnation = peer.incarnation;
-    entry.http = std::make_shared<net::HttpClient>(context_, peer.endpoint);
-  }
-  return entry.http;
-}
-
 net::asio::awaitable<TurnStart> TurnKeeper::begin_here(TurnRequest request,
                                                        net::TimePoint deadline) {
   TurnStart start;
@@ -75,11 +58,10 @@
     const Peer target = *peer;
     wire::ReleaseBudget message;
     message.program = program;
-    auto call = post(kReleasePath, wire::encode(message));
-    const auto http = client(target);
+    auto call = peer_request(kReleasePath, wire::encode(message));
+    const auto http = clients_.get(target);
     const auto exchange = co_await http->exchange(std::move(call), kReleaseTimeout);
-    const bool done = exchange.failure == net::ExchangeFailure::kNone &&
-                      exchange.response.result() == net::http::status::ok;
+    const bool done = succeeded(exchange);
     released = released || done;
     log_.event("tokens_gathered")
         .with("program", program)
@@ -99,12 +81,10 @@
   message.budget = request.budget;
   const auto timeout = std::min(kHomeTimeout, left_until(deadline));
   message.time_left_ms = static_cast<std::int32_t>(std::min(kHomeStoreTime, timeout).count());
-  const auto http = client(home);
-  auto call = post(kBeginPath, wire::encode(message));
+  const auto http = clients_.get(home);
+  auto call = peer_request(kBeginPath, wire::encode(message));
   auto exchange = co_await http->exchange(std::move(call), timeout);
-  const bool answered = exchange.failure == net::ExchangeFailure::kNone &&
-                        exchange.response.result() == net::http::status::ok;
-  if (!answered) {
+  if (!succeeded(exchange)) {
     directory_.suspect(home.node, net::Clock::now());
     log_.event("peer_lost").with("peer", home.node).with("program", request.program);
     co_return false;
@@ -154,9 +134,9 @@
 }
 
 net::asio::awaitable<void> TurnKeeper::end_at(Peer home, wire::EndTurn message) {
-  const auto http = client(home);
+  const auto http = clients_.get(home);
   // NOTE: sent once. A lost message leaves the reservation at its most, which is safe.
-  auto call = post(kEndPath, wire::encode(message));
+  auto call = peer_request(kEndPath, wire::encode(message));
   co_await http->exchange(std::move(call), kEndTimeout);
 }
 
@@ -179,27 +159,20 @@
 
 net::asio::awaitable<net::TextResponse> TurnKeeper::serve(net::TextRequest request) {
   net::TextResponse response;
-  try {
-    if (request.target() == kBeginPath) {
-      co_await serve_begin(request, response);
-    } else if (request.target() == kReleasePath) {
-      const auto message = wire::decode<wire::ReleaseBudget>(request.body());
-      const auto deadline = net::Clock::now() + kReleaseTimeout;
-      if (!co_await ledger_.release(message.program, deadline)) {
-        response.result(net::http::status::service_unavailable);
-      }
-    } else if (request.target() == kEndPath) {
-      const auto message = wire::decode<wire::EndTurn>(request.body());
-      if (message.reserved > 0) ledger_.settle(message.program, message.reserved, message.used);
-      if (!message.chain.segments.empty()) {
-        ledger_.remember_chain(message.chain, nullptr);
-      }
-    } else {
-      response.result(net::http::status::not_found);
+  if (request.target() == kBeginPath) {
+    co_await serve_begin(request, response);
+  } else if (request.target() == kReleasePath) {
+    const auto message = wire::decode<wire::ReleaseBudget>(request.body());
+    const auto deadline = net::Clock::now() + kReleaseTimeout;
+    if (!co_await ledger_.release(message.program, deadline)) {
+      response.result(net::http::status::service_unavailable);
     }
-  } catch (const std::exception& error) {
-    log_.event("peer_message_unreadable").with("why", error.what());
-    response.result(net::http::status::bad_request);
+  } else if (request.target() == kEndPath) {
+    const auto message = wire::decode<wire::EndTurn>(request.body());
+    if (message.reserved > 0) ledger_.settle(message.program, message.reserved, message.used);
+    if (!message.chain.segments.empty()) ledger_.remember_chain(message.chain, nullptr);
+  } else {
+    response.result(net::http::status::not_found);
   }
   co_return response;
 }
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -8,9 +8,9 @@
 
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 #include "cluster/beacon_sender.hpp"
+#include "cluster/peer_clients.hpp"
 #include "cluster/peer_directory.hpp"
 #include "ledger/program_ledger.hpp"
 #include "net/http_client.hpp"
@@ -38,10 +38,12 @@
 class TurnKeeper {
  public:
   TurnKeeper(net::asio::io_context& context, ledger::ProgramLedger& ledger,
-             PeerDirectory& directory, const BeaconSender& beacons, observe::StructuredLog& log)
+             PeerDirectory& directory, PeerClients& clients, const BeaconSender& beacons,
+             observe::StructuredLog& log)
       : context_(context),
         ledger_(ledger),
         directory_(directory),
+        clients_(clients),
         beacons_(beacons),
         log_(log) {}
 
@@ -50,7 +52,7 @@
   void end(const std::string& program, const TurnStart& start, std::int64_t reserved,
            std::int64_t used, ledger::TurnPointer turn);
 
-  /// Calls of other nodes.
+  /// Calls of other nodes. @throws std::exception when a message cannot be read.
   net::asio::awaitable<net::TextResponse> serve(net::TextRequest request);
 
  private:
@@ -62,20 +64,13 @@
   net::asio::awaitable<void> end_at(Peer home, wire::EndTurn message);
   net::asio::awaitable<void> serve_begin(const net::TextRequest& request,
                                          net::TextResponse& response);
-  /// Calls under way share the client: it may be replaced when the peer comes back anew.
-  std::shared_ptr<net::HttpClient> client(const Peer& peer);
-
-  struct Client {
-    std::int64_t incarnation = 0;
-    std::shared_ptr<net::HttpClient> http;
-  };
 
   net::asio::io_context& context_;
   ledger::ProgramLedger& ledger_;
   PeerDirectory& directory_;
+  PeerClients& clients_;
   const BeaconSender& beacons_;
   observe::StructuredLog& log_;
-  std::unordered_map<std::string, Client> clients_;
 };
 
 }  // namespace sailgate::cluster
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -17,9 +17,6 @@
 constexpr const char* kTurnTable = "turns";
 /// Rows are spread over this many parts: a part is written in turn.
 constexpr std::uint64_t kParts = 256;
-/// One call to the store; a silent one is tried again while the deadline allows.
-constexpr net::Millis kStoreTimeout{450};
-constexpr net::Millis kRetryPause{40};
 constexpr std::size_t kTurnCacheBytes = std::size_t{24} << 20U;
 
 std::string part_of(const std::string& key) {
@@ -27,19 +24,13 @@
   return std::to_string(digest % kParts);
 }
 
-/// Time for one call that ends before `deadline`.
-net::Millis call_time(net::TimePoint deadline) {
-  const auto left = std::chrono::duration_cast<net::Millis>(deadline - net::Clock::now());
-  return std::clamp(left, net::Millis(1), kStoreTimeout);
-}
-
 bool time_left(net::TimePoint deadline) { return net::Clock::now() < deadline; }
 
 }  // namespace
 
 ProgramLedger::ProgramLedger(net::asio::io_context& context, store::TableStore& store,
                              observe::StructuredLog& log, std::int64_t holder)
-    : context_(context), store_(store), log_(log), holder_(holder), turns_(kTurnCacheBytes) {}
+    : context_(context), store_(context, store, static_cast<std::uint64_t>(holder)), log_(log), holder_(holder), turns_(kTurnCacheBytes) {}
 
 ProgramLedger::ProgramPointer ProgramLedger::program(const std::string& id) {
   auto& entry = programs_[id];
@@ -71,7 +62,6 @@
     auto row = program->account.plan_grant(tokens, budget);
     if (!row && !fresh) {
       fresh = co_await read_budget(id, program, deadline);
-      if (!fresh) co_await net::sleep_for(context_, kRetryPause);
       continue;
     }
     if (!row) {
@@ -86,7 +76,6 @@
     const auto status = co_await write_budget(id, program, std::move(*row), deadline);
     if (status == StoreStatus::kDone) co_return ReserveOutcome::kReserved;
     fresh = fresh || status == StoreStatus::kConflict;
-    if (status != StoreStatus::kConflict) co_await net::sleep_for(context_, kRetryPause);
   }
   co_return ReserveOutcome::kUnavailable;
 }
@@ -102,9 +91,7 @@
   put.id = row_id;
   put.value = wire::encode(row);
   transaction.puts.push_back(std::move(put));
-  // NOTE: a write without an answer may still take effect. It is repeated under the same condition:
-  // at most one of them does, and a conflict shows the row as it is.
-  auto result = co_await store_.transact(std::move(transaction), call_time(deadline));
+  auto result = co_await store_.transact(std::move(transaction), deadline);
   if (result.status == StoreStatus::kDone) {
     program->account.adopt(std::move(row), result.version);
   } else if (result.status == StoreStatus::kConflict) {
@@ -120,7 +107,7 @@
   range.part = part_of(id);
   range.from_key = id;
   range.limit = 1;
-  auto result = co_await store_.read(range, call_time(deadline));
+  auto result = co_await store_.read(range, deadline);
   if (result.status != StoreStatus::kDone) co_return false;
   if (!result.rows.empty() && result.rows.front().id.key != id) result.rows.clear();
   adopt_rows(*program, result);
@@ -146,7 +133,6 @@
     if (!row) co_return true;
     const auto status = co_await write_budget(id, held, std::move(*row), deadline);
     if (status == StoreStatus::kDone) co_return true;
-    if (status != StoreStatus::kConflict) co_await net::sleep_for(context_, kRetryPause);
   }
   co_return false;
 }
@@ -164,16 +150,14 @@
   TurnPointer known = turns_.find(id);
   std::string wanted = id;
   while (known == nullptr && !wanted.empty()) {
-    if (!time_left(deadline)) co_return Lookup{LookupOutcome::kUnavailable, nullptr};
     store::RangeRead range;
     range.table = kTurnTable;
     range.part = part_of(wanted);
     range.from_key = wanted;
     range.limit = 1;
-    const auto result = co_await store_.read(range, call_time(deadline));
+    const auto result = co_await store_.read(range, deadline);
     if (result.status != StoreStatus::kDone) {
-      co_await net::sleep_for(context_, kRetryPause);
-      continue;
+      co_return Lookup{LookupOutcome::kUnavailable, nullptr};
     }
     if (result.rows.empty() || result.rows.front().id.key != wanted) {
       log_.event("turn_absent").with("turn", wanted).with("store_version", result.version);
@@ -206,14 +190,10 @@
   store::Row row;
   row.id = {kTurnTable, part_of(turn->id), turn->id};
   row.value = wire::encode(encode_turn(*turn));
-  while (true) {
-    store::Transaction transaction;
-    transaction.puts.push_back(row);
-    const auto result = co_await store_.transact(std::move(transaction), call_time(deadline));
-    if (result.status == StoreStatus::kDone) break;
-    if (!time_left(deadline)) co_return false;
-    co_await net::sleep_for(context_, kRetryPause);
-  }
+  store::Transaction transaction;
+  transaction.puts.push_back(std::move(row));
+  const auto result = co_await store_.transact(std::move(transaction), deadline);
+  if (result.status != StoreStatus::kDone) co_return false;
   turns_.put(std::move(turn));
   co_return true;
 }
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -10,7 +10,7 @@
 #include "ledger/turn_cache.hpp"
 #include "net/async_mutex.hpp"
 #include "observe/structured_log.hpp"
-#include "store/table_store.hpp"
+#include "store/retrying_store.hpp"
 
 namespace sailgate::ledger {
 
@@ -78,7 +78,7 @@
   static void adopt_rows(Program& program, const store::StoreResult& result);
 
   net::asio::io_context& context_;
-  store::TableStore& store_;
+  store::RetryingStore store_;
   observe::StructuredLog& log_;
   std::int64_t holder_;
   std::unordered_map<std::string, ProgramPointer> programs_;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -26,21 +26,20 @@
                  const EdgeProtocol& protocol, const PlatformRecords& records,
                  store::TableStore& store, observe::StructuredLog& log, std::int64_t incarnation)
     : context_(context),
-      store_(store),
       incarnation_(incarnation),
       state_(context, std::move(settings), protocol, store, log, incarnation),
       records_(records),
-      configuration_follower_(context, store, log, records.configuration_table(),
+      configuration_follower_(context, state_.store, log, records.configuration_table(),
                               configuration_callbacks()),
-      engine_follower_(context, store, log, records.engine_table(), engine_callbacks()),
-      peer_follower_(context, store, log, kPeerTable, peer_callbacks()),
+      engine_follower_(context, state_.store, log, records.engine_table(), engine_callbacks()),
+      peer_follower_(context, state_.store, log, kPeerTable, peer_callbacks()),
       acceptor_(context, state_.settings.callers),
       readiness_(context, state_.settings.readiness,
                  [this](net::TextRequest request) -> net::asio::awaitable<net::TextResponse> {
                    co_return answer_readiness(request);
                  }),
       peer_server_(context, state_.settings.peers, [this](net::TextRequest request) {
-        return state_.turns.serve(std::move(request));
+        return answer_peer(std::move(request));
       }) {
   state_.engines.on_leaving([this](const balancing::Engine& engine) {
     state_.connections.drop(engine.record.id);
@@ -55,6 +54,22 @@
   }
 }
 
+net::asio::awaitable<net::TextResponse> Gateway::answer_peer(net::TextRequest request) {
+  net::TextResponse response;
+  const std::string path(request.target().data(), request.target().size());
+  try {
+    if (cluster::StoreRelay::serves(path)) {
+      response = co_await state_.store.serve(std::move(request));
+    } else {
+      response = co_await state_.turns.serve(std::move(request));
+    }
+  } catch (const std::exception& error) {
+    state_.log.event("peer_message_unreadable").with("path", path).with("why", error.what());
+    response.result(net::http::status::bad_request);
+  }
+  co_return response;
+}
+
 net::TextResponse Gateway::answer_metrics() const {
   net::TextResponse response;
   response.set(net::http::field::content_type, "text/plain; version=0.0.4");
@@ -100,7 +115,7 @@
   while (!state_.stopping) {
     store::Transaction transaction;
     transaction.puts.push_back(row);
-    const auto result = co_await store_.transact(std::move(transaction), kStoreTimeout);
+    const auto result = co_await state_.store.transact(std::move(transaction), kStoreTimeout);
     if (result.status == store::StoreStatus::kDone) co_return;
     co_await net::sleep_for(context_, kRegisterPause);
   }
@@ -109,7 +124,7 @@
 net::asio::awaitable<void> Gateway::unregister_self() {
   store::Transaction transaction;
   transaction.removals.push_back({kPeerTable, "", state_.settings.node});
-  co_await store_.transact(std::move(transaction), kStoreTimeout);
+  co_await state_.store.transact(std::move(transaction), kStoreTimeout);
 }
 
 store::FollowerCallbacks Gateway::peer_callbacks() {
@@ -237,6 +252,7 @@
     co_await net::sleep_for(context_, kMaintenanceInterval);
     const auto now = net::Clock::now();
     state_.connections.expire(now);
+    state_.store.set_silence_limit(state_.beacons.silence_limit());
     for (const auto& engine : state_.engines.all()) {
       engine->peer_in_flight =
           state_.peers.peer_load(engine->record.id, now, state_.beacons.silence_limit());
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -47,9 +47,9 @@
   net::asio::awaitable<void> unregister_self();
   net::TextResponse answer_readiness(const net::TextRequest& request) const;
   net::TextResponse answer_metrics() const;
+  net::asio::awaitable<net::TextResponse> answer_peer(net::TextRequest request);
 
   net::asio::io_context& context_;
-  store::TableStore& store_;
   std::int64_t incarnation_;
   NodeState state_;
   const PlatformRecords& records_;
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -7,7 +7,9 @@
 #include "balancing/engine_registry.hpp"
 #include "base/random.hpp"
 #include "cluster/beacon_sender.hpp"
+#include "cluster/peer_clients.hpp"
 #include "cluster/peer_directory.hpp"
+#include "cluster/store_relay.hpp"
 #include "cluster/turn_keeper.hpp"
 #include "ledger/program_ledger.hpp"
 #include "observe/structured_log.hpp"
@@ -29,16 +31,20 @@
         protocol(edge_protocol),
         log(structured_log),
         connections(loop),
-        ledger(loop, table_store, structured_log, incarnation),
         peers(settings.node, settings.zone),
+        peer_clients(loop),
+        store(table_store, peers, peer_clients, structured_log,
+              static_cast<std::uint64_t>(incarnation)),
+        ledger(loop, store, structured_log, incarnation),
         beacons(loop, settings.peers, peers, [this, incarnation] { return beacon(incarnation); }),
-        turns(loop, ledger, peers, beacons, structured_log),
+        turns(loop, ledger, peers, peer_clients, beacons, structured_log),
         random(static_cast<std::uint64_t>(incarnation)) {}
 
   /// What this node tells its peers.
   wire::Beacon beacon(std::int64_t incarnation) const {
     wire::Beacon message;
     message.incarnation = incarnation;
+    message.reaches_store = store.direct_works();
     for (const auto& engine : engines.all()) {
       if (engine->in_flight == 0) continue;
       wire::EngineLoad load;
@@ -57,8 +63,10 @@
   balancing::EngineRegistry engines;
   bool engines_known = false;
   EngineConnectionPool connections;
-  ledger::ProgramLedger ledger;
   cluster::PeerDirectory peers;
+  cluster::PeerClients peer_clients;
+  cluster::StoreRelay store;  ///< the table store, through a peer where need be
+  ledger::ProgramLedger ledger;
   cluster::BeaconSender beacons;
   cluster::TurnKeeper turns;
   GatewayMetrics metrics;
--- /dev/null
+++ b/src/store/latency_estimate.cpp
@@ -0,0 +1,29 @@
+#include "store/latency_estimate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sailgate::store {
+
+namespace {
+
+constexpr double kMeanGain = 0.125;
+constexpr double kDeviationGain = 0.25;
+constexpr double kDeviations = 4;
+constexpr net::Millis kShortest{70};
+constexpr net::Millis kLongest{700};
+
+}  // namespace
+
+void LatencyEstimate::observe(net::Millis latency) {
+  const auto sample = static_cast<double>(latency.count());
+  deviation_ms_ += kDeviationGain * (std::abs(sample - mean_ms_) - deviation_ms_);
+  mean_ms_ += kMeanGain * (sample - mean_ms_);
+}
+
+net::Millis LatencyEstimate::patience() const {
+  const auto bound = std::llround(mean_ms_ + kDeviations * deviation_ms_);
+  return std::clamp(net::Millis(bound), kShortest, kLongest);
+}
+
+}  // namespace sailgate::store
--- /dev/null
+++ b/src/store/retrying_store.hpp
@@ -0,0 +1,43 @@
+/// @file Calls to the table store that are repeated until they are answered.
+#pragma once
+
+#include <optional>
+
+#include "base/random.hpp"
+#include "store/latency_estimate.hpp"
+#include "store/table_store.hpp"
+
+namespace sailgate::store {
+
+/// A call without an answer is sent again with the same conditions: of such repeats at most one
+/// takes effect, and a conflict shows the rows as they are. Unconditional writes must be idempotent.
+/// Not thread-safe.
+class RetryingStore {
+ public:
+  RetryingStore(net::asio::io_context& context, TableStore& store, std::uint64_t seed)
+      : context_(context), store_(store), random_(seed) {}
+
+  /// Ends with kDone or kConflict, or at the deadline with what the last try gave. One try is made
+  /// even when the deadline is over.
+  net::asio::awaitable<StoreResult> transact(Transaction transaction, net::TimePoint deadline);
+  net::asio::awaitable<StoreResult> read(RangeRead range, net::TimePoint deadline);
+
+ private:
+  /// Progress of one call.
+  struct Tries {
+    net::TimePoint deadline;
+    net::Millis patience;  ///< of the next try
+    net::Millis pause;     ///< after the next refusal
+  };
+
+  Tries begin(net::TimePoint deadline) const;
+  /// Notes how a try ended. @return how long to wait before the next one; nullopt: that was the last.
+  std::optional<net::Millis> next(Tries& tries, const StoreResult& result, net::TimePoint sent_at);
+
+  net::asio::io_context& context_;
+  TableStore& store_;
+  base::Random random_;
+  LatencyEstimate latency_;
+};
+
+}  // namespace sailgate::store
