--- a/src/cluster/store_relay.cpp
+++ b/src/cluster/store_relay.cpp
@@ -13,6 +13,8 @@
 constexpr const char* kFollowPath = "/peer/store/follow";
 /// While calls are relayed, one in this time is made directly, to see whether that works again.
 constexpr net::Millis kProbeInterval{400};
+/// Single answers get lost: so many direct calls in a row must fail before calls are relayed.
+constexpr int kFailuresToRelay = 3;
 /// A relayed call may take this much longer than a direct one.
 constexpr net::Millis kRelayTime{40};
 /// A relayed feed does not wait long: the peer may be lost meanwhile.
@@ -105,7 +107,8 @@
 }  // namespace
 
 void StoreRelay::note_direct(StoreStatus status) {
-  const bool works = !failed(status);
+  failures_in_a_row_ = failed(status) ? failures_in_a_row_ + 1 : 0;
+  const bool works = failures_in_a_row_ < kFailuresToRelay;
   if (works == direct_works_) return;
   direct_works_ = works;
   log_.event(works ? "store_direct" : "store_relayed")
--- a/src/cluster/store_relay.hpp
+++ b/src/cluster/store_relay.hpp
@@ -52,6 +52,7 @@
   observe::StructuredLog& log_;
   base::Random random_;
   net::Millis silence_limit_{1000};
+  int failures_in_a_row_ = 0;
   bool direct_works_ = true;
   net::TimePoint next_probe_at_{};
 };
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -12,10 +12,12 @@
 constexpr const char* kBeginPath = "/peer/turns/begin";
 constexpr const char* kReleasePath = "/peer/budgets/release";
 constexpr const char* kEndPath = "/peer/turns/end";
-/// A home that answers later than this is passed over.
-constexpr net::Millis kHomeTimeout{250};
-/// The home's own time at the store, which is part of the answer's.
-constexpr net::Millis kHomeStoreTime{180};
+/// The home's own time at the store: some tries of it, within these bounds.
+constexpr int kHomeStoreTries = 3;
+constexpr net::Millis kShortestHomeTime{180};
+constexpr net::Millis kLongestHomeTime{800};
+/// A home that answers so much later than its time at the store is passed over.
+constexpr net::Millis kHomeMargin{70};
 constexpr net::Millis kEndTimeout{400};
 constexpr net::Millis kReleaseTimeout{150};
 
@@ -79,8 +81,11 @@
   if (start.previous == nullptr) message.previous = request.previous;
   message.tokens = request.tokens;
   message.budget = request.budget;
-  const auto timeout = std::min(kHomeTimeout, left_until(deadline));
-  message.time_left_ms = static_cast<std::int32_t>(std::min(kHomeStoreTime, timeout).count());
+  const auto store_time = std::clamp(ledger_.store_patience() * kHomeStoreTries,
+                                     kShortestHomeTime, kLongestHomeTime);
+  const auto timeout = std::max(std::min(store_time + kHomeMargin, left_until(deadline)),
+                                net::Millis(1));
+  message.time_left_ms = static_cast<std::int32_t>(std::min(store_time, timeout).count());
   const auto http = clients_.get(home);
   auto call = peer_request(kBeginPath, wire::encode(message));
   auto exchange = co_await http->exchange(std::move(call), timeout);
@@ -143,7 +148,7 @@
 net::asio::awaitable<void> TurnKeeper::serve_begin(const net::TextRequest& request,
                                                    net::TextResponse& response) {
   const auto message = wire::decode<wire::BeginTurn>(request.body());
-  const auto time = std::clamp(net::Millis(message.time_left_ms), net::Millis(0), kHomeStoreTime);
+  const auto time = std::clamp(net::Millis(message.time_left_ms), net::Millis(0), kLongestHomeTime);
   TurnRequest turn;
   turn.program = message.program;
   turn.previous = message.previous;
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -40,6 +40,9 @@
   /// Ends a reservation. @param used tokens that were handed to the caller.
   void settle(const std::string& program, std::int64_t reserved, std::int64_t used);
 
+  /// Time in which the store answers a call, if it does.
+  net::Millis store_patience() const { return store_.patience(); }
+
   /// Gives back tokens of the program that no turn uses. @return whether the store has it so.
   net::asio::awaitable<bool> release(std::string program, net::TimePoint deadline);
   /// Other processes that hold tokens of the program, as far as this one knows.
--- a/src/store/latency_estimate.cpp
+++ b/src/store/latency_estimate.cpp
@@ -10,17 +10,26 @@
 constexpr double kMeanGain = 0.125;
 constexpr double kDeviationGain = 0.25;
 constexpr double kDeviations = 4;
+constexpr int kSilencesOfSlowness = 3;
 constexpr net::Millis kShortest{70};
 constexpr net::Millis kLongest{700};
 
 }  // namespace
 
 void LatencyEstimate::observe(net::Millis latency) {
+  silences_in_a_row_ = 0;
   const auto sample = static_cast<double>(latency.count());
   deviation_ms_ += kDeviationGain * (std::abs(sample - mean_ms_) - deviation_ms_);
   mean_ms_ += kMeanGain * (sample - mean_ms_);
 }
 
+void LatencyEstimate::note_silence(net::Millis waited) {
+  if (++silences_in_a_row_ < kSilencesOfSlowness) return;
+  const auto least = static_cast<double>(waited.count());
+  mean_ms_ = std::max(mean_ms_, least);
+  deviation_ms_ = std::max(deviation_ms_, least / kDeviations);
+}
+
 net::Millis LatencyEstimate::patience() const {
   const auto bound = std::llround(mean_ms_ + kDeviations * deviation_ms_);
   return std::clamp(net::Millis(bound), kShortest, kLongest);
--- a/src/store/latency_estimate.hpp
+++ b/src/store/latency_estimate.hpp
@@ -9,12 +9,16 @@
 class LatencyEstimate {
  public:
   void observe(net::Millis latency);
+  /// A try was given up after `waited`. Single answers get lost, which says nothing of the speed;
+  /// several in a row say that the store takes longer.
+  void note_silence(net::Millis waited);
   /// Time after which an answer is more likely lost than late.
   net::Millis patience() const;
 
  private:
   double mean_ms_ = 8;
   double deviation_ms_ = 8;
+  int silences_in_a_row_ = 0;
 };
 
 }  // namespace sailgate::store
--- a/src/store/retrying_store.cpp
+++ b/src/store/retrying_store.cpp
@@ -33,8 +33,8 @@
   }
   net::Millis pause{0};
   if (result.status == StoreStatus::kUnknown) {
-    // NOTE: the answer may be lost or late; patience grows, so that a slow store is not flooded.
-    latency_.observe(tries.patience);
+    // NOTE: the answer may be lost or late: patience grows, so that a slow store is not flooded.
+    latency_.note_silence(tries.patience);
     tries.patience = std::min(tries.patience * 2, kLongestPatience);
   } else {
     const auto jitter = random_.below(static_cast<std::uint64_t>(tries.pause.count()));
--- a/src/store/retrying_store.hpp
+++ b/src/store/retrying_store.hpp
@@ -22,6 +22,9 @@
   net::asio::awaitable<StoreResult> transact(Transaction transaction, net::TimePoint deadline);
   net::asio::awaitable<StoreResult> read(RangeRead range, net::TimePoint deadline);
 
+  /// Time in which the store answers a call, if it does.
+  net::Millis patience() const { return latency_.patience(); }
+
  private:
   /// Progress of one call.
   struct Tries {
--- /dev/null
+++ b/tests/store/latency_estimate_test.cpp
@@ -0,0 +1,34 @@
+#include "store/latency_estimate.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace sailgate;
+using store::LatencyEstimate;
+
+TEST_CASE("lost answers among quick ones do not lengthen the patience", "[store]") {
+  LatencyEstimate estimate;
+  const auto before = estimate.patience();
+  for (int i = 0; i < 50; ++i) {
+    estimate.observe(net::Millis(5));
+    estimate.note_silence(net::Millis(70));
+  }
+  REQUIRE(estimate.patience() <= before);
+}
+
+TEST_CASE("a store that became slow is given its time, and loses it again", "[store]") {
+  LatencyEstimate estimate;
+  for (auto waited = estimate.patience(); waited < net::Millis(300); waited *= 2) {
+    for (int i = 0; i < 3; ++i) estimate.note_silence(waited);
+  }
+  REQUIRE(estimate.patience() > net::Millis(250));
+  for (int i = 0; i < 60; ++i) estimate.observe(net::Millis(5));
+  REQUIRE(estimate.patience() < net::Millis(100));
+}
+
+TEST_CASE("patience stays within its bounds", "[store]") {
+  LatencyEstimate estimate;
+  for (int i = 0; i < 100; ++i) estimate.note_silence(net::Millis(60'000));
+  REQUIRE(estimate.patience() <= net::Millis(1000));
+  for (int i = 0; i < 100; ++i) estimate.observe(net::Millis(0));
+  REQUIRE(estimate.patience() >= net::Millis(50));
+}
