Bound the load of a key's engine by the slots and by the service's mean

Change: an engine beyond 0.85 of its slots and 1.25 of the mean load is passed over. Ruled out: moving earlier or by load and connections (cache lost, prompts read twice), zone first.

--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -15,8 +15,10 @@
 constexpr double kAffinityCost = 2.0;
 /// Cost of a new connection.
 constexpr double kConnectCost = 0.15;
-/// Load beyond which an engine is only used when all are beyond it, as a share of its slots.
-constexpr double kSaturation = 1.25;
+/// Bounded loads: an engine beyond both bounds is only used when all are beyond them. The first is a
+/// share of its slots, the second a multiple of the service's mean load.
+constexpr double kSaturation = 0.85;
+constexpr double kSaturationOverMean = 1.25;
 
 /// Uniform in [0, 1) for a pair of key and engine.
 double rendezvous_draw(const std::string& key, const std::string& engine_id) {
@@ -38,9 +40,23 @@
   }
 };
 
-Rank rank(const Engine& engine, const SelectionQuery& query) {
-  const double load = static_cast<double>(engine.in_flight + engine.peer_in_flight) /
-                      engine.record.slots;
+double load_of(const Engine& engine) {
+  return static_cast<double>(engine.in_flight + engine.peer_in_flight) / engine.record.slots;
+}
+
+double mean_load(const std::vector<EnginePointer>& engines) {
+  double sum = 0;
+  int usable = 0;
+  for (const auto& engine : engines) {
+    if (!engine->usable()) continue;
+    sum += load_of(*engine);
+    ++usable;
+  }
+  return usable == 0 ? 0 : sum / usable;
+}
+
+Rank rank(const Engine& engine, const SelectionQuery& query, double saturation) {
+  const double load = load_of(engine);
   const bool keyed = !query.affinity_key.empty();
   const double zone = engine.record.zone == query.zone ? 0.0 : kOtherZoneCost;
   const double connect = engine.idle_connections > 0 ? 0.0 : kConnectCost;
@@ -49,7 +65,7 @@
       keyed ? kAffinityCost * rendezvous_draw(query.affinity_key, engine.record.id)
             : load + connect;
   const auto tie = XXH64(engine.record.id.data(), engine.record.id.size(), query.draw);
-  return {query.now < engine.avoid_until, load >= kSaturation, preference + zone, tie};
+  return {query.now < engine.avoid_until, load >= saturation, preference + zone, tie};
 }
 
 }  // namespace
@@ -57,11 +73,13 @@
 EnginePointer select_engine(const EngineRegistry& registry, const SelectionQuery& query) {
   EnginePointer best;
   Rank best_rank{};
-  for (const auto& engine : registry.of_service(query.service)) {
+  const auto& engines = registry.of_service(query.service);
+  const double saturation = std::max(kSaturation, kSaturationOverMean * mean_load(engines));
+  for (const auto& engine : engines) {
     if (!engine->usable()) continue;
     const auto& excluded = query.excluded;
     if (std::find(excluded.begin(), excluded.end(), engine->record.id) != excluded.end()) continue;
-    const auto candidate = rank(*engine, query);
+    const auto candidate = rank(*engine, query, saturation);
     if (best == nullptr || candidate < best_rank) {
       best = engine;
       best_rank = candidate;
