--- a/apps/sailgate_gateway/main.cpp
+++ b/apps/sailgate_gateway/main.cpp
@@ -71,8 +71,8 @@
 
 int run(int argc, char** argv) {
   options::options_description description("sailgate-gateway: one serving node");
-  description.add_options()("help", "print this text and exit")(
-      "version", "print the version and exit")(
+  description.add_options()("help", "print this text and exit")("version",
+                                                                "print the version and exit")(
       "settings", options::value<std::string>(),
       "settings file (TOML) instead of the one the environment names")(
       "check", "check the settings and exit");
--- a/src/balancing/engine.hpp
+++ b/src/balancing/engine.hpp
@@ -22,12 +22,12 @@
 /// outlives its entry in the registry.
 struct Engine {
   EngineRecord record;
-  int in_flight = 0;                 ///< requests of this node at the engine
-  int peer_in_flight = 0;            ///< requests of other nodes there, as their beacons said
-  int idle_connections = 0;          ///< kept by this node
-  int consecutive_failures = 0;      ///< since the last good answer
-  net::TimePoint avoid_until{};      ///< after a refusal or failure: other engines come first
-  bool leaving = false;              ///< said so itself, or its entry is gone: no new requests
+  int in_flight = 0;             ///< requests of this node at the engine
+  int peer_in_flight = 0;        ///< requests of other nodes there, as their beacons said
+  int idle_connections = 0;      ///< kept by this node
+  int consecutive_failures = 0;  ///< since the last good answer
+  net::TimePoint avoid_until{};  ///< after a refusal or failure: other engines come first
+  bool leaving = false;          ///< said so itself, or its entry is gone: no new requests
 
   bool usable() const { return !leaving && !record.draining; }
 };
--- a/src/balancing/engine_registry.hpp
+++ b/src/balancing/engine_registry.hpp
@@ -31,7 +31,9 @@
   std::size_t size() const { return by_id_.size(); }
 
   /// Called for each engine that stops being usable.
-  void on_leaving(std::function<void(const Engine&)> listener) { on_leaving_ = std::move(listener); }
+  void on_leaving(std::function<void(const Engine&)> listener) {
+    on_leaving_ = std::move(listener);
+  }
 
  private:
   std::unordered_map<std::string, EnginePointer> by_id_;
--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -15,8 +15,8 @@
 constexpr double kAffinityCost = 2.0;
 /// Cost of a new connection.
 constexpr double kConnectCost = 0.15;
-/// Bounded loads: an engine beyond both bounds is only used when all are beyond them. The first is a
-/// share of its slots, the second a multiple of the service's mean load.
+/// Bounded loads: an engine beyond both bounds is only used when all are beyond them. The first is
+/// a share of its slots, the second a multiple of the service's mean load.
 constexpr double kSaturation = 0.85;
 constexpr double kSaturationOverMean = 1.25;
 
--- a/src/balancing/engine_selector.hpp
+++ b/src/balancing/engine_selector.hpp
@@ -14,8 +14,8 @@
   std::string affinity_key;  ///< requests with the same key share cached prompts; empty: none
   std::string zone;          ///< of this node
   net::TimePoint now;
-  std::uint64_t draw = 0;                  ///< random tie-break
-  std::vector<std::string> excluded;       ///< engines this request was already offered to
+  std::uint64_t draw = 0;             ///< random tie-break
+  std::vector<std::string> excluded;  ///< engines this request was already offered to
 };
 
 /// Pure decision over the registry's state: no clock, no randomness of its own.
--- a/src/cluster/beacon_sender.hpp
+++ b/src/cluster/beacon_sender.hpp
@@ -9,8 +9,8 @@
 
 namespace sailgate::cluster {
 
-/// Sends this node's beacon to every peer in turn and takes theirs. The number of datagrams a second
-/// is bounded whatever the number of nodes: with many, each peer hears less often.
+/// Sends this node's beacon to every peer in turn and takes theirs. The number of datagrams a
+/// second is bounded whatever the number of nodes: with many, each peer hears less often.
 class BeaconSender {
  public:
   /// @param compose gives the beacon as of now.
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -14,8 +14,7 @@
 
 }  // namespace
 
-void PeerDirectory::put(const std::string& node, const wire::PeerRow& row,
-                        net::TimePoint seen_at) {
+void PeerDirectory::put(const std::string& node, const wire::PeerRow& row, net::TimePoint seen_at) {
   if (node == self_) return;
   auto& peer = peers_[node];
   if (peer.incarnation == row.incarnation) return;
--- a/src/cluster/store_relay.cpp
+++ b/src/cluster/store_relay.cpp
@@ -111,8 +111,7 @@
   const bool works = failures_in_a_row_ < kFailuresToRelay;
   if (works == direct_works_) return;
   direct_works_ = works;
-  log_.event(works ? "store_direct" : "store_relayed")
-      .with("peers", directory_.peers().size());
+  log_.event(works ? "store_direct" : "store_relayed").with("peers", directory_.peers().size());
 }
 
 std::optional<Peer> StoreRelay::relay_for_now() {
@@ -127,8 +126,8 @@
   return able[random_.below(able.size())];
 }
 
-net::asio::awaitable<StoreResult> StoreRelay::relayed(Peer peer, const char* path,
-                                                      std::string body, net::Millis timeout) {
+net::asio::awaitable<StoreResult> StoreRelay::relayed(Peer peer, const char* path, std::string body,
+                                                      net::Millis timeout) {
   const auto http = clients_.get(peer);
   auto call = peer_request(path, std::move(body));
   const auto exchange = co_await http->exchange(std::move(call), timeout + kRelayTime);
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -81,10 +81,10 @@
   if (start.previous == nullptr) message.previous = request.previous;
   message.tokens = request.tokens;
   message.budget = request.budget;
-  const auto store_time = std::clamp(ledger_.store_patience() * kHomeStoreTries,
-                                     kShortestHomeTime, kLongestHomeTime);
-  const auto timeout = std::max(std::min(store_time + kHomeMargin, left_until(deadline)),
-                                net::Millis(1));
+  const auto store_time =
+      std::clamp(ledger_.store_patience() * kHomeStoreTries, kShortestHomeTime, kLongestHomeTime);
+  const auto timeout =
+      std::max(std::min(store_time + kHomeMargin, left_until(deadline)), net::Millis(1));
   message.time_left_ms = static_cast<std::int32_t>(std::min(store_time, timeout).count());
   const auto http = clients_.get(home);
   auto call = peer_request(kBeginPath, wire::encode(message));
@@ -104,15 +104,14 @@
       start.previous = ledger_.remember_chain(reply.chain, nullptr);
     }
   }
-  co_return start.lookup != LookupOutcome::kUnavailable &&
-      start.reservation != ReserveOutcome::kUnavailable;
+  co_return start.lookup != LookupOutcome::kUnavailable&& start.reservation !=
+      ReserveOutcome::kUnavailable;
 }
 
 net::asio::awaitable<TurnStart> TurnKeeper::begin(TurnRequest request, net::TimePoint deadline) {
   const bool needs_home = request.tokens > 0 || !request.previous.empty();
   if (!needs_home) co_return TurnStart{};
-  const auto home =
-      directory_.home(request.program, net::Clock::now(), beacons_.silence_limit());
+  const auto home = directory_.home(request.program, net::Clock::now(), beacons_.silence_limit());
   if (home) {
     TurnStart start;
     if (co_await begin_at(*home, request, deadline, start)) co_return start;
@@ -127,8 +126,8 @@
     return;
   }
   const auto peer = directory_.peers().find(start.keeper);
-  const bool same = peer != directory_.peers().end() &&
-                    peer->second.incarnation == start.keeper_incarnation;
+  const bool same =
+      peer != directory_.peers().end() && peer->second.incarnation == start.keeper_incarnation;
   if (!same) return;  // what was reserved there counts as used
   wire::EndTurn message;
   message.program = program;
--- a/src/ledger/budget_account.cpp
+++ b/src/ledger/budget_account.cpp
@@ -32,8 +32,7 @@
   return sum;
 }
 
-std::optional<wire::BudgetRow> BudgetAccount::plan_grant(std::int64_t tokens,
-                                                         std::int64_t budget) {
+std::optional<wire::BudgetRow> BudgetAccount::plan_grant(std::int64_t tokens, std::int64_t budget) {
   attempted_ = true;
   const std::int64_t left = budget - granted_to_others() - used_ - reserved_;
   if (left < tokens) return std::nullopt;
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -30,7 +30,11 @@
 
 ProgramLedger::ProgramLedger(net::asio::io_context& context, store::TableStore& store,
                              observe::StructuredLog& log, std::int64_t holder)
-    : context_(context), store_(context, store, static_cast<std::uint64_t>(holder)), log_(log), holder_(holder), turns_(kTurnCacheBytes) {}
+    : context_(context),
+      store_(context, store, static_cast<std::uint64_t>(holder)),
+      log_(log),
+      holder_(holder),
+      turns_(kTurnCacheBytes) {}
 
 ProgramLedger::ProgramPointer ProgramLedger::program(const std::string& id) {
   auto& entry = programs_[id];
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -1,4 +1,5 @@
-/// @file HTTP/1.1 client with kept connections to one server, for the platform's services and peers.
+/// @file HTTP/1.1 client with kept connections to one server, for the platform's services and
+/// peers.
 #pragma once
 
 #include <memory>
--- a/src/serving/call.hpp
+++ b/src/serving/call.hpp
@@ -27,9 +27,9 @@
   net::TimePoint received_at;
   net::TimePoint deadline;  ///< the earlier of the caller's and the route's
 
-  std::vector<std::string> offered;     ///< engines the request was offered to
-  bool may_have_run = false;            ///< some engine may have worked on it
-  EngineExchange* exchange = nullptr;   ///< under way, for the caller's leaving
+  std::vector<std::string> offered;    ///< engines the request was offered to
+  bool may_have_run = false;           ///< some engine may have worked on it
+  EngineExchange* exchange = nullptr;  ///< under way, for the caller's leaving
 
   net::Millis elapsed() const {
     return std::chrono::duration_cast<net::Millis>(net::Clock::now() - received_at);
--- a/src/serving/call_handler.cpp
+++ b/src/serving/call_handler.cpp
@@ -58,8 +58,8 @@
     co_return co_await refuse(call, Kind::kMalformedRequest);
   }
   call.routes = state_.routes;
-  call.route = call.routes->find(text(call.request[http::field::host]),
-                                 text(call.request.target()));
+  call.route =
+      call.routes->find(text(call.request[http::field::host]), text(call.request.target()));
   if (call.route == nullptr) co_return co_await refuse(call, Kind::kUnknownResource);
   constexpr double kDrawRange = 1 << 20U;
   const double draw = static_cast<double>(state_.random.below(1 << 20U)) / kDrawRange;
@@ -110,7 +110,7 @@
   const auto end = co_await refuse_or_run(call);
   --state_.active_requests;
   log_end(call, end);
-  co_return end.connection_usable && channel.keep();
+  co_return end.connection_usable&& channel.keep();
 }
 
 }  // namespace sailgate::serving
--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -16,8 +16,7 @@
 }  // namespace
 
 routing::CallerLimits CallerSession::limits() const {
-  return state_.routes == nullptr ? routing::CallerLimits{}
-                                  : state_.routes->configuration().limits;
+  return state_.routes == nullptr ? routing::CallerLimits{} : state_.routes->configuration().limits;
 }
 
 net::asio::awaitable<bool> CallerSession::wait_for_request() {
--- a/src/serving/client_channel.cpp
+++ b/src/serving/client_channel.cpp
@@ -53,14 +53,15 @@
 void ClientChannel::watch(std::function<void()> on_gone) {
   watch_ = std::make_shared<Watch>();
   watch_->on_gone = std::move(on_gone);
-  stream_.socket().async_wait(
-      net::asio::ip::tcp::socket::wait_read, [this, watch = watch_](const net::Error& error) {
-        if (!watch->active || error) return;
-        if (net::peek(stream_.socket()) != net::SocketState::kClosed) return;
-        gone_ = true;
-        watch->active = false;
-        watch->on_gone();
-      });
+  stream_.socket().async_wait(net::asio::ip::tcp::socket::wait_read,
+                              [this, watch = watch_](const net::Error& error) {
+                                if (!watch->active || error) return;
+                                if (net::peek(stream_.socket()) != net::SocketState::kClosed)
+                                  return;
+                                gone_ = true;
+                                watch->active = false;
+                                watch->on_gone();
+                              });
 }
 
 void ClientChannel::unwatch() {
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -82,8 +82,7 @@
   return balancing::select_engine(state_.engines, query);
 }
 
-void Dispatcher::log_offer(const Call& call, const balancing::Engine& engine,
-                           const char* outcome) {
+void Dispatcher::log_offer(const Call& call, const balancing::Engine& engine, const char* outcome) {
   state_.log.event("offer")
       .with("id", call.description.request_id)
       .with("engine", engine.record.id)
@@ -158,8 +157,8 @@
         call.exchange = nullptr;
         continue;
       }
-      const bool acceptable = is_success(status) ? exchange->facts().sealed
-                                                 : !promises_not_run(status);
+      const bool acceptable =
+          is_success(status) ? exchange->facts().sealed : !promises_not_run(status);
       call.may_have_run = true;
       if (acceptable) {
         log_offer(call, *engine, "answered");
--- a/src/serving/edge_protocol.hpp
+++ b/src/serving/edge_protocol.hpp
@@ -13,9 +13,9 @@
 
 /// A caller's request, as its headers describe it.
 struct CallDescription {
-  std::string request_id;  ///< unique for each attempt of the caller
-  std::string program;     ///< empty: not part of a program
-  std::string session;     ///< line of turns within the program
+  std::string request_id;     ///< unique for each attempt of the caller
+  std::string program;        ///< empty: not part of a program
+  std::string session;        ///< line of turns within the program
   std::string previous_turn;  ///< request id of the turn this one goes on from; empty: none
   std::optional<net::Millis> deadline;       ///< how long the caller will wait
   std::optional<std::int64_t> token_budget;  ///< of the whole program
@@ -35,8 +35,8 @@
 /// What an engine's answer says about itself.
 struct AnswerFacts {
   std::string request_id;
-  bool sealed = false;    ///< carries the engine's signature
-  bool not_run = false;   ///< the engine says that it did not run the request
+  bool sealed = false;       ///< carries the engine's signature
+  bool not_run = false;      ///< the engine says that it did not run the request
   bool misdirected = false;  ///< another incarnation has this address
 };
 
--- a/src/serving/engine_exchange.cpp
+++ b/src/serving/engine_exchange.cpp
@@ -27,9 +27,9 @@
   if (start == std::string_view::npos) return kDefaultIdle;
   int seconds = 0;
   std::from_chars(text.data() + start + kTimeout.size(), text.data() + text.size(), seconds);
-  return std::max(std::chrono::duration_cast<net::Millis>(std::chrono::seconds(seconds)) -
-                      kIdleMargin,
-                  net::Millis(0));
+  return std::max(
+      std::chrono::duration_cast<net::Millis>(std::chrono::seconds(seconds)) - kIdleMargin,
+      net::Millis(0));
 }
 
 }  // namespace
@@ -103,8 +103,8 @@
     if (outcome == ReadOutcome::kAborted) co_return OpenOutcome::kAborted;
     if (outcome == ReadOutcome::kTimedOut) co_return OpenOutcome::kTimedOut;
     if (outcome != ReadOutcome::kData) co_return OpenOutcome::kBroken;
-    const bool ours = facts_.request_id == request_id ||
-                      (facts_.request_id.empty() && facts_.not_run);
+    const bool ours =
+        facts_.request_id == request_id || (facts_.request_id.empty() && facts_.not_run);
     if (ours) co_return OpenOutcome::kAnswered;
     failure_ = "foreign answer " + facts_.request_id;
     const auto skipped = co_await skip_body();
@@ -136,8 +136,8 @@
 
 void EngineExchange::finish() {
   if (!whole_ || aborted_ || connection_ == nullptr) return;
-  const bool clean = write_->done && !write_->error && parser_->keep_alive() &&
-                     connection_->buffer.size() == 0;
+  const bool clean =
+      write_->done && !write_->error && parser_->keep_alive() && connection_->buffer.size() == 0;
   if (!clean) return;
   connection_->usable_until = net::Clock::now() + idle_time(head());
   pool_.release(*engine_, std::move(connection_));
--- a/src/serving/engine_exchange.hpp
+++ b/src/serving/engine_exchange.hpp
@@ -23,8 +23,8 @@
 
 enum class ReadOutcome {
   kData,
-  kEnd,       ///< the answer is whole
-  kBroken,    ///< the answer ended early
+  kEnd,     ///< the answer is whole
+  kBroken,  ///< the answer ended early
   kTimedOut,
   kAborted,
 };
--- a/src/serving/event_scanner.cpp
+++ b/src/serving/event_scanner.cpp
@@ -45,8 +45,8 @@
   std::vector<StreamEvent> events;
   auto line_end = pending_.find('\n', scanned_);
   while (line_end != std::string::npos) {
-    const auto line = without_return(
-        std::string_view(pending_).substr(scanned_, line_end - scanned_));
+    const auto line =
+        without_return(std::string_view(pending_).substr(scanned_, line_end - scanned_));
     const bool blank = line.empty();
     scanned_ = line_end + 1;
     if (blank) {
--- a/src/serving/node_settings.hpp
+++ b/src/serving/node_settings.hpp
@@ -12,12 +12,12 @@
 struct NodeSettings {
   std::string node;
   std::string zone;
-  net::Endpoint callers;              ///< where callers connect
-  net::Endpoint readiness;            ///< where readiness is asked for
-  net::Endpoint peers;                ///< where other nodes connect
+  net::Endpoint callers;    ///< where callers connect
+  net::Endpoint readiness;  ///< where readiness is asked for
+  net::Endpoint peers;      ///< where other nodes connect
   std::optional<net::Endpoint> metrics;
   net::Endpoint store;
-  net::Millis stop_grace{8000};       ///< a stop is forced after this time
+  net::Millis stop_grace{8000};  ///< a stop is forced after this time
 };
 
 }  // namespace sailgate::serving
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -42,8 +42,8 @@
   cluster::TurnRequest request;
   request.program = description.program;
   if (call_.route->retained) request.previous = description.previous_turn;
-  const bool bounded = !description.program.empty() && description.token_budget &&
-                       description.max_output_tokens > 0;
+  const bool bounded =
+      !description.program.empty() && description.token_budget && description.max_output_tokens > 0;
   if (bounded) {
     request.tokens = description.max_output_tokens;
     request.budget = *description.token_budget;
@@ -71,9 +71,8 @@
     co_return co_await refuse_for_now();
   }
   reserved_ = request.tokens;
-  prompt_ = call_.route->retained
-                ? ledger::assemble_prompt(start_.previous, call_.request.body())
-                : call_.request.body();
+  prompt_ = call_.route->retained ? ledger::assemble_prompt(start_.previous, call_.request.body())
+                                  : call_.request.body();
   co_return std::nullopt;
 }
 
@@ -166,8 +165,8 @@
 net::asio::awaitable<CallEnd> StreamCall::complete() {
   ledger::TurnPointer turn;
   if (call_.route->retained) {
-    turn = std::make_shared<const ledger::Turn>(ledger::Turn{
-        call_.description.request_id, call_.request.body(), output_, start_.previous});
+    turn = std::make_shared<const ledger::Turn>(
+        ledger::Turn{call_.description.request_id, call_.request.body(), output_, start_.previous});
     const auto deadline = std::min(call_.deadline, net::Clock::now() + kRecordTime);
     if (!co_await state_.ledger.record_turn(turn, deadline)) {
       co_return CallEnd{"turn_not_durable", false};
--- a/src/store/retrying_store.hpp
+++ b/src/store/retrying_store.hpp
@@ -10,8 +10,8 @@
 namespace sailgate::store {
 
 /// A call without an answer is sent again with the same conditions: of such repeats at most one
-/// takes effect, and a conflict shows the rows as they are. Unconditional writes must be idempotent.
-/// Not thread-safe.
+/// takes effect, and a conflict shows the rows as they are. Unconditional writes must be
+/// idempotent. Not thread-safe.
 class RetryingStore {
  public:
   RetryingStore(net::asio::io_context& context, TableStore& store, std::uint64_t seed)
@@ -34,7 +34,8 @@
   };
 
   Tries begin(net::TimePoint deadline) const;
-  /// Notes how a try ended. @return how long to wait before the next one; nullopt: that was the last.
+  /// Notes how a try ended. @return how long to wait before the next one; nullopt: that was the
+  /// last.
   std::optional<net::Millis> next(Tries& tries, const StoreResult& result, net::TimePoint sent_at);
 
   net::asio::io_context& context_;
--- /dev/null
+++ b/tests/cluster/cluster_test.cpp
@@ -0,0 +1,177 @@
+#include <catch2/catch.hpp>
+
+#include "ledger/turn_row.hpp"
+#include "support/gateway_fixture.hpp"
+#include "wire/codec.hpp"
+
+using namespace sailgate;
+using ledger::LookupOutcome;
+using ledger::ReserveOutcome;
+using test::MemoryTable;
+using test::run;
+using test::run_until;
+
+namespace {
+
+/// A node whose way to the store can fail by itself.
+struct Node {
+  Node(net::asio::io_context& context, test::GatewayFixture& shared, const std::string& name,
+       std::int64_t incarnation, MemoryTable& own_table)
+      : settings(shared.make_settings()) {
+    settings.node = name;
+    gateway = std::make_unique<serving::Gateway>(context, settings, shared.protocol, shared.records,
+                                                 own_table, shared.log, incarnation);
+    gateway->start();
+  }
+  serving::NodeState& state() { return gateway->state(); }
+
+  serving::NodeSettings settings;
+  std::unique_ptr<serving::Gateway> gateway;
+};
+
+struct Fixture : test::GatewayFixture {
+  Node first{context, *this, "first", 101, table};
+  Node second{context, *this, "second", 102, table};
+
+  Fixture() {
+    run_until(context, [this] { return known(first, 102) && known(second, 101); });
+  }
+  static bool known(Node& node, std::int64_t incarnation) {
+    return node.state().peers.find(incarnation) != nullptr;
+  }
+  net::TimePoint soon() { return net::Clock::now() + net::Millis(400); }
+
+  /// A program whose home, for both nodes, is the second one.
+  std::string program_at_second() {
+    for (int i = 0;; ++i) {
+      const auto program = "program-" + std::to_string(i);
+      const auto home = first.state().peers.home(program, net::Clock::now(), net::Millis(60'000));
+      if (home) return program;
+    }
+  }
+  cluster::TurnStart begin(Node& node, const std::string& program, std::int64_t tokens,
+                           const std::string& previous = "", std::int64_t budget = 1000) {
+    cluster::TurnRequest request;
+    request.program = program;
+    request.previous = previous;
+    request.tokens = tokens;
+    request.budget = budget;
+    return run(context, node.state().turns.begin(std::move(request), soon()));
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "a program's home keeps its tokens", "[cluster]") {
+  const auto program = program_at_second();
+  const auto start = begin(first, program, 100);
+  REQUIRE(start.reservation == ReserveOutcome::kReserved);
+  REQUIRE(start.keeper == "second");
+  const int writes = table.writes();
+  REQUIRE(begin(second, program, 100).reservation == ReserveOutcome::kReserved);
+  REQUIRE(table.writes() == writes);
+}
+
+TEST_CASE_METHOD(Fixture, "the home gives the chain of a turn without a read", "[cluster]") {
+  const auto program = program_at_second();
+  const auto turn =
+      std::make_shared<const ledger::Turn>(ledger::Turn{"t1", "in", "out\n", nullptr});
+  second.state().ledger.remember_chain(ledger::encode_whole_chain(*turn), nullptr);
+  const int reads = table.reads();
+  const auto start = begin(first, program, 0, "t1");
+  REQUIRE(start.lookup == LookupOutcome::kFound);
+  REQUIRE(ledger::assemble_prompt(start.previous, "x") == "inout\nx");
+  REQUIRE(table.reads() == reads);
+}
+
+TEST_CASE_METHOD(Fixture, "a lost home is passed over, and the row still decides", "[cluster]") {
+  const auto program = program_at_second();
+  REQUIRE(begin(first, program, 400).keeper == "second");
+  first.state().peers.suspect("second", net::Clock::now() + net::Millis(60'000));
+  const auto start = begin(first, program, 500);
+  REQUIRE(start.keeper.empty());
+  REQUIRE(start.reservation == ReserveOutcome::kReserved);
+  REQUIRE(begin(first, program, 101).reservation == ReserveOutcome::kExhausted);
+}
+
+TEST_CASE_METHOD(Fixture, "tokens that another node holds idle are gathered", "[cluster]") {
+  const auto program = program_at_second();
+  const auto start = begin(first, program, 600);
+  REQUIRE(start.keeper == "second");
+  first.state().turns.end(program, start, 600, 100, nullptr);
+  run_until(context, [&] {
+    // The home has settled when it can reserve again what was not used.
+    return run(context, second.state().ledger.reserve(program, 450, 1000, soon())) ==
+           ReserveOutcome::kReserved;
+  });
+  second.state().ledger.settle(program, 450, 0);
+  first.state().peers.suspect("second", net::Clock::now() + net::Millis(60'000));
+  REQUIRE(begin(first, program, 900).reservation == ReserveOutcome::kReserved);
+}
+
+TEST_CASE_METHOD(Fixture, "a peer that comes back anew does not disturb calls to the old one",
+                 "[cluster]") {
+  // A listener that accepts and never answers stands in for the old incarnation.
+  net::asio::ip::tcp::acceptor silent(context,
+                                      net::Endpoint(net::asio::ip::address_v4::loopback(), 0));
+  cluster::Peer peer;
+  peer.node = "third";
+  peer.incarnation = 1;
+  peer.endpoint = silent.local_endpoint();
+  auto& clients = first.state().peer_clients;
+  bool ended = false;
+  const auto call = [&]() -> net::asio::awaitable<void> {
+    const auto http = clients.get(peer);
+    auto request = cluster::peer_request("/peer/any", "");
+    co_await http->exchange(std::move(request), net::Millis(50));
+    ended = true;
+  };
+  net::asio::co_spawn(context, call(), net::asio::detached);
+  context.poll();
+  peer.incarnation = 2;
+  const auto replaced = clients.get(peer);
+  run_until(context, [&] { return ended; });
+  REQUIRE(clients.get(peer) == replaced);
+}
+
+TEST_CASE_METHOD(Fixture, "messages that cannot be read are refused and end nothing", "[cluster]") {
+  net::HttpClient client(context, first.settings.peers);
+  for (const auto* path : {"/peer/turns/begin", "/peer/turns/end", "/peer/budgets/release",
+                           "/peer/store/transact", "/peer/store/read", "/peer/store/follow"}) {
+    auto request = cluster::peer_request(path, std::string("\xff\xff\xff\xff nonsense", 13));
+    const auto exchange = run(context, client.exchange(std::move(request), net::Millis(500)));
+    CAPTURE(path);
+    REQUIRE(exchange.failure == net::ExchangeFailure::kNone);
+    REQUIRE(exchange.response.result() == net::http::status::bad_request);
+  }
+  auto unknown = cluster::peer_request("/peer/unknown", "");
+  const auto exchange = run(context, client.exchange(std::move(unknown), net::Millis(500)));
+  REQUIRE(exchange.response.result() == net::http::status::not_found);
+}
+
+TEST_CASE_METHOD(test::GatewayFixture, "a node that the store refuses goes through a peer",
+                 "[cluster]") {
+  MemoryTable refusing(context);
+  refusing.set_mode(MemoryTable::Mode::kRefuses);
+  Node healthy(context, *this, "healthy", 201, table);
+  Node cut_off(context, *this, "cut-off", 202, refusing);
+  run_until(context, [&] { return table.has("nodes", "healthy"); });
+  wire::PeerRow row;
+  row.incarnation = 201;
+  row.zone = "zone";
+  row.address = "127.0.0.1";
+  row.port = healthy.settings.peers.port();
+  cut_off.state().peers.put("healthy", row, net::Clock::now());
+  wire::Beacon beacon;
+  beacon.incarnation = 201;
+  beacon.reaches_store = true;
+  cut_off.state().peers.on_beacon(beacon, net::Clock::now());
+  put_configuration(3);
+  run_until(context, [&] { return cut_off.state().routes != nullptr; });
+  REQUIRE(cut_off.state().routes->version() == 3);
+  const auto turn = std::make_shared<const ledger::Turn>(ledger::Turn{"t1", "in", "out", nullptr});
+  cut_off.state().peers.on_beacon(beacon, net::Clock::now());
+  REQUIRE(run(context,
+              cut_off.state().ledger.record_turn(turn, net::Clock::now() + net::Millis(2000))));
+  REQUIRE(table.has("turns", "t1"));
+}
--- /dev/null
+++ b/tests/cluster/peer_directory_test.cpp
@@ -0,0 +1,116 @@
+#include "cluster/peer_directory.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace sailgate;
+using cluster::PeerDirectory;
+
+namespace {
+
+constexpr net::Millis kSilence{800};
+
+wire::PeerRow row(std::int64_t incarnation, const std::string& zone) {
+  wire::PeerRow row;
+  row.incarnation = incarnation;
+  row.zone = zone;
+  row.address = "127.0.0.1";
+  row.port = 7000;
+  return row;
+}
+
+wire::Beacon beacon(std::int64_t incarnation, bool reaches_store = true) {
+  wire::Beacon message;
+  message.incarnation = incarnation;
+  message.reaches_store = reaches_store;
+  return message;
+}
+
+struct Fixture {
+  net::TimePoint now = net::Clock::now();
+  PeerDirectory directory{"self", "here"};
+  Fixture() {
+    directory.put("near", row(1, "here"), now);
+    directory.put("far", row(2, "there"), now);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("all nodes of a zone agree on a key's home", "[cluster]") {
+  const auto now = net::Clock::now();
+  PeerDirectory first("a", "zone");
+  first.put("b", row(2, "zone"), now);
+  first.put("c", row(3, "zone"), now);
+  PeerDirectory second("b", "zone");
+  second.put("c", row(3, "zone"), now);
+  second.put("a", row(1, "zone"), now);
+  std::map<std::string, int> shares;
+  for (int i = 0; i < 300; ++i) {
+    const auto key = "program-" + std::to_string(i);
+    const auto seen_by_first = first.home(key, now, kSilence);
+    const auto seen_by_second = second.home(key, now, kSilence);
+    const auto home = seen_by_first ? seen_by_first->node : "a";
+    REQUIRE((seen_by_second ? seen_by_second->node : "b") == home);
+    ++shares[home];
+  }
+  for (const auto& [node, share] : shares) REQUIRE(share > 60);
+}
+
+TEST_CASE_METHOD(Fixture, "nodes of other zones are no homes", "[cluster]") {
+  for (int i = 0; i < 50; ++i) {
+    const auto home = directory.home(std::to_string(i), now, kSilence);
+    if (home) REQUIRE(home->node == "near");
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "a silent peer is no home until it is heard again", "[cluster]") {
+  const auto later = now + kSilence * 2;
+  for (int i = 0; i < 50; ++i) REQUIRE_FALSE(directory.home(std::to_string(i), later, kSilence));
+  REQUIRE(directory.on_beacon(beacon(1), later));
+  bool found = false;
+  for (int i = 0; i < 50; ++i) found = found || directory.home(std::to_string(i), later, kSilence);
+  REQUIRE(found);
+}
+
+TEST_CASE_METHOD(Fixture, "a peer whose call failed is passed over for a while", "[cluster]") {
+  directory.suspect("near", now);
+  for (int i = 0; i < 50; ++i) REQUIRE_FALSE(directory.home(std::to_string(i), now, kSilence));
+  directory.on_beacon(beacon(1), now + net::Millis(700));
+  REQUIRE(directory.reaching_store(now + net::Millis(700), kSilence).size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a beacon of an unknown or older incarnation says nothing", "[cluster]") {
+  REQUIRE_FALSE(directory.on_beacon(beacon(99), now));
+  directory.put("near", row(5, "here"), now);
+  REQUIRE_FALSE(directory.on_beacon(beacon(1), now));
+  REQUIRE(directory.find(5) != nullptr);
+  REQUIRE(directory.find(1) == nullptr);
+}
+
+TEST_CASE_METHOD(Fixture, "loads of lost peers do not count", "[cluster]") {
+  auto message = beacon(1);
+  wire::EngineLoad load;
+  load.engine = "e";
+  load.in_flight = 3;
+  message.loads.push_back(load);
+  directory.on_beacon(message, now);
+  REQUIRE(directory.peer_load("e", now, kSilence) == 3);
+  REQUIRE(directory.peer_load("e", now + kSilence * 2, kSilence) == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "only peers that the store answers are relays, near ones first",
+                 "[cluster]") {
+  directory.on_beacon(beacon(1, false), now);
+  directory.on_beacon(beacon(2), now);
+  REQUIRE(directory.reaching_store(now, kSilence).at(0).node == "far");
+  directory.on_beacon(beacon(1), now);
+  REQUIRE(directory.reaching_store(now, kSilence).at(0).node == "near");
+}
+
+TEST_CASE_METHOD(Fixture, "a row that cannot be read adds no peer", "[cluster]") {
+  auto bad = row(7, "here");
+  bad.address = "nowhere";
+  directory.put("bad", bad, now);
+  REQUIRE(directory.peers().count("bad") == 0);
+}
--- a/tests/ledger/budget_account_test.cpp
+++ b/tests/ledger/budget_account_test.cpp
@@ -1,9 +1,10 @@
 #include "ledger/budget_account.hpp"
 
+#include <rapidcheck.h>
+
 #include <catch2/catch.hpp>
 #include <deque>
 #include <optional>
-#include <rapidcheck.h>
 
 using namespace sailgate;
 using ledger::BudgetAccount;
@@ -131,8 +132,8 @@
     for (int step = 0; step < steps; ++step) {
       const auto who = *rc::gen::inRange<std::size_t>(0, 3);
       auto& account = accounts[who];
-      const auto fate = static_cast<Fate>(*rc::gen::weightedElement<int>(
-          {{6, 0}, {1, 1}, {1, 2}, {1, 3}}));
+      const auto fate =
+          static_cast<Fate>(*rc::gen::weightedElement<int>({{6, 0}, {1, 1}, {1, 2}, {1, 3}}));
       switch (*rc::gen::inRange(0, 6)) {
         case 0:
         case 1: {
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -1,8 +1,9 @@
 #include "ledger/program_ledger.hpp"
 
-#include <catch2/catch.hpp>
 #include <fcntl.h>
 
+#include <catch2/catch.hpp>
+
 #include "support/memory_table.hpp"
 #include "support/run.hpp"
 
--- a/tests/observe/structured_log_test.cpp
+++ b/tests/observe/structured_log_test.cpp
@@ -1,9 +1,10 @@
 #include "observe/structured_log.hpp"
 
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <sstream>
-#include <unistd.h>
 
 using namespace sailgate;
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -1,7 +1,8 @@
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
-#include <unistd.h>
 
 #include "base64.hpp"
 #include "configuration_codec.hpp"
--- a/tests/serving/event_scanner_test.cpp
+++ b/tests/serving/event_scanner_test.cpp
@@ -1,8 +1,9 @@
 #include "serving/event_scanner.hpp"
 
-#include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <catch2/catch.hpp>
+
 using namespace sailgate;
 using serving::EventScanner;
 
--- a/tests/serving/gateway_test.cpp
+++ b/tests/serving/gateway_test.cpp
@@ -23,8 +23,10 @@
                  "[serving]") {
   start();
   engine.set_script([](const auto& request) { return answer(request, "the body"); });
-  const auto got = ask(request("POST", "/unsafe/x?q=1", "X-Own: kept\r\nConnection: X-Hop\r\n"
-                                                        "X-Hop: dropped\r\n", "input"));
+  const auto got = ask(request("POST", "/unsafe/x?q=1",
+                               "X-Own: kept\r\nConnection: X-Hop\r\n"
+                               "X-Hop: dropped\r\n",
+                               "input"));
   REQUIRE(got.status == 200);
   REQUIRE(got.body == "the body");
   REQUIRE(got.head["Sailgate-Seal"] == "seal");
@@ -67,14 +69,15 @@
   REQUIRE(ask(request("GET", "/safe/x", "X: " + std::string(4000, 'x') + "\r\n")).status == 431);
   REQUIRE(ask(request("POST", "/unsafe/x", "", std::string(6000, 'x'))).status == 413);
   REQUIRE(ask("POST /unsafe/x HTTP/1.1\r\nHost: h\r\nSailgate-Request-Id: 1\r\n"
-              "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n").status == 400);
+              "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+              .status == 400);
   REQUIRE(ask("POST /unsafe/x HTTP/1.1\r\nHost: h\r\nSailgate-Request-Id: 1\r\n"
-              "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef").status == 400);
+              "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef")
+              .status == 400);
   REQUIRE(engine.requests().empty());
 }
 
-TEST_CASE_METHOD(GatewayFixture, "a refusal that did not run goes to another engine",
-                 "[serving]") {
+TEST_CASE_METHOD(GatewayFixture, "a refusal that did not run goes to another engine", "[serving]") {
   start(true);
   engine.set_script([](const auto&) { return EngineReply{test::not_run_answer(), false, false}; });
   other.set_script([](const auto& request) { return answer(request, "other"); });
@@ -87,9 +90,7 @@
 TEST_CASE_METHOD(GatewayFixture, "when every engine refuses the caller is told when to come back",
                  "[serving]") {
   start(true);
-  const auto refuse = [](const auto&) {
-    return EngineReply{test::not_run_answer(), false, false};
-  };
+  const auto refuse = [](const auto&) { return EngineReply{test::not_run_answer(), false, false}; };
   engine.set_script(refuse);
   other.set_script(refuse);
   const auto got = ask(request("POST", "/unsafe/x", "", "b"));
@@ -114,8 +115,7 @@
   for (int i = 0; i < 3; ++i) REQUIRE(ask(request("GET", "/safe/x")).body == "other");
 }
 
-TEST_CASE_METHOD(GatewayFixture, "a refusal without the engine's word is no promise",
-                 "[serving]") {
+TEST_CASE_METHOD(GatewayFixture, "a refusal without the engine's word is no promise", "[serving]") {
   start();
   engine.set_script([](const auto& request) {
     return EngineReply{test::engine_answer(request, "", "", 503), false, false};
@@ -141,8 +141,7 @@
   start();
   engine.set_script([](const auto& request) {
     return EngineReply{"HTTP/1.1 200 OK\r\nSailgate-Request-Id: " +
-                           text(request["Sailgate-Request-Id"]) +
-                           "\r\nContent-Length: 2\r\n\r\nhi",
+                           text(request["Sailgate-Request-Id"]) + "\r\nContent-Length: 2\r\n\r\nhi",
                        false, false};
   });
   REQUIRE(ask(request("POST", "/unsafe/x", "", "b")).status == 502);
@@ -156,8 +155,7 @@
   REQUIRE(ask(request("POST", "/unsafe/x", "", "b")).status == 502);
 }
 
-TEST_CASE_METHOD(GatewayFixture, "an answer without length ends with its connection",
-                 "[serving]") {
+TEST_CASE_METHOD(GatewayFixture, "an answer without length ends with its connection", "[serving]") {
   start();
   engine.set_script([](const auto& request) {
     return EngineReply{"HTTP/1.1 200 OK\r\nSailgate-Seal: s\r\nSailgate-Request-Id: " +
@@ -174,15 +172,14 @@
   engine.set_script([](const auto& request) {
     net::TextRequest earlier;
     earlier.set("Sailgate-Request-Id", "earlier");
-    return EngineReply{test::engine_answer(earlier, "wrong") +
-                           test::engine_answer(request, "right"),
-                       false, false};
+    return EngineReply{
+        test::engine_answer(earlier, "wrong") + test::engine_answer(request, "right"), false,
+        false};
   });
   REQUIRE(ask(request("POST", "/unsafe/x", "", "b")).body == "right");
 }
 
-TEST_CASE_METHOD(GatewayFixture, "surplus bytes behind an answer end the connection",
-                 "[serving]") {
+TEST_CASE_METHOD(GatewayFixture, "surplus bytes behind an answer end the connection", "[serving]") {
   start();
   engine.set_script([](const auto& request) {
     return EngineReply{test::engine_answer(request, "body") + "HTTP/1.1 200 OK\r\n", false, false};
@@ -221,9 +218,10 @@
                  "[serving]") {
   start(true);
   engine.set_script([](const auto&) {
-    return EngineReply{"HTTP/1.1 421 Misdirected\r\nSailgate-Instance: x\r\n"
-                       "Content-Length: 0\r\n\r\n",
-                       false, false};
+    return EngineReply{
+        "HTTP/1.1 421 Misdirected\r\nSailgate-Instance: x\r\n"
+        "Content-Length: 0\r\n\r\n",
+        false, false};
   });
   other.set_script([](const auto& request) { return answer(request, "other"); });
   for (int i = 0; i < 6; ++i) {
@@ -245,8 +243,7 @@
   run_until(context, [this] { return engine.abandoned() == 1; });
 }
 
-TEST_CASE_METHOD(GatewayFixture, "an older configuration never replaces a newer one",
-                 "[serving]") {
+TEST_CASE_METHOD(GatewayFixture, "an older configuration never replaces a newer one", "[serving]") {
   start();
   engine.set_script([](const auto& request) { return answer(request, ""); });
   put_configuration(5, "," + route("/new/", "safe"));
--- a/tests/serving/stream_call_test.cpp
+++ b/tests/serving/stream_call_test.cpp
@@ -56,9 +56,9 @@
                  "[serving]") {
   start();
   engine.set_script([](const auto& request) {
-    return EngineReply{stream_head(request) + event_chunk(1, "one") + "6\r\nid: 2\n\r\n" +
-                           kLastChunk,
-                       false, false};
+    return EngineReply{
+        stream_head(request) + event_chunk(1, "one") + "6\r\nid: 2\n\r\n" + kLastChunk, false,
+        false};
   });
   REQUIRE_FALSE(ask(request("POST", "/stream/x", "", "prompt")).whole);
 }
@@ -72,17 +72,18 @@
   REQUIRE(ask(request("POST", "/stream/x", "", "prompt")).status == 502);
 }
 
-TEST_CASE_METHOD(GatewayFixture, "a resumable stream goes on at another engine after its last "
-                                 "whole event",
+TEST_CASE_METHOD(GatewayFixture,
+                 "a resumable stream goes on at another engine after its last "
+                 "whole event",
                  "[serving]") {
   start(true);
   const auto first_breaks = [](const auto& request) {
     if (!request["Last-Event-Id"].empty()) {
       return events(request, std::stoi(text(request["Last-Event-Id"])) + 1, 4);
     }
-    return EngineReply{stream_head(request) + event_chunk(1, "d1") + event_chunk(2, "d2") +
-                           "6\r\nid: 3\n\r\n",
-                       true, false};
+    return EngineReply{
+        stream_head(request) + event_chunk(1, "d1") + event_chunk(2, "d2") + "6\r\nid: 3\n\r\n",
+        true, false};
   };
   engine.set_script(first_breaks);
   other.set_script(first_breaks);
--- a/tests/store/table_follower_test.cpp
+++ b/tests/store/table_follower_test.cpp
@@ -1,7 +1,8 @@
 #include "store/table_follower.hpp"
 
-#include <catch2/catch.hpp>
 #include <fcntl.h>
+
+#include <catch2/catch.hpp>
 #include <map>
 
 #include "support/memory_table.hpp"
--- a/tests/support/fake_engine.cpp
+++ b/tests/support/fake_engine.cpp
@@ -22,8 +22,8 @@
 std::string engine_answer(const net::TextRequest& request, const std::string& body,
                           const std::string& extra, int status) {
   return "HTTP/1.1 " + std::to_string(status) + " Text\r\nSailgate-Seal: seal\r\n" +
-         id_line(request) + extra + "Content-Length: " + std::to_string(body.size()) +
-         "\r\n\r\n" + body;
+         id_line(request) + extra + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 std::string stream_head(const net::TextRequest& request) {
@@ -66,8 +66,7 @@
     if (error) break;
     requests_.push_back(request);
     const auto reply = script_(request);
-    co_await net::asio::async_write(*stream, net::asio::buffer(reply.bytes),
-                                    net::awaiting(error));
+    co_await net::asio::async_write(*stream, net::asio::buffer(reply.bytes), net::awaiting(error));
     if (reply.hold) {
       char byte = 0;
       co_await stream->async_read_some(net::asio::buffer(&byte, 1), net::awaiting(error));
--- a/tests/support/fake_engine.hpp
+++ b/tests/support/fake_engine.hpp
@@ -12,9 +12,9 @@
 
 /// What the engine does with one request.
 struct EngineReply {
-  std::string bytes;          ///< written as they are
-  bool close_after = false;   ///< the connection ends after them
-  bool hold = false;          ///< nothing follows until the caller closes
+  std::string bytes;         ///< written as they are
+  bool close_after = false;  ///< the connection ends after them
+  bool hold = false;         ///< nothing follows until the caller closes
 };
 
 class FakeEngine {
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -17,8 +17,8 @@
 
 /// Loopback endpoint whose port was free just now.
 inline net::Endpoint free_endpoint(net::asio::io_context& context) {
-  net::asio::ip::tcp::acceptor probe(
-      context, net::Endpoint(net::asio::ip::address_v4::loopback(), 0));
+  net::asio::ip::tcp::acceptor probe(context,
+                                     net::Endpoint(net::asio::ip::address_v4::loopback(), 0));
   return probe.local_endpoint();
 }
 
@@ -54,8 +54,8 @@
 
   static std::string route(const std::string& prefix, const std::string& kind,
                            const std::string& more = "") {
-    return R"({"name":")" + kind + R"(","host":"h","path_prefix":")" + prefix +
-           R"(","kind":")" + kind + R"(","timeout_ms":2000,"slo_ms":200,"priority":1,)" +
+    return R"({"name":")" + kind + R"(","host":"h","path_prefix":")" + prefix + R"(","kind":")" +
+           kind + R"(","timeout_ms":2000,"slo_ms":200,"priority":1,)" +
            R"("service":"app","max_attempts":1,"retain_s":60)" + more + "}";
   }
 
@@ -73,8 +73,7 @@
 
   void put_engine(const std::string& id, const FakeEngine& fake, const char* state = "ready") {
     table.put("servers", "", id,
-              R"({"service":"app","addr":"127.0.0.1:)" +
-                  std::to_string(fake.endpoint().port()) +
+              R"({"service":"app","addr":"127.0.0.1:)" + std::to_string(fake.endpoint().port()) +
                   R"(","zone":"zone","slots":4,"state":")" + state + R"("})");
   }
 
@@ -88,8 +87,8 @@
   }
 
   void start_unconfigured() {
-    gateway = std::make_unique<serving::Gateway>(context, settings, protocol, records, table, log,
-                                                 7);
+    gateway =
+        std::make_unique<serving::Gateway>(context, settings, protocol, records, table, log, 7);
     gateway->start();
   }
 
--- a/tests/support/memory_table.hpp
+++ b/tests/support/memory_table.hpp
@@ -15,9 +15,9 @@
  public:
   enum class Mode {
     kUp,
-    kRefuses,      ///< nothing is done
-    kLosesAnswers, ///< writes are done, the caller is not told
-    kLate,         ///< writes are done when apply_late() is called, the caller is not told
+    kRefuses,       ///< nothing is done
+    kLosesAnswers,  ///< writes are done, the caller is not told
+    kLate,          ///< writes are done when apply_late() is called, the caller is not told
   };
 
   explicit MemoryTable(net::asio::io_context& context) : context_(context) {}
