--- a/src/store/retrying_store.cpp
+++ b/src/store/retrying_store.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/// A try that begins at the deadline is waited for this long.
+constexpr net::Millis kShortestTry{15};
 constexpr net::Millis kShortestPause{30};
 constexpr net::Millis kLongestPause{250};
 constexpr net::Millis kLongestPatience{700};
@@ -24,6 +26,11 @@
   return {deadline, latency_.patience(), kShortestPause};
 }
 
+net::Millis RetryingStore::Tries::time_of_try() const {
+  const auto left = std::chrono::duration_cast<net::Millis>(deadline - net::Clock::now());
+  return std::min(patience, std::max(left, kShortestTry));
+}
+
 std::optional<net::Millis> RetryingStore::next(Tries& tries, const StoreResult& result,
                                                net::TimePoint sent_at) {
   const auto took = since(sent_at);
@@ -34,7 +41,7 @@
   net::Millis pause{0};
   if (result.status == StoreStatus::kUnknown) {
     // NOTE: the answer may be lost or late: patience grows, so that a slow store is not flooded.
-    latency_.note_silence(tries.patience);
+    latency_.note_silence(took);
     tries.patience = std::min(tries.patience * 2, kLongestPatience);
   } else {
     const auto jitter = random_.below(static_cast<std::uint64_t>(tries.pause.count()));
@@ -51,7 +58,7 @@
   while (true) {
     const auto sent_at = net::Clock::now();
     auto copy = transaction;
-    auto result = co_await store_.transact(std::move(copy), tries.patience);
+    auto result = co_await store_.transact(std::move(copy), tries.time_of_try());
     const auto pause = next(tries, result, sent_at);
     if (!pause) co_return result;
     if (pause->count() > 0) co_await net::sleep_for(context_, *pause);
@@ -63,7 +70,7 @@
   while (true) {
     const auto sent_at = net::Clock::now();
     auto copy = range;
-    auto result = co_await store_.read(std::move(copy), tries.patience);
+    auto result = co_await store_.read(std::move(copy), tries.time_of_try());
     const auto pause = next(tries, result, sent_at);
     if (!pause) co_return result;
     if (pause->count() > 0) co_await net::sleep_for(context_, *pause);
--- a/src/store/retrying_store.hpp
+++ b/src/store/retrying_store.hpp
@@ -31,6 +31,9 @@
     net::TimePoint deadline;
     net::Millis patience;  ///< of the next try
     net::Millis pause;     ///< after the next refusal
+
+    /// How long the next try is waited for: not beyond the deadline.
+    net::Millis time_of_try() const;
   };
 
   Tries begin(net::TimePoint deadline) const;
--- a/tests/support/memory_table.cpp
+++ b/tests/support/memory_table.cpp
@@ -42,8 +42,9 @@
 }
 
 net::asio::awaitable<StoreResult> MemoryTable::transact(store::Transaction transaction,
-                                                        net::Millis) {
+                                                        net::Millis timeout) {
   ++writes_;
+  longest_timeout_ = std::max(longest_timeout_, timeout);
   StoreResult result;
   switch (mode_) {
     case Mode::kUp:
@@ -52,6 +53,10 @@
     case Mode::kRefuses:
       result.status = StoreStatus::kRefused;
       break;
+    case Mode::kSilent:
+      co_await net::sleep_for(context_, timeout);
+      result.status = StoreStatus::kUnknown;
+      break;
     case Mode::kLosesAnswers:
       apply(transaction);
       result.status = StoreStatus::kUnknown;
--- a/tests/support/memory_table.hpp
+++ b/tests/support/memory_table.hpp
@@ -15,6 +15,7 @@
  public:
   enum class Mode {
     kUp,
+    kSilent,        ///< nothing is done; the caller waits for its whole timeout
     kRefuses,       ///< nothing is done
     kLosesAnswers,  ///< writes are done, the caller is not told
     kLate,          ///< writes are done when apply_late() is called, the caller is not told
@@ -45,6 +46,8 @@
   std::int64_t version() const { return version_; }
   int writes() const { return writes_; }
   int reads() const { return reads_; }
+  /// Longest time that a caller was ready to wait for one answer.
+  net::Millis longest_timeout() const { return longest_timeout_; }
 
  private:
   using Key = std::tuple<std::string, std::string, std::string>;
@@ -62,6 +65,7 @@
   std::int64_t stale_version_ = -1;
   int writes_ = 0;
   int reads_ = 0;
+  net::Millis longest_timeout_{0};
 };
 
 }  // namespace sailgate::test
