--- a/src/balancing/engine_registry.cpp
+++ b/src/balancing/engine_registry.cpp
@@ -56,9 +56,9 @@
 }
 
 const std::vector<EnginePointer>& EngineRegistry::of_service(const std::string& service) const {
-  static const std::vector<EnginePointer> kNone;
+  static const std::vector<EnginePointer> none;
   const auto entry = by_service_.find(service);
-  return entry == by_service_.end() ? kNone : entry->second;
+  return entry == by_service_.end() ? none : entry->second;
 }
 
 }  // namespace sailgate::balancing
--- a/src/cluster/beacon_sender.cpp
+++ b/src/cluster/beacon_sender.cpp
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-BeaconSender::BeaconSender(net::asio::io_context& context, net::Endpoint endpoint,
+BeaconSender::BeaconSender(net::asio::io_context& context, const net::Endpoint& endpoint,
                            PeerDirectory& directory, std::function<wire::Beacon()> compose)
     : context_(context),
       socket_(context, net::asio::ip::udp::endpoint(endpoint.address(), endpoint.port())),
--- a/src/cluster/beacon_sender.hpp
+++ b/src/cluster/beacon_sender.hpp
@@ -15,8 +15,8 @@
  public:
   /// @param compose gives the beacon as of now.
   /// @throws boost::system::system_error when the address cannot be bound.
-  BeaconSender(net::asio::io_context& context, net::Endpoint endpoint, PeerDirectory& directory,
-               std::function<wire::Beacon()> compose);
+  BeaconSender(net::asio::io_context& context, const net::Endpoint& endpoint,
+               PeerDirectory& directory, std::function<wire::Beacon()> compose);
 
   void start();
   /// A peer that was silent for this long is taken for lost.
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -120,7 +120,7 @@
 }
 
 void TurnKeeper::end(const std::string& program, const TurnStart& start, std::int64_t reserved,
-                     std::int64_t used, ledger::TurnPointer turn) {
+                     std::int64_t used, const ledger::TurnPointer& turn) {
   if (start.keeper.empty()) {
     if (reserved > 0) ledger_.settle(program, reserved, used);
     return;
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -50,7 +50,7 @@
   net::asio::awaitable<TurnStart> begin(TurnRequest request, net::TimePoint deadline);
   /// The turn ended. @param turn the finished turn, for the home's cache; nullptr: none.
   void end(const std::string& program, const TurnStart& start, std::int64_t reserved,
-           std::int64_t used, ledger::TurnPointer turn);
+           std::int64_t used, const ledger::TurnPointer& turn);
 
   /// Calls of other nodes. @throws std::exception when a message cannot be read.
   net::asio::awaitable<net::TextResponse> serve(net::TextRequest request);
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -198,7 +198,7 @@
   transaction.puts.push_back(std::move(row));
   const auto result = co_await store_.transact(std::move(transaction), deadline);
   if (result.status != StoreStatus::kDone) co_return false;
-  turns_.put(std::move(turn));
+  turns_.put(turn);
   co_return true;
 }
 
--- a/src/ledger/turn_cache.cpp
+++ b/src/ledger/turn_cache.cpp
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-void TurnCache::put(TurnPointer turn) {
+void TurnCache::put(const TurnPointer& turn) {
   const auto [entry, added] = by_id_.emplace(turn->id, turn);
   if (!added) return;
   bytes_ += footprint(*turn);
--- a/src/ledger/turn_cache.hpp
+++ b/src/ledger/turn_cache.hpp
@@ -15,7 +15,7 @@
  public:
   explicit TurnCache(std::size_t byte_limit) : byte_limit_(byte_limit) {}
 
-  void put(TurnPointer turn);
+  void put(const TurnPointer& turn);
   /// @return nullptr when the turn is not cached.
   TurnPointer find(const std::string& id) const;
   std::size_t bytes() const { return bytes_; }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -30,7 +30,8 @@
 /// Keeps idle connections for reuse. A connection on which anything failed is closed.
 class HttpClient {
  public:
-  HttpClient(asio::io_context& context, Endpoint server) : context_(context), server_(server) {}
+  HttpClient(asio::io_context& context, const Endpoint& server)
+      : context_(context), server_(server) {}
 
   /// One request and its whole response within `timeout`. Never sends a request twice.
   asio::awaitable<ExchangeResult> exchange(TextRequest request, Millis timeout);
--- a/src/net/text_server.cpp
+++ b/src/net/text_server.cpp
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-TextServer::TextServer(asio::io_context& context, Endpoint endpoint, Handler handler)
+TextServer::TextServer(asio::io_context& context, const Endpoint& endpoint, Handler handler)
     : context_(context), acceptor_(context, endpoint), handler_(std::move(handler)) {}
 
 void TextServer::start() { asio::co_spawn(context_, accept(), asio::detached); }
--- a/src/net/text_server.hpp
+++ b/src/net/text_server.hpp
@@ -13,7 +13,7 @@
   using Handler = std::function<asio::awaitable<TextResponse>(TextRequest)>;
 
   /// @throws boost::system::system_error when the address cannot be listened on.
-  TextServer(asio::io_context& context, Endpoint endpoint, Handler handler);
+  TextServer(asio::io_context& context, const Endpoint& endpoint, Handler handler);
   void start();
   void stop();
 
--- a/src/serving/call_handler.cpp
+++ b/src/serving/call_handler.cpp
@@ -107,7 +107,16 @@
   call.received_at = received_at;
   channel.reset_answer();
   ++state_.active_requests;
-  const auto end = co_await refuse_or_run(call);
+  CallEnd end;
+  try {
+    end = co_await refuse_or_run(call);
+  } catch (const std::exception& error) {
+    state_.log.event("internal_error")
+        .with("id", call.description.request_id)
+        .with("why", error.what());
+    end = {"internal", false};
+    channel.unwatch();
+  }
   --state_.active_requests;
   log_end(call, end);
   co_return end.connection_usable&& channel.keep();
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -42,6 +42,13 @@
 
 bool is_success(unsigned status) { return status >= 200 && status < 300; }
 
+/// Whether an answer may go back to the caller: a success carries the engine's signature, and a
+/// failure does not promise what the engine did not say.
+bool is_acceptable(const EngineExchange& exchange) {
+  const auto status = exchange.head().result_int();
+  return is_success(status) ? exchange.facts().sealed : !promises_not_run(status);
+}
+
 }  // namespace
 
 void note_success(balancing::Engine& engine) {
@@ -111,85 +118,109 @@
       .with("failures", engine.consecutive_failures);
 }
 
+std::optional<DispatchFailure> Dispatcher::reason_to_stop(const Call& call) {
+  if (call.channel.gone()) return DispatchFailure::kCallerGone;
+  if (call.time_left() <= kDeadlineMargin) return DispatchFailure::kTimedOut;
+  return std::nullopt;
+}
+
+net::asio::awaitable<void> Dispatcher::finish_refusal(EngineExchange& exchange) {
+  note_refusal(exchange);
+  std::string ignored;
+  while (co_await exchange.read_some(ignored) == ReadOutcome::kData) ignored.clear();
+  exchange.finish();
+}
+
+void Dispatcher::log_broken(const Call& call, EngineExchange& exchange, OpenOutcome outcome) {
+  const auto& engine = exchange.engine().record.id;
+  if (outcome == OpenOutcome::kAnswered) {
+    state_.log.event("answer_unacceptable")
+        .with("id", call.description.request_id)
+        .with("engine", engine)
+        .with("status", exchange.head().result_int())
+        .with("sealed", static_cast<int>(exchange.facts().sealed));
+    return;
+  }
+  state_.log.event("exchange_broken")
+      .with("id", call.description.request_id)
+      .with("engine", engine)
+      .with("kept_connection", static_cast<int>(exchange.on_kept_connection()))
+      .with("why", exchange.failure());
+}
+
+net::asio::awaitable<Dispatcher::Offer> Dispatcher::offer(Call& call,
+                                                          balancing::EnginePointer engine,
+                                                          const std::string& body,
+                                                          std::string last_event_id) {
+  Offer result;
+  call.offered.push_back(engine->record.id);
+  result.exchange =
+      std::make_unique<EngineExchange>(state_.connections, state_.protocol, engine, call.deadline);
+  auto& exchange = *result.exchange;
+  call.exchange = &exchange;
+  const auto request = engine_request(call, *engine, body, last_event_id);
+  const auto outcome = co_await exchange.open(request, call.description.request_id);
+  const bool answered = outcome == OpenOutcome::kAnswered;
+  if (answered && exchange.facts().not_run) {
+    log_offer(call, *engine, "refused");
+    co_await finish_refusal(exchange);
+    result.end = OfferEnd::kRefused;
+  } else if (answered && is_acceptable(exchange)) {
+    log_offer(call, *engine, "answered");
+    result.end = OfferEnd::kAnswered;
+  } else if (outcome == OpenOutcome::kNotSent) {
+    log_offer(call, *engine, "not_sent");
+    note_failure(*engine, "connect");
+    result.end = OfferEnd::kNotSent;
+  } else if (outcome == OpenOutcome::kAborted) {
+    result.end = OfferEnd::kAborted;
+  } else if (outcome == OpenOutcome::kTimedOut) {
+    log_offer(call, *engine, "timed_out");
+    result.end = OfferEnd::kTimedOut;
+  } else {
+    log_broken(call, exchange, outcome);
+    log_offer(call, *engine, "broken");
+    note_failure(*engine, "broken");
+    result.end = OfferEnd::kBroken;
+  }
+  if (result.end != OfferEnd::kAnswered) call.exchange = nullptr;
+  const bool unseen = result.end == OfferEnd::kRefused || result.end == OfferEnd::kNotSent;
+  if (!unseen) call.may_have_run = true;
+  co_return result;
+}
+
 net::asio::awaitable<DispatchResult> Dispatcher::dispatch(Call& call, const std::string& body,
                                                           bool repeatable,
                                                           std::string last_event_id) {
   DispatchResult result;
   bool refused = false;
   for (std::size_t offers = 0; offers < kMostOffers; ++offers) {
-    if (call.channel.gone()) {
-      result.failure = DispatchFailure::kCallerGone;
+    if (const auto reason = reason_to_stop(call)) {
+      result.failure = *reason;
       co_return result;
     }
-    if (call.time_left() <= kDeadlineMargin) {
-      result.failure = DispatchFailure::kTimedOut;
-      co_return result;
-    }
-    const auto engine = select(call);
+    auto engine = select(call);
     if (engine == nullptr) break;
-    call.offered.push_back(engine->record.id);
-    auto exchange = std::make_unique<EngineExchange>(state_.connections, state_.protocol, engine,
-                                                     call.deadline);
-    call.exchange = exchange.get();
-    const auto request = engine_request(call, *engine, body, last_event_id);
-    const auto outcome = co_await exchange->open(request, call.description.request_id);
-    if (outcome == OpenOutcome::kAborted) {
-      call.may_have_run = true;
-      call.exchange = nullptr;
-      result.failure = DispatchFailure::kCallerGone;
-      co_return result;
-    }
-    if (outcome == OpenOutcome::kNotSent) {
-      call.exchange = nullptr;
-      log_offer(call, *engine, "not_sent");
-      note_failure(*engine, "connect");
-      continue;
-    }
-    if (outcome == OpenOutcome::kAnswered) {
-      const auto status = exchange->head().result_int();
-      if (exchange->facts().not_run) {
-        log_offer(call, *engine, "refused");
-        note_refusal(*exchange);
+    auto offered = co_await offer(call, std::move(engine), body, last_event_id);
+    switch (offered.end) {
+      case OfferEnd::kAnswered:
+        result.exchange = std::move(offered.exchange);
+        co_return result;
+      case OfferEnd::kAborted:
+        result.failure = DispatchFailure::kCallerGone;
+        co_return result;
+      case OfferEnd::kTimedOut:
+        result.failure = DispatchFailure::kTimedOut;
+        co_return result;
+      case OfferEnd::kRefused:
         refused = true;
-        std::string ignored;
-        while (co_await exchange->read_some(ignored) == ReadOutcome::kData) ignored.clear();
-        exchange->finish();
-        call.exchange = nullptr;
-        continue;
-      }
-      const bool acceptable =
-          is_success(status) ? exchange->facts().sealed : !promises_not_run(status);
-      call.may_have_run = true;
-      if (acceptable) {
-        log_offer(call, *engine, "answered");
-        result.exchange = std::move(exchange);
+        break;
+      case OfferEnd::kNotSent:
+        break;
+      case OfferEnd::kBroken:
+        if (repeatable) break;
+        result.failure = DispatchFailure::kOutcomeUnknown;
         co_return result;
-      }
-    }
-    call.may_have_run = true;
-    call.exchange = nullptr;
-    if (outcome == OpenOutcome::kTimedOut) {
-      log_offer(call, *engine, "timed_out");
-      result.failure = DispatchFailure::kTimedOut;
-      co_return result;
-    }
-    if (outcome == OpenOutcome::kAnswered) {
-      state_.log.event("answer_unacceptable")
-          .with("id", call.description.request_id)
-          .with("engine", engine->record.id)
-          .with("status", exchange->head().result_int())
-          .with("sealed", static_cast<int>(exchange->facts().sealed));
-    }
-    state_.log.event("exchange_broken")
-        .with("id", call.description.request_id)
-        .with("engine", engine->record.id)
-        .with("kept_connection", static_cast<int>(exchange->on_kept_connection()))
-        .with("why", exchange->failure());
-    log_offer(call, *engine, "broken");
-    note_failure(*engine, "broken");
-    if (!repeatable) {
-      result.failure = DispatchFailure::kOutcomeUnknown;
-      co_return result;
     }
   }
   if (call.may_have_run) {
--- a/src/serving/dispatcher.hpp
+++ b/src/serving/dispatcher.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 
 #include "serving/call.hpp"
 #include "serving/node_state.hpp"
@@ -35,6 +36,18 @@
                                                 bool repeatable, std::string last_event_id);
 
  private:
+  /// How the offer to one engine ended.
+  enum class OfferEnd { kAnswered, kRefused, kNotSent, kBroken, kTimedOut, kAborted };
+  struct Offer {
+    OfferEnd end = OfferEnd::kBroken;
+    std::unique_ptr<EngineExchange> exchange;
+  };
+
+  net::asio::awaitable<Offer> offer(Call& call, balancing::EnginePointer engine,
+                                    const std::string& body, std::string last_event_id);
+  net::asio::awaitable<void> finish_refusal(EngineExchange& exchange);
+  static std::optional<DispatchFailure> reason_to_stop(const Call& call);
+  void log_broken(const Call& call, EngineExchange& exchange, OpenOutcome outcome);
   std::shared_ptr<const net::TextRequest> engine_request(const Call& call,
                                                          const balancing::Engine& engine,
                                                          const std::string& body,
--- a/src/serving/engine_exchange.cpp
+++ b/src/serving/engine_exchange.cpp
@@ -52,7 +52,7 @@
   return ReadOutcome::kBroken;
 }
 
-void EngineExchange::start_write(std::shared_ptr<const net::TextRequest> request) {
+void EngineExchange::start_write(const std::shared_ptr<const net::TextRequest>& request) {
   auto connection = connection_;
   auto state = write_;
   auto& stream = connection->stream;
@@ -97,7 +97,7 @@
   if (connection_ == nullptr) co_return OpenOutcome::kNotSent;
   connection_->stream.expires_at(deadline_);
   const bool head_request = request->method() == http::verb::head;
-  start_write(std::move(request));
+  start_write(request);
   for (int foreign = 0; foreign <= kMostForeignAnswers; ++foreign) {
     const auto outcome = co_await read_head(head_request);
     if (outcome == ReadOutcome::kAborted) co_return OpenOutcome::kAborted;
--- a/src/serving/engine_exchange.hpp
+++ b/src/serving/engine_exchange.hpp
@@ -63,7 +63,7 @@
     net::Error error;
   };
 
-  void start_write(std::shared_ptr<const net::TextRequest> request);
+  void start_write(const std::shared_ptr<const net::TextRequest>& request);
   net::asio::awaitable<ReadOutcome> read_head(bool head_request);
   net::asio::awaitable<ReadOutcome> skip_body();
   ReadOutcome outcome_of(const net::Error& error);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -128,7 +128,7 @@
 
 store::FollowerCallbacks Gateway::peer_callbacks() {
   store::FollowerCallbacks callbacks;
-  callbacks.on_whole = [this](std::vector<store::Row> rows) {
+  callbacks.on_whole = [this](const std::vector<store::Row>& rows) {
     for (const auto& row : rows) take_peer(row);
   };
   callbacks.on_change = [this](const store::Row& row) { take_peer(row); };
@@ -158,7 +158,7 @@
 
 store::FollowerCallbacks Gateway::configuration_callbacks() {
   store::FollowerCallbacks callbacks;
-  callbacks.on_whole = [this](std::vector<store::Row> rows) {
+  callbacks.on_whole = [this](const std::vector<store::Row>& rows) {
     for (const auto& row : rows) take_configuration(row);
   };
   callbacks.on_change = [this](const store::Row& row) { take_configuration(row); };
@@ -168,7 +168,7 @@
 
 store::FollowerCallbacks Gateway::engine_callbacks() {
   store::FollowerCallbacks callbacks;
-  callbacks.on_whole = [this](std::vector<store::Row> rows) {
+  callbacks.on_whole = [this](const std::vector<store::Row>& rows) {
     std::vector<balancing::EngineRecord> engines;
     for (const auto& row : rows) {
       try {
--- a/src/store/table_follower.cpp
+++ b/src/store/table_follower.cpp
@@ -67,7 +67,7 @@
   version_ = version;
   note_version(version);
   whole_ = true;
-  callbacks_.on_whole(std::move(rows));
+  callbacks_.on_whole(rows);
   co_return true;
 }
 
--- a/src/store/table_follower.hpp
+++ b/src/store/table_follower.hpp
@@ -12,9 +12,9 @@
 
 /// What a follower tells its owner.
 struct FollowerCallbacks {
-  std::function<void(std::vector<Row>)> on_whole;  ///< the table as it is
-  std::function<void(const Row&)> on_change;       ///< one row changed or is gone
-  std::function<void(bool)> on_contact;            ///< the store was reached, or was not
+  std::function<void(const std::vector<Row>&)> on_whole;  ///< the table as it is
+  std::function<void(const Row&)> on_change;              ///< one row changed or is gone
+  std::function<void(bool)> on_contact;                   ///< the store was reached, or was not
 };
 
 /// Steps: read the table whole; follow its changes; when the history is lost, read it whole again.
--- a/tests/serving/stream_call_test.cpp
+++ b/tests/serving/stream_call_test.cpp
@@ -160,6 +160,20 @@
   REQUIRE(engine.requests().size() == 3);
 }
 
+TEST_CASE_METHOD(GatewayFixture, "a row that cannot be read fails its requests and nothing else",
+                 "[serving]") {
+  start();
+  engine.set_script([](const auto& request) { return events(request, 1, 2); });
+  for (int part = 0; part < 256; ++part) {
+    table.put("budgets", std::to_string(part), "p", "\xff\xff no row");
+  }
+  const auto failed = ask(request("POST", "/stream/x", turn_headers("t1", ""), "in"));
+  REQUIRE_FALSE(failed.whole);
+  REQUIRE(engine.requests().empty());
+  REQUIRE(gateway->state().active_requests == 0);
+  REQUIRE(ask(request("POST", "/stream/x", "", "in")).whole);
+}
+
 TEST_CASE_METHOD(GatewayFixture, "a restarted node counts what its predecessor had reserved",
                  "[serving]") {
   start();
--- a/tests/store/table_follower_test.cpp
+++ b/tests/store/table_follower_test.cpp
@@ -25,7 +25,7 @@
 
   store::FollowerCallbacks callbacks() {
     store::FollowerCallbacks callbacks;
-    callbacks.on_whole = [this](std::vector<store::Row> rows) {
+    callbacks.on_whole = [this](const std::vector<store::Row>& rows) {
       ++wholes;
       mirror.clear();
       for (const auto& row : rows) mirror[row.id.key] = row.value;
