--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -76,13 +76,13 @@
   co_return std::nullopt;
 }
 
-void StreamCall::end_turn(ledger::TurnPointer turn) {
+void StreamCall::end_turn(const ledger::TurnPointer& turn) {
   if (ended_) return;
   ended_ = true;
   const auto* service = call_.routes->service(call_.service);
   const std::int64_t per_event = service == nullptr ? 1 : std::max(1, service->tokens_per_event);
   const auto used = std::min(events_ * per_event, reserved_);
-  state_.turns.end(call_.description.program, start_, reserved_, used, std::move(turn));
+  state_.turns.end(call_.description.program, start_, reserved_, used, turn);
 }
 
 net::asio::awaitable<CallEnd> StreamCall::serve() {
@@ -172,7 +172,7 @@
       co_return CallEnd{"turn_not_durable", false};
     }
   }
-  end_turn(std::move(turn));
+  end_turn(turn);
   const bool taken = co_await call_.channel.end_chunked();
   co_return CallEnd{taken ? "answered" : "caller_gone", taken};
 }
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -34,7 +34,7 @@
   net::asio::awaitable<bool> pass_on(std::vector<StreamEvent> events, EngineExchange& exchange);
   net::asio::awaitable<CallEnd> complete();
   net::asio::awaitable<CallEnd> fail(DispatchFailure failure);
-  void end_turn(ledger::TurnPointer turn);
+  void end_turn(const ledger::TurnPointer& turn);
 
   NodeState& state_;
   Call& call_;
