Turns survive outages of single store parts

While the whole store was silent, retained turns were run and cut again and again, at the budget's cost. Change: a turn's row never changes, so any of four candidate parts may have it (store::UnchangingRows); absent is said only when all four were read. A retained turn does not begin while no call to the store was answered lately (store::Reachability). The new tests fail with one candidate part.

--- a/src/cluster/store_relay.cpp
+++ b/src/cluster/store_relay.cpp
@@ -11,8 +11,14 @@
 constexpr const char* kTransactPath = "/peer/store/transact";
 constexpr const char* kReadPath = "/peer/store/read";
 constexpr const char* kFollowPath = "/peer/store/follow";
-/// While calls are relayed, one in this time is made directly, to see whether that works again.
-constexpr net::Millis kProbeInterval{400};
+/// Time between two probes of a node, and at least this much for each node there is.
+constexpr net::Millis kProbeInterval{200};
+constexpr net::Millis kProbeTimePerPeer{4};
+constexpr net::Millis kProbeTimeout{150};
+/// Probes read parts of this table in turn: single parts may be out of service.
+constexpr const char* kProbeTable = "nodes";
+constexpr std::uint64_t kProbedParts = 251;
+constexpr net::Millis kAnswerPoll{20};
 /// Single answers get lost: so many direct calls in a row must fail before calls are relayed.
 constexpr int kFailuresToRelay = 3;
 /// A relayed call may take this much longer than a direct one.
@@ -107,6 +113,7 @@
 }  // namespace
 
 void StoreRelay::note_direct(StoreStatus status) {
+  note_end(status);
   failures_in_a_row_ = failed(status) ? failures_in_a_row_ + 1 : 0;
   const bool works = failures_in_a_row_ < kFailuresToRelay;
   if (works == direct_works_) return;
@@ -114,13 +121,43 @@
   log_.event(works ? "store_direct" : "store_relayed").with("peers", directory_.peers().size());
 }
 
+void StoreRelay::note_end(StoreStatus status) {
+  reachability_.note(!failed(status), net::Clock::now());
+}
+
+net::Millis StoreRelay::probe_interval() const {
+  const auto peers = static_cast<std::int64_t>(directory_.peers().size());
+  return std::max(kProbeInterval, kProbeTimePerPeer * peers);
+}
+
+net::asio::awaitable<void> StoreRelay::probe() {
+  store::RangeRead range;
+  range.table = kProbeTable;
+  range.part = std::to_string(probes_++ % kProbedParts);
+  range.limit = 1;
+  const auto result = co_await direct_.read(std::move(range), kProbeTimeout);
+  note_direct(result.status);
+}
+
+net::asio::awaitable<void> StoreRelay::keep_probing() {
+  while (true) {
+    co_await net::sleep_for(context_, probe_interval());
+    const bool well = direct_works_ && reachability_.answers(net::Clock::now());
+    if (!well) co_await probe();
+  }
+}
+
+net::asio::awaitable<bool> StoreRelay::wait_for_answers(net::TimePoint deadline) {
+  while (!reachability_.answers(net::Clock::now())) {
+    if (net::Clock::now() >= deadline) co_return false;
+    co_await net::sleep_for(context_, kAnswerPoll);
+  }
+  co_return true;
+}
+
 std::optional<Peer> StoreRelay::relay_for_now() {
   if (direct_works_) return std::nullopt;
   const auto now = net::Clock::now();
-  if (now >= next_probe_at_) {
-    next_probe_at_ = now + kProbeInterval;
-    return std::nullopt;
-  }
   const auto able = directory_.reaching_store(now, silence_limit_);
   if (able.empty()) return std::nullopt;
   return able[random_.below(able.size())];
@@ -136,6 +173,7 @@
                                                                      : StoreStatus::kUnknown;
   if (!succeeded(exchange)) {
     directory_.suspect(peer.node, net::Clock::now());
+    note_end(result.status);
     co_return result;
   }
   try {
@@ -143,6 +181,7 @@
   } catch (const std::exception&) {
     result.status = StoreStatus::kUnknown;
   }
+  note_end(result.status);
   co_return result;
 }
 
@@ -185,10 +224,9 @@
     auto body = wire::encode(message);
     co_return co_await relayed(*peer, kFollowPath, std::move(body), timeout);
   }
-  // While direct calls fail, a direct feed is a probe too: it must not hang for its whole wait.
-  const bool probing = !direct_works_;
-  const auto direct_wait = probing ? std::min(wait, kRelayedWait) : wait;
-  const auto direct_timeout = probing ? kRelayedWait * 2 : timeout;
+  // While direct calls fail, a direct feed must not hang for its whole wait.
+  const auto direct_wait = direct_works_ ? wait : std::min(wait, kRelayedWait);
+  const auto direct_timeout = direct_works_ ? timeout : kRelayedWait * 2;
   auto result = co_await direct_.follow(std::move(table), after, direct_wait, direct_timeout);
   note_direct(result.status);
   co_return result;
--- a/src/cluster/store_relay.hpp
+++ b/src/cluster/store_relay.hpp
@@ -11,6 +11,7 @@
 #include "cluster/peer_clients.hpp"
 #include "cluster_types.h"
 #include "observe/structured_log.hpp"
+#include "store/reachability.hpp"
 #include "store/table_store.hpp"
 
 namespace sailgate::cluster {
@@ -18,9 +19,14 @@
 /// Not thread-safe. A relayed call is never relayed again.
 class StoreRelay : public store::TableStore {
  public:
-  StoreRelay(store::TableStore& direct, PeerDirectory& directory, PeerClients& clients,
-             observe::StructuredLog& log, std::uint64_t seed)
-      : direct_(direct), directory_(directory), clients_(clients), log_(log), random_(seed) {}
+  StoreRelay(net::asio::io_context& context, store::TableStore& direct, PeerDirectory& directory,
+             PeerClients& clients, observe::StructuredLog& log, std::uint64_t seed)
+      : context_(context),
+        direct_(direct),
+        directory_(directory),
+        clients_(clients),
+        log_(log),
+        random_(seed) {}
 
   net::asio::awaitable<store::StoreResult> transact(store::Transaction transaction,
                                                     net::Millis timeout) override;
@@ -29,6 +35,12 @@
   net::asio::awaitable<store::StoreResult> follow(std::string table, std::int64_t after,
                                                   net::Millis wait, net::Millis timeout) override;
 
+  /// While this node's own calls fail, makes one now and then, to see whether that works again.
+  net::asio::awaitable<void> keep_probing();
+  /// Waits until some call to the store, direct or not, was answered lately.
+  /// @return whether one was before `deadline`.
+  net::asio::awaitable<bool> wait_for_answers(net::TimePoint deadline);
+
   /// Calls of other nodes: made directly, whatever this node's own state.
   net::asio::awaitable<net::TextResponse> serve(net::TextRequest request);
   /// Whether a path is one of serve()'s.
@@ -43,9 +55,13 @@
   std::optional<Peer> relay_for_now();
   /// Notes how a direct call ended.
   void note_direct(store::StoreStatus status);
+  void note_end(store::StoreStatus status);
+  net::asio::awaitable<void> probe();
+  net::Millis probe_interval() const;
   net::asio::awaitable<store::StoreResult> relayed(Peer peer, const char* path, std::string body,
                                                    net::Millis timeout);
 
+  net::asio::io_context& context_;
   store::TableStore& direct_;
   PeerDirectory& directory_;
   PeerClients& clients_;
@@ -54,7 +70,8 @@
   net::Millis silence_limit_{1000};
   int failures_in_a_row_ = 0;
   bool direct_works_ = true;
-  net::TimePoint next_probe_at_{};
+  store::Reachability reachability_;
+  std::uint64_t probes_ = 0;
 };
 
 }  // namespace sailgate::cluster
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <stdexcept>
 
-#include "base/digest.hpp"
 #include "ledger/turn_row.hpp"
+#include "store/row_parts.hpp"
 #include "wire/codec.hpp"
 
 namespace sailgate::ledger {
@@ -15,15 +15,8 @@
 
 constexpr const char* kBudgetTable = "budgets";
 constexpr const char* kTurnTable = "turns";
-/// Rows are spread over this many parts: a part is written in turn.
-constexpr std::uint64_t kParts = 256;
 constexpr std::size_t kTurnCacheBytes = std::size_t{24} << 20U;
 
-std::string part_of(const std::string& key) {
-  const auto digest = static_cast<std::uint64_t>(base::fast_digest(key));
-  return std::to_string(digest % kParts);
-}
-
 bool time_left(net::TimePoint deadline) { return net::Clock::now() < deadline; }
 
 }  // namespace
@@ -32,6 +25,7 @@
                              observe::StructuredLog& log, std::int64_t holder)
     : context_(context),
       store_(context, store, static_cast<std::uint64_t>(holder)),
+      turn_rows_(context, store, store_.latency(), static_cast<std::uint64_t>(holder)),
       log_(log),
       holder_(holder),
       turns_(kTurnCacheBytes) {}
@@ -88,7 +82,7 @@
                                                               ProgramPointer program,
                                                               wire::BudgetRow row,
                                                               net::TimePoint deadline) {
-  const store::RowId row_id{kBudgetTable, part_of(id), id};
+  const store::RowId row_id{kBudgetTable, store::part_of(id), id};
   store::Transaction transaction;
   transaction.conditions.push_back({row_id, program->account.version()});
   store::Row put;
@@ -108,7 +102,7 @@
                                                       net::TimePoint deadline) {
   store::RangeRead range;
   range.table = kBudgetTable;
-  range.part = part_of(id);
+  range.part = store::part_of(id);
   range.from_key = id;
   range.limit = 1;
   auto result = co_await store_.read(range, deadline);
@@ -154,20 +148,15 @@
   TurnPointer known = turns_.find(id);
   std::string wanted = id;
   while (known == nullptr && !wanted.empty()) {
-    store::RangeRead range;
-    range.table = kTurnTable;
-    range.part = part_of(wanted);
-    range.from_key = wanted;
-    range.limit = 1;
-    const auto result = co_await store_.read(range, deadline);
-    if (result.status != StoreStatus::kDone) {
+    const auto found = co_await turn_rows_.find(kTurnTable, wanted, deadline);
+    if (found.lookup == store::RowLookup::kUnavailable) {
       co_return Lookup{LookupOutcome::kUnavailable, nullptr};
     }
-    if (result.rows.empty() || result.rows.front().id.key != wanted) {
-      log_.event("turn_absent").with("turn", wanted).with("store_version", result.version);
+    if (found.lookup == store::RowLookup::kAbsent) {
+      log_.event("turn_absent").with("turn", wanted).with("store_version", found.version);
       co_return Lookup{LookupOutcome::kAbsent, nullptr};
     }
-    rows.push_back(wire::decode<wire::TurnRow>(result.rows.front().value));
+    rows.push_back(wire::decode<wire::TurnRow>(found.value));
     wanted = rows.back().earlier;
     if (!wanted.empty()) known = turns_.find(wanted);
   }
@@ -191,13 +180,8 @@
 }
 
 net::asio::awaitable<bool> ProgramLedger::record_turn(TurnPointer turn, net::TimePoint deadline) {
-  store::Row row;
-  row.id = {kTurnTable, part_of(turn->id), turn->id};
-  row.value = wire::encode(encode_turn(*turn));
-  store::Transaction transaction;
-  transaction.puts.push_back(std::move(row));
-  const auto result = co_await store_.transact(std::move(transaction), deadline);
-  if (result.status != StoreStatus::kDone) co_return false;
+  auto value = wire::encode(encode_turn(*turn));
+  if (!co_await turn_rows_.put(kTurnTable, turn->id, std::move(value), deadline)) co_return false;
   turns_.put(turn);
   co_return true;
 }
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -11,6 +11,7 @@
 #include "net/async_mutex.hpp"
 #include "observe/structured_log.hpp"
 #include "store/retrying_store.hpp"
+#include "store/unchanging_rows.hpp"
 
 namespace sailgate::ledger {
 
@@ -82,6 +83,7 @@
 
   net::asio::io_context& context_;
   store::RetryingStore store_;
+  store::UnchangingRows turn_rows_;
   observe::StructuredLog& log_;
   std::int64_t holder_;
   std::unordered_map<std::string, ProgramPointer> programs_;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -99,6 +99,7 @@
   net::asio::co_spawn(context_, engine_follower_.run(), net::asio::detached);
   net::asio::co_spawn(context_, peer_follower_.run(), net::asio::detached);
   net::asio::co_spawn(context_, register_self(), net::asio::detached);
+  net::asio::co_spawn(context_, state_.store.keep_probing(), net::asio::detached);
   net::asio::co_spawn(context_, maintain(), net::asio::detached);
 }
 
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -33,7 +33,7 @@
         connections(loop),
         peers(settings.node, settings.zone),
         peer_clients(loop),
-        store(table_store, peers, peer_clients, structured_log,
+        store(loop, table_store, peers, peer_clients, structured_log,
               static_cast<std::uint64_t>(incarnation)),
         ledger(loop, store, structured_log, incarnation),
         beacons(loop, settings.peers, peers, [this, incarnation] { return beacon(incarnation); }),
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -59,6 +59,10 @@
 net::asio::awaitable<std::optional<CallEnd>> StreamCall::prepare() {
   const auto request = turn_request();
   const auto deadline = std::min(call_.deadline - kEngineTime, call_.received_at + kStoreHold);
+  // A turn that could not become durable at its end would be run for nothing, at the budget's cost.
+  if (call_.route->retained && !co_await state_.store.wait_for_answers(deadline)) {
+    co_return co_await refuse_for_now();
+  }
   start_ = co_await state_.turns.begin(request, deadline);
   if (start_.lookup == ledger::LookupOutcome::kAbsent) {
     co_return co_await refuse(call_, Kind::kUnknownTurn);
--- a/src/store/retrying_store.hpp
+++ b/src/store/retrying_store.hpp
@@ -24,6 +24,7 @@
 
   /// Time in which the store answers a call, if it does.
   net::Millis patience() const { return latency_.patience(); }
+  LatencyEstimate& latency() { return latency_; }
 
  private:
   /// Progress of one call.
--- /dev/null
+++ b/src/store/row_parts.cpp
@@ -0,0 +1,32 @@
+#include "store/row_parts.hpp"
+
+#include <cstdint>
+
+#include "base/digest.hpp"
+
+namespace sailgate::store {
+
+namespace {
+
+/// Rows are spread over this many parts: a part is written in turn.
+constexpr std::uint64_t kParts = 256;
+/// With a third of the parts out of service, all candidates of a row are so once in 80.
+constexpr std::uint64_t kCandidates = 4;
+
+std::uint64_t first_part(const std::string& key) {
+  return static_cast<std::uint64_t>(base::fast_digest(key)) % kParts;
+}
+
+}  // namespace
+
+std::string part_of(const std::string& key) { return std::to_string(first_part(key)); }
+
+std::vector<std::string> candidate_parts(const std::string& key) {
+  std::vector<std::string> parts;
+  for (std::uint64_t i = 0; i < kCandidates; ++i) {
+    parts.push_back(std::to_string((first_part(key) + i * (kParts / kCandidates)) % kParts));
+  }
+  return parts;
+}
+
+}  // namespace sailgate::store
--- a/tests/serving/stream_call_test.cpp
+++ b/tests/serving/stream_call_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "store/row_parts.hpp"
 #include "support/gateway_fixture.hpp"
 
 using namespace sailgate;
@@ -184,3 +185,30 @@
       context, restarted.ledger.reserve("p", 100, 300, net::Clock::now() + net::Millis(200)));
   REQUIRE(outcome == ledger::ReserveOutcome::kExhausted);
 }
+
+TEST_CASE_METHOD(
+    GatewayFixture,
+    "a turn that could not become durable does not reach an engine and costs no budget",
+    "[serving]") {
+  start();
+  engine.set_script([](const auto& request) { return events(request, 1, 3); });
+  table.set_mode(test::MemoryTable::Mode::kRefuses);
+  const auto deadline = net::Clock::now() + net::Millis(1000);
+  test::run_until(context, [&] { return net::Clock::now() > deadline; });
+  const auto refused = ask(request("POST", "/turns/x", turn_headers("t-1", ""), "in"));
+  REQUIRE(refused.status == 503);
+  REQUIRE(refused.head.count(net::http::field::retry_after) == 1);
+  REQUIRE(engine.requests().empty());
+  table.set_mode(test::MemoryTable::Mode::kUp);
+  REQUIRE(ask(request("POST", "/turns/x", turn_headers("t-2", ""), "in")).status == 200);
+}
+
+TEST_CASE_METHOD(GatewayFixture, "a part of the store that is out of service stops no turn",
+                 "[serving]") {
+  start();
+  engine.set_script([](const auto& request) { return events(request, 1, 3); });
+  REQUIRE(ask(request("POST", "/turns/x", turn_headers("t-1", ""), "in")).whole);
+  table.put_out_of_service({store::part_of("t-2"), store::part_of("t-3")});
+  REQUIRE(ask(request("POST", "/turns/x", turn_headers("t-2", "t-1"), "in")).whole);
+  REQUIRE(ask(request("POST", "/turns/x", turn_headers("t-3", "t-2"), "in")).whole);
+}
--- /dev/null
+++ b/tests/store/unchanging_rows_test.cpp
@@ -0,0 +1,83 @@
+#include "store/unchanging_rows.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "store/row_parts.hpp"
+#include "support/memory_table.hpp"
+#include "support/run.hpp"
+
+using namespace sailgate;
+using store::RowLookup;
+using test::MemoryTable;
+using test::run;
+
+namespace {
+
+struct Fixture {
+  net::asio::io_context context;
+  MemoryTable table{context};
+  store::LatencyEstimate latency;
+  store::UnchangingRows rows{context, table, latency, 1};
+  std::vector<std::string> parts = store::candidate_parts("key");
+
+  bool put() {
+    return run(context, rows.put("t", "key", "v", net::Clock::now() + net::Millis(200)));
+  }
+  store::RowFound find(store::UnchangingRows& reader) {
+    return run(context, reader.find("t", "key", net::Clock::now() + net::Millis(200)));
+  }
+};
+
+}  // namespace
+
+TEST_CASE("the candidate parts of a row differ", "[store]") {
+  const auto parts = store::candidate_parts("key");
+  REQUIRE(parts.size() > 1);
+  REQUIRE(std::set<std::string>(parts.begin(), parts.end()).size() == parts.size());
+  REQUIRE(parts.front() == store::part_of("key"));
+}
+
+TEST_CASE_METHOD(Fixture, "a row is written once, to its first part", "[store]") {
+  REQUIRE(put());
+  REQUIRE(table.writes() == 1);
+  REQUIRE(find(rows).value == "v");
+  REQUIRE(table.reads() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a part out of service does not keep a row from being written",
+                 "[store]") {
+  table.put_out_of_service({parts[0]});
+  REQUIRE(put());
+  store::UnchangingRows other(context, table, latency, 2);
+  REQUIRE(find(other).lookup == RowLookup::kFound);
+  table.put_out_of_service({});
+  REQUIRE(find(other).lookup == RowLookup::kFound);
+}
+
+TEST_CASE_METHOD(Fixture, "absent is not said while a candidate part cannot be read", "[store]") {
+  table.put_out_of_service({parts[0]});
+  REQUIRE(put());
+  table.put_out_of_service({parts[1]});
+  REQUIRE(find(rows).lookup == RowLookup::kUnavailable);
+  table.put_out_of_service({});
+  REQUIRE(find(rows).lookup == RowLookup::kFound);
+}
+
+TEST_CASE_METHOD(Fixture, "absent is said when all candidate parts were read", "[store]") {
+  REQUIRE(find(rows).lookup == RowLookup::kAbsent);
+  REQUIRE(table.reads() == static_cast<int>(parts.size()));
+}
+
+TEST_CASE_METHOD(Fixture, "a part that failed lately is tried last", "[store]") {
+  table.put_out_of_service({parts[0]});
+  REQUIRE(put());
+  const int writes = table.writes();
+  REQUIRE(put());
+  REQUIRE(table.writes() == writes + 1);
+}
+
+TEST_CASE_METHOD(Fixture, "without the store a row is not taken for written", "[store]") {
+  table.set_mode(MemoryTable::Mode::kRefuses);
+  REQUIRE_FALSE(put());
+  REQUIRE(find(rows).lookup == RowLookup::kUnavailable);
+}
--- a/tests/support/memory_table.cpp
+++ b/tests/support/memory_table.cpp
@@ -41,11 +41,26 @@
   return result;
 }
 
+bool MemoryTable::out_of_service(const store::Transaction& transaction) const {
+  const auto out = [this](const store::RowId& id) { return parts_out_.count(id.part) > 0; };
+  for (const auto& condition : transaction.conditions) {
+    if (out(condition.id)) return true;
+  }
+  for (const auto& row : transaction.puts) {
+    if (out(row.id)) return true;
+  }
+  return std::any_of(transaction.removals.begin(), transaction.removals.end(), out);
+}
+
 net::asio::awaitable<StoreResult> MemoryTable::transact(store::Transaction transaction,
                                                         net::Millis timeout) {
   ++writes_;
   longest_timeout_ = std::max(longest_timeout_, timeout);
   StoreResult result;
+  if (out_of_service(transaction)) {
+    result.status = StoreStatus::kRefused;
+    co_return result;
+  }
   switch (mode_) {
     case Mode::kUp:
       result = apply(transaction);
@@ -72,7 +87,7 @@
 net::asio::awaitable<StoreResult> MemoryTable::read(store::RangeRead range, net::Millis) {
   ++reads_;
   StoreResult result;
-  if (mode_ == Mode::kRefuses) {
+  if (mode_ == Mode::kRefuses || parts_out_.count(range.part) > 0) {
     result.status = StoreStatus::kRefused;
     co_return result;
   }
--- a/tests/support/memory_table.hpp
+++ b/tests/support/memory_table.hpp
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -31,6 +32,8 @@
                                                   net::Millis wait, net::Millis timeout) override;
 
   void set_mode(Mode mode) { mode_ = mode; }
+  /// Calls that touch one of these parts are refused.
+  void put_out_of_service(std::set<std::string> parts) { parts_out_ = std::move(parts); }
   /// Writes that were held back take effect now, where their conditions hold.
   void apply_late();
   /// Feeds from before now answer that the history is lost.
@@ -53,10 +56,12 @@
   using Key = std::tuple<std::string, std::string, std::string>;
 
   static Key key_of(const store::RowId& id) { return {id.table, id.part, id.key}; }
+  bool out_of_service(const store::Transaction& transaction) const;
   store::StoreResult apply(const store::Transaction& transaction);
 
   net::asio::io_context& context_;
   Mode mode_ = Mode::kUp;
+  std::set<std::string> parts_out_;
   std::map<Key, store::Row> rows_;
   std::vector<store::Row> history_;
   std::deque<store::Transaction> late_;
