--- a/apps/sailgate_bench/demo.cpp
+++ b/apps/sailgate_bench/demo.cpp
@@ -123,7 +123,7 @@
   LocalDeployment deployment({}, programs, work);
   std::cout << "starting 3 zones with 2 nodes each, and the stand-ins\n";
   if (!deployment.start(kStartTimeout)) {
-    std::cout << "demo: failed, the slots were not founded; logs in " << work << "\n";
+    std::cout << "demo: failed, not all nodes serve; logs in " << work << "\n";
     return cli::kFailure;
   }
   bool good = season_plan(deployment);
--- a/idl/sailgate.thrift
+++ b/idl/sailgate.thrift
@@ -1,5 +1,5 @@
 /**
- * Protocol between sailgate nodes and the format of replicated journal entries.
+ * Types of the product's own interface: programs, calls, bundles, and their rows in the table store.
  *
  * Source of `generated/`; regenerate with scripts/generate after every change.
  * Times are milliseconds of the sender's monotonic clock unless a field name says otherwise.
@@ -25,7 +25,6 @@
   kUnauthorized = 14
   kNoFeasibleBackend = 15
   kOverloaded = 16
-  kSlotUnavailable = 17
   kStopping = 18
   kStorageFull = 19
   kBackendRefused = 20
@@ -54,60 +53,6 @@
 /** How an attempt ended. */
 enum Outcome { kSucceeded = 0, kFailed = 1, kNotRun = 2, kUnknown = 3 }
 
-// ---------------------------------------------------------------- membership
-
-/**
- * One incarnation of a node process. A restarted process gets a new, higher id: start time in the
- * upper bits, random lower bits.
- */
-struct Member {
-  1: i64 id
-  2: string host
-  3: i32 rpc_port
-  4: string zone
-}
-
-enum MemberStatus { kAlive = 0, kSuspect = 1, kLeaving = 2, kDead = 3 }
-
-/** Status claim about a member; the higher (counter, status) wins. */
-struct MemberRumor {
-  1: Member member
-  2: MemberStatus status
-  3: i32 counter
-}
-
-/** Location of a slot's replica group; the higher (epoch, view, members_index) wins. */
-struct SlotRumor {
-  1: i32 slot
-  6: i64 epoch
-  2: i64 view
-  3: i64 members_index
-  4: i64 leader
-  5: list<i64> members
-}
-
-/** Status of a back end; the higher counter wins. */
-struct BackendRumor {
-  1: string backend
-  2: i64 counter
-  3: bool leaving
-}
-
-union Rumor {
-  1: MemberRumor member
-  2: SlotRumor slot
-  3: BackendRumor backend
-}
-
-struct Ping { 1: i32 sequence }
-struct PingReply { 1: i32 sequence }
-/** Asks the receiver to probe `target` on the sender's behalf. */
-struct IndirectPing { 1: i32 sequence; 2: i64 target }
-/** Asks for the rumors of those table buckets whose digest differs. */
-struct SyncRequest { 1: list<i64> bucket_digests }
-/** Rumors of the differing buckets travel in the envelope. */
-struct SyncReply { 1: i32 buckets }
-
 // --------------------------------------------------------------- configuration
 
 /** What one partner allows one of its tenants. */
@@ -158,7 +103,7 @@
   2: list<Bundle> bundles
 }
 
-// --------------------------------------------------------------- journal
+// --------------------------------------------------------------- changes of a program
 
 struct ProgramOpened {
   1: string program
@@ -187,10 +132,13 @@
   2: i32 sequence
   3: i64 attempt
   4: string backend
+  /** Process that runs the attempt. */
   5: i64 gateway
   6: i64 nonce
   7: i64 deadline_in_ms
   8: string request_key
+  /** Where that process can be asked about its attempts. */
+  9: string gateway_address
 }
 
 struct AttemptEnded {
@@ -218,152 +166,6 @@
   2: string backend
 }
 
-/** Gives up a call that is admitted but has no attempt under way. */
-struct CallWithdrawn {
-  1: string program
-  2: i32 sequence
-  3: string request_key
-}
-
-/** Drops an ended program that owes nothing, after its retention time. */
-struct ProgramForgotten { 1: string program }
-
-/**
- * Replaces the member list of the replica group itself. While `previous` is not empty, both lists
- * are in force: every decision needs a majority of each (joint consensus).
- */
-struct MembersChanged {
-  1: list<Member> members
-  2: list<Member> previous
-}
-
-/**
- * The slot's row in the table service. `token` is unique to one write. `epoch` grows with each
- * founding or recovery of the slot's group; groups of older epochs are void.
- */
-struct SlotRow {
-  5: i64 epoch
-  1: i64 view
-  2: i64 members_index
-  3: list<Member> members
-  4: i64 token
-}
-
-/** The leader is about to write this row; the write may take effect any time from now. */
-struct RowIntended { 1: SlotRow row }
-/** The row is known to be in the table; earlier intentions can no longer take effect. */
-struct RowRecorded { 1: SlotRow row; 2: i64 version }
-
-/** A bundle signed by all partners; takes effect if it builds on the generation in force. */
-struct ConfigurationAccepted { 1: SignedBundle signed_bundle }
-
-/** First entry of a view; carries no change. */
-struct ViewStarted {}
-
-/** By reference: the union stays small, and copies share the immutable entry. */
-union JournalEntry {
-  1: ProgramOpened& program_opened
-  2: CallAdmitted& call_admitted
-  3: AttemptStarted& attempt_started
-  4: AttemptEnded& attempt_ended
-  5: ToolPauseReported& tool_pause_reported
-  6: ProgramClosed& program_closed
-  7: EvictionAcknowledged& eviction_acknowledged
-  8: MembersChanged& members_changed
-  9: ViewStarted& view_started
-  10: ProgramForgotten& program_forgotten
-  11: RowIntended& row_intended
-  12: RowRecorded& row_recorded
-  13: CallWithdrawn& call_withdrawn
-  14: ConfigurationAccepted& configuration_accepted
-}
-
-struct LogRecord {
-  1: i64 view
-  2: JournalEntry entry
-}
-
-// --------------------------------------------------------------- replication
-
-struct AppendRequest {
-  1: i64 view
-  2: i64 previous_index
-  3: i64 previous_view
-  4: list<LogRecord> records
-  5: i64 commit_index
-  6: i64 sent_at
-}
-
-struct AppendReply {
-  1: i64 view
-  2: bool accepted
-  3: i64 match_index
-  4: i64 sent_at
-  /** Counts how often the sender has dropped its log; older answers say nothing about it. */
-  5: i32 generation
-}
-
-struct VoteRequest {
-  1: i64 view
-  2: i64 last_index
-  3: i64 last_view
-  4: bool trial
-  5: bool transfer
-}
-
-struct VoteReply {
-  1: i64 view
-  2: bool granted
-  3: bool trial
-}
-
-struct InstallSnapshot {
-  1: i64 view
-  2: i64 last_index
-  3: i64 last_view
-  4: list<Member> members
-  5: i64 members_index
-  6: binary state
-  7: i64 sent_at
-  8: list<Member> previous
-}
-
-/** Tells the receiver to start an election at once (leadership transfer). */
-struct ElectNow { 1: i64 view }
-
-/** Tells a removed member that the list at `members_index`, without it, is committed. */
-struct Removed { 1: i64 view; 2: i64 members_index }
-
-/** By reference, as JournalEntry. */
-union GroupBody {
-  1: AppendRequest& append_request
-  2: AppendReply& append_reply
-  3: VoteRequest& vote_request
-  4: VoteReply& vote_reply
-  5: InstallSnapshot& install_snapshot
-  6: ElectNow& elect_now
-  7: Removed& removed
-}
-
-struct GroupMessage {
-  1: i32 slot
-  3: i64 epoch
-  2: GroupBody body
-}
-
-/** Everything one node sends to one peer in one step. */
-struct Envelope {
-  1: Member sender
-  2: i64 receiver
-  3: list<GroupMessage> groups
-  4: list<Rumor> rumors
-  5: optional Ping ping
-  6: optional PingReply ping_reply
-  7: optional IndirectPing indirect_ping
-  8: optional SyncRequest sync_request
-  9: optional SyncReply sync_reply
-}
-
 // ------------------------------------------------------------ program requests
 
 struct OpenProgram { 1: ProgramOpened program }
@@ -374,6 +176,7 @@
   3: i64 nonce
   4: i64 deadline_in_ms
   5: string tenant
+  6: string gateway_address
 }
 
 struct CompleteAttempt { 1: AttemptEnded ended }
@@ -385,8 +188,6 @@
 
 /** Rolls a bundle out; answered when no node serves under an older generation any more. */
 struct RollConfiguration { 1: SignedBundle signed_bundle }
-/** A node asks to go on serving; `generation` is the one it serves under. */
-struct RenewConfigurationLease { 1: i64 member; 2: i64 generation }
 
 union ProgramRequest {
   1: OpenProgram open_program
@@ -397,7 +198,6 @@
   6: ReportToolPause report_tool_pause
   7: EndProgram end_program
   8: RollConfiguration roll_configuration
-  9: RenewConfigurationLease renew_configuration_lease
 }
 
 /** One finished call of a program's history. */
@@ -450,32 +250,22 @@
   11: list<string> evictions_owed
 }
 
-/** The receiver does not lead the slot; `leader` is 0 when it knows none. */
-struct Redirect { 1: i64 leader }
-
 struct Accepted { 1: string program }
 
-/** Grants a configuration lease; the configuration is set only when it is newer than the asker's. */
-struct ConfigurationLease {
-  1: i64 generation
-  2: i64 duration_ms
-  3: optional Configuration configuration
-}
-
+/** Nothing is set when nobody could tell in time. */
 union ProgramReply {
   1: Accepted accepted
   2: Grant grant
   3: CallOutcome outcome
   4: Refusal refusal
   5: ProgramView view
-  6: Redirect redirect
-  7: ConfigurationLease configuration_lease
 }
 
-// ------------------------------------------------------------------- state
+// ------------------------------------------------------------------- rows
 
 enum CallPhase { kAdmitted = 0, kRunning = 1, kUnknown = 2, kDone = 3 }
 
+/** The texts of a call (request body and result) have rows of their own. */
 struct CallRecord {
   1: CallAdmitted call
   2: CallPhase phase
@@ -488,6 +278,8 @@
   9: i64 deadline_in_ms
   /** Whether the call's tokens are part of the program's reserved tokens now. */
   10: bool reservation_held
+  11: i64 started_at_unix_ms
+  12: string gateway_address
 }
 
 struct ProgramRecord {
@@ -500,21 +292,15 @@
   7: list<CallRecord> calls
   8: list<string> backends_used
   9: list<string> evictions_owed
+  10: i64 changed_at_unix_ms
 }
 
-struct SlotSnapshot {
+/** A root program with all its sub-programs: what one conditional write decides about. */
+struct FamilyRow {
   1: list<ProgramRecord> programs
-  2: list<SlotRow> possible_rows
-  3: Configuration configuration
+  /** Attempts started so far; orders them for back ends. */
+  2: i64 attempts_started
 }
 
-// ------------------------------------------------------------------ services
-
-service Node {
-  /** Delivers one envelope; nothing is answered, replies come as envelopes. */
-  oneway void deliver(1: Envelope envelope)
-  /** Runs one program request on the slot's leader. */
-  ProgramReply execute(1: i32 slot, 2: ProgramRequest request)
-  /** Tells the receiver's member id and zone. */
-  Member identify()
-}
+/** When somebody must look at a family though no caller asks. */
+struct DueRow { 1: i64 due_at_unix_ms }
--- a/src/gateway/answers.cpp
+++ b/src/api/answers.cpp
@@ -1,11 +1,11 @@
-#include "gateway/answers.hpp"
+#include "api/answers.hpp"
 
 #include <cpprest/json.h>
 
 #include "base/error_table.hpp"
 #include "base/refusal.hpp"
 
-namespace sailgate::gateway {
+namespace sailgate::api {
 namespace {
 
 using web::json::value;
@@ -147,8 +147,9 @@
   if (reply.__isset.refusal) return refusal_answer(reply.refusal, reply.refusal.detail);
   if (reply.__isset.view) return view_answer(reply.view);
   if (reply.__isset.accepted) return accepted_answer(reply.accepted.program, 200);
-  // No leader answered: the request may or may not have taken effect.
-  return refusal_answer(base::make_refusal(wire::ErrorKind::kSlotUnavailable, wire::Ran::kUnknown));
+  // Nobody could tell in time: the request may or may not have taken effect.
+  return refusal_answer(
+      base::make_refusal(wire::ErrorKind::kStoreUnavailable, wire::Ran::kUnknown));
 }
 
 std::string event_text(const std::string& name, const std::string& json) {
@@ -161,4 +162,4 @@
   return event_text("piece", body.serialize());
 }
 
-}  // namespace sailgate::gateway
+}  // namespace sailgate::api
--- a/src/gateway/answers.hpp
+++ b/src/api/answers.hpp
@@ -6,7 +6,7 @@
 #include "http/http_message.hpp"
 #include "sailgate_types.h"
 
-namespace sailgate::gateway {
+namespace sailgate::api {
 
 /// Answer for a refusal: status and text from the error table.
 http::HttpResponse refusal_answer(const wire::Refusal& refusal, const std::string& detail = "");
@@ -26,4 +26,4 @@
 std::string event_text(const std::string& name, const std::string& json);
 std::string piece_event(const std::string& piece);
 
-}  // namespace sailgate::gateway
+}  // namespace sailgate::api
--- a/src/gateway/core/call_flow.cpp
+++ b/src/api/call_flow.cpp
@@ -1,14 +1,14 @@
-#include "gateway/core/call_flow.hpp"
+#include "api/call_flow.hpp"
 
 #include "base/refusal.hpp"
 #include "wire/replies.hpp"
 
-namespace sailgate::gateway {
+namespace sailgate::api {
 namespace {
 
 using Kind = wire::ErrorKind;
 
-/// Pause before a leader is asked again.
+/// Pause before a decision is asked for again.
 constexpr base::Millis kRetryPause = 50;
 /// Age at which an unused grant is given back.
 constexpr base::Millis kGrantFreshness = 500;
@@ -55,10 +55,10 @@
 
 FlowStep CallFlow::admit_again(base::Millis now) {
   // NOTE: this flow dispatched nothing and never will, but an earlier copy of the request may run
-  // through another gateway, and the leader was not there to tell.
+  // through another gateway, and the store was silent.
   if (now + kRetryPause >= give_up_at_) {
     const auto ran = first_send_ ? wire::Ran::kNotRun : wire::Ran::kUnknown;
-    return refuse(Kind::kSlotUnavailable, ran);
+    return refuse(Kind::kStoreUnavailable, ran);
   }
   auto step = start();
   step.wait = kRetryPause;
@@ -138,7 +138,7 @@
   if (reply.__isset.outcome) return answer(reply);
   if (not_run) return refuse(Kind::kBackendRefused, unsent_ran());
   if (unknown) return refuse(Kind::kBackendTimeout, wire::Ran::kUnknown);
-  // The leader had given this attempt up before its end was reported.
+  // Another node had given this attempt up before its end was reported.
   return refuse(Kind::kOutcomeUnknown, wire::Ran::kUnknown);
 }
 
@@ -188,4 +188,4 @@
   return answer(std::move(reply));
 }
 
-}  // namespace sailgate::gateway
+}  // namespace sailgate::api
--- a/src/gateway/core/call_flow.hpp
+++ b/src/api/call_flow.hpp
@@ -1,9 +1,10 @@
 /// @file Steps of one call at a gateway, apart from any I/O.
 ///
-///  1. Admit: ask the slot's leader. Without a usable reply, ask again with the same nonce, so that
+///  1. Admit: have it decided on the program's rows. Without a reply, ask again with the same
+///  nonce, so that
 ///     a grant that was lost on the way is handed out again, never twice.
 ///  2. Dispatch: send the one granted attempt to its back end, once.
-///  3. Complete: report how it ended until the leader has committed it.
+///  3. Complete: report how it ended until that is stored.
 ///  4. Answer: the end of the answer is given only after the commit. What is said about execution
 ///     follows from what this gateway did: nothing dispatched is "not run".
 #pragma once
@@ -14,7 +15,7 @@
 #include "base/time.hpp"
 #include "sailgate_types.h"
 
-namespace sailgate::gateway {
+namespace sailgate::api {
 
 /// How a dispatch ended, as the back-end adapter saw it.
 struct DispatchResult {
@@ -52,7 +53,7 @@
 
   /// An answer counts only if it names the attempt it is for.
   virtual bool answer_matches(std::int64_t attempt, const DispatchResult& result) const;
-  /// The answer may leave only after its ending is committed.
+  /// The answer may leave only after its ending is stored.
   virtual bool wait_for_commit() const;
   /// What is known about execution when a dispatch was lost.
   virtual wire::Outcome::type outcome_of_loss() const;
@@ -69,7 +70,7 @@
  public:
   /// @param give_up_at time at which the caller gets a final answer in any case.
   /// @param first_send the caller states that no copy of this request was sent before; only then
-  /// may "not run" be said without the leader's word.
+  /// may "not run" be said while the store is silent.
   CallFlow(const FlowRules& rules, wire::AdmitCall admit, base::Millis give_up_at, bool first_send);
 
   /// First step.
@@ -99,4 +100,4 @@
   wire::AttemptEnded ended_;
 };
 
-}  // namespace sailgate::gateway
+}  // namespace sailgate::api
--- a/src/gateway/call_request.cpp
+++ b/src/api/call_request.cpp
@@ -1,9 +1,9 @@
-#include "gateway/call_request.hpp"
+#include "api/call_request.hpp"
 
 #include "base/digest.hpp"
 #include "http/json_body.hpp"
 
-namespace sailgate::gateway {
+namespace sailgate::api {
 namespace {
 
 using http::BadBody;
@@ -110,4 +110,4 @@
   return opened;
 }
 
-}  // namespace sailgate::gateway
+}  // namespace sailgate::api
--- a/src/gateway/call_request.hpp
+++ b/src/api/call_request.hpp
@@ -6,7 +6,7 @@
 #include "base/time.hpp"
 #include "sailgate_types.h"
 
-namespace sailgate::gateway {
+namespace sailgate::api {
 
 /// Parsed body of POST /v1/programs/{id}/calls.
 struct CallRequest {
@@ -27,4 +27,4 @@
 /// Longest program id, request key and name.
 constexpr std::size_t kLongestName = 256;
 
-}  // namespace sailgate::gateway
+}  // namespace sailgate::api
--- a/src/gateway/call_runner.cpp
+++ b/src/api/call_runner.cpp
@@ -1,14 +1,15 @@
-#include "gateway/call_runner.hpp"
+#include "api/call_runner.hpp"
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <random>
 #include <thread>
 
-namespace sailgate::gateway {
+namespace sailgate::api {
 namespace {
 
-/// Longest one request to the leader is waited for before it is asked again.
+/// Longest one decision is waited for before it is asked for again.
 constexpr base::Millis kRequestTimeout = 2000;
 constexpr double kMillisPerSecond = 1000.0;
 
@@ -33,34 +34,53 @@
   return "lost";
 }
 
+/// Keeps an attempt known as running for as long as its call is being served.
+class RunningAttempt {
+ public:
+  RunningAttempt(node::NodeRuntime& node, const wire::Grant& grant)
+      : node_(node), attempt_(grant.attempt), backend_(grant.backend) {
+    node_.attempt_started(attempt_, backend_);
+  }
+  RunningAttempt(const RunningAttempt&) = delete;
+  RunningAttempt& operator=(const RunningAttempt&) = delete;
+  ~RunningAttempt() { node_.attempt_ended(attempt_, backend_); }
+
+ private:
+  node::NodeRuntime& node_;
+  std::int64_t attempt_;
+  std::string backend_;
+};
+
 }  // namespace
 
 wire::ProgramReply CallRunner::run(wire::AdmitCall admit, bool first_send, base::Millis patience,
                                    const backend::BackendClient::PieceHandler& on_piece) {
-  const auto started = node::NodeRuntime::now();
+  const auto started = node::monotonic_now();
   const auto give_up_at = started + patience;
   base::Millis backend_time = 0;
   auto granted_at = started;
-  admit.gateway = node_.member_id();
+  admit.gateway = node_.process_id();
+  admit.gateway_address = node_.address();
   admit.nonce = new_nonce();
-  const auto program = admit.call.program;
   CallFlow flow(rules_, admit, give_up_at, first_send);
+  std::optional<RunningAttempt> running;
   auto step = flow.start();
   while (step.kind != FlowStep::Kind::kAnswer) {
     if (step.wait > 0) std::this_thread::sleep_for(std::chrono::milliseconds(step.wait));
-    const auto now = node::NodeRuntime::now();
+    const auto now = node::monotonic_now();
     if (step.kind == FlowStep::Kind::kDispatch) {
+      running.emplace(node_, step.grant);
       const auto result = dispatch(admit, step.grant, granted_at, give_up_at, on_piece);
-      backend_time += node::NodeRuntime::now() - now;
+      backend_time += node::monotonic_now() - now;
       step = flow.on_dispatched(result);
     } else {
       const auto left = std::max<base::Millis>(give_up_at - now, 1);
-      const auto reply = node_.route(program, step.request, std::min(left, kRequestTimeout));
-      granted_at = node::NodeRuntime::now();
+      const auto reply = node_.execute(step.request, std::min(left, kRequestTimeout));
+      granted_at = node::monotonic_now();
       step = flow.on_reply(reply, granted_at);
     }
   }
-  const auto total = node::NodeRuntime::now() - started;
+  const auto total = node::monotonic_now() - started;
   statistics_.observe_overhead(static_cast<double>(total - backend_time) / kMillisPerSecond);
   return step.answer;
 }
@@ -76,20 +96,27 @@
   order.target = admit.call.target;
   order.request_body = admit.call.request_body;
   order.grant = grant;
-  const auto left = std::min(grant.deadline_in_ms, give_up_at - node::NodeRuntime::now());
-  const bool fresh = grant_is_fresh(node::NodeRuntime::now() - granted_at,
-                                    node_.backend_is_leaving(grant.backend));
-  if (left <= 0 || !fresh) {
-    DispatchResult unsent;
-    unsent.kind = DispatchResult::Kind::kUnsent;
-    return unsent;
+  const auto begun = node::monotonic_now();
+  const auto left = std::min(grant.deadline_in_ms, give_up_at - begun);
+  const bool fresh = grant_is_fresh(begun - granted_at, node_.backend_is_leaving(grant.backend));
+  DispatchResult result;
+  result.kind = DispatchResult::Kind::kUnsent;
+  if (left > 0 && fresh) result = backends_.run(order, std::chrono::milliseconds(left), on_piece);
+  if (result.result.size() > program::kLongestText) {
+    // It ran, but its answer cannot be kept.
+    result.kind = DispatchResult::Kind::kFailed;
+    result.result.clear();
   }
-  auto result = backends_.run(order, std::chrono::milliseconds(left), on_piece);
   statistics_.count_dispatch(name_of(result.kind));
+  log_.event("attempt", [&](auto& line) {
+    line.with("program", admit.call.program).with("key", admit.call.request_key);
+    line.with("attempt", grant.attempt).with("backend", grant.backend);
+    line.with("result", name_of(result.kind)).with("elapsed_ms", node::monotonic_now() - begun);
+  });
   if (result.backend_leaving) node_.report_leaving(grant.backend);
   const bool foreign = result.answered_attempt != 0 && result.answered_attempt != grant.attempt;
   if (foreign) statistics_.count_foreign_answer();
   return result;
 }
 
-}  // namespace sailgate::gateway
+}  // namespace sailgate::api
--- a/src/gateway/call_runner.hpp
+++ b/src/api/call_runner.hpp
@@ -4,18 +4,19 @@
 #include <functional>
 #include <string>
 
+#include "api/call_flow.hpp"
+#include "api/statistics.hpp"
 #include "backend/backend_client.hpp"
-#include "gateway/core/call_flow.hpp"
-#include "gateway/statistics.hpp"
 #include "node/node_runtime.hpp"
 
-namespace sailgate::gateway {
+namespace sailgate::api {
 
 /// Thread-safe; each run() blocks its thread until the call is answered.
 class CallRunner {
  public:
-  CallRunner(node::NodeRuntime& node, backend::BackendClient& backends, Statistics& statistics)
-      : node_(node), backends_(backends), statistics_(statistics) {}
+  CallRunner(node::NodeRuntime& node, backend::BackendClient& backends, Statistics& statistics,
+             observe::SharedLog& log)
+      : node_(node), backends_(backends), statistics_(statistics), log_(log) {}
 
   /// @param patience milliseconds until the caller must have a final answer.
   /// @param on_piece gets streamed pieces; may be empty.
@@ -31,7 +32,8 @@
   node::NodeRuntime& node_;
   backend::BackendClient& backends_;
   Statistics& statistics_;
+  observe::SharedLog& log_;
   FlowRules rules_;
 };
 
-}  // namespace sailgate::gateway
+}  // namespace sailgate::api
--- a/src/gateway/caller_api.cpp
+++ b/src/api/caller_api.cpp
@@ -1,14 +1,13 @@
-#include "gateway/caller_api.hpp"
-
-#include <glog/logging.h>
+#include "api/caller_api.hpp"
 
+#include "api/answers.hpp"
+#include "api/call_request.hpp"
+#include "base/error_table.hpp"
 #include "base/refusal.hpp"
-#include "gateway/answers.hpp"
-#include "gateway/call_request.hpp"
 #include "http/json_body.hpp"
 #include "node/bundle_file.hpp"
 
-namespace sailgate::gateway {
+namespace sailgate::api {
 namespace {
 
 using Kind = wire::ErrorKind;
@@ -81,7 +80,7 @@
   } catch (const http::BadBody& error) {
     refuse(error.kind(), error.what(), responder);
   } catch (const std::exception& error) {
-    LOG(ERROR) << "request failed: " << error.what();
+    log_.event("internal_error", [&](auto& line) { line.with("why", error.what()); });
     refuse(Kind::kInternal, "", responder);
   }
 }
@@ -100,6 +99,7 @@
   if (versioned && path.size() == 2 && path[1] == "configuration") {
     return configuration(request, responder);
   }
+  if (versioned && path.size() == 3 && path[1] == "attempts") return attempt(path[2], responder);
   if (versioned && path[1] == "programs") return handle_program(request, responder);
   refuse(Kind::kUnknownResource, "", responder);
 }
@@ -173,12 +173,14 @@
   check_opening(open.program);
   wire::ProgramRequest body;
   body.__set_open_program(open);
-  const auto reply = ask(open.program.program, body);
+  const RequestName name{"open", open.program.program, ""};
+  const auto reply = ask(body);
   if (reply.__isset.accepted) {
+    note(name, reply);
     responder.send(accepted_answer(reply.accepted.program, kCreated));
     return;
   }
-  answer(reply, responder);
+  answer(name, reply, responder);
 }
 
 void CallerApi::call(const http::HttpRequest& request, http::Responder& responder) {
@@ -187,15 +189,16 @@
   const auto parsed = parse_call(request.path[2], tenant, request.body);
   if (refuse_new_work(parsed.first_send, responder)) return;
   const ActiveCall active(active_calls_);
+  const RequestName name{"call", parsed.admit.call.program, parsed.admit.call.request_key};
   if (!parsed.stream) {
-    answer(runner_.run(parsed.admit, parsed.first_send, parsed.deadline, {}), responder);
+    answer(name, runner_.run(parsed.admit, parsed.first_send, parsed.deadline, {}), responder);
     return;
   }
   EventStream events(responder);
   const auto reply =
       runner_.run(parsed.admit, parsed.first_send, parsed.deadline,
                   [&events](const std::string& piece) { return events.piece(piece); });
-  count(reply);
+  note(name, reply);
   events.finish(reply);
 }
 
@@ -207,7 +210,7 @@
   look_up.tenant = tenant_of(request);
   wire::ProgramRequest body;
   body.__set_look_up_call(look_up);
-  answer(ask(look_up.program, body), responder);
+  answer({"look_up", look_up.program, look_up.request_key}, ask(body), responder);
 }
 
 void CallerApi::pause(const http::HttpRequest& request, http::Responder& responder) {
@@ -221,7 +224,7 @@
   report.pause.expected_ms = http::integer_field(json, "expected_ms", 0, kLongestPause);
   wire::ProgramRequest body;
   body.__set_report_tool_pause(report);
-  answer(ask(report.pause.program, body), responder);
+  answer({"pause", report.pause.program, ""}, ask(body), responder);
 }
 
 void CallerApi::read(const http::HttpRequest& request, http::Responder& responder) {
@@ -231,7 +234,7 @@
   read.tenant = tenant_of(request);
   wire::ProgramRequest body;
   body.__set_read_program(read);
-  answer(ask(read.program, body), responder);
+  answer({"read", read.program, ""}, ask(body), responder);
 }
 
 void CallerApi::end(const http::HttpRequest& request, http::Responder& responder) {
@@ -242,7 +245,7 @@
   end.tenant = tenant_of(request);
   wire::ProgramRequest body;
   body.__set_end_program(end);
-  answer(ask(end.closed.program, body), responder);
+  answer({"end", end.closed.program, ""}, ask(body), responder);
 }
 
 /// Operators only: GET reads what is in force here, POST rolls a signed bundle.
@@ -254,33 +257,43 @@
   }
   if (request.method != "POST") return refuse(Kind::kMethodNotAllowed, "", responder);
   const auto json = http::parse_object(request.body);
-  wire::RollConfiguration roll;
+  wire::SignedBundle signed_bundle;
   try {
-    roll.signed_bundle = node::from_text(http::string_field(json, "signed_bundle", kBodyLimit));
+    signed_bundle = node::from_text(http::string_field(json, "signed_bundle", kBodyLimit));
   } catch (const http::BadBody&) {
     throw;
   } catch (const std::exception& error) {
     throw http::BadBody(Kind::kMalformedRequest, error.what());
   }
-  wire::ProgramRequest body;
-  body.__set_roll_configuration(roll);
-  answer(node_.route_slot(node::kConfigurationSlot, body, kRollPatience), responder);
+  answer({"roll", "", ""}, node_.roll(signed_bundle, kRollPatience), responder);
 }
 
 void CallerApi::status(http::Responder& responder) {
+  using web::json::value;
   const auto status = node_.status();
+  auto body = value::object();
+  body["process"] = value::string(std::to_string(status.process_id));
+  body["generation"] = value::number(status.generation);
+  body["configuration_live"] = value::boolean(status.configuration_live);
+  body["families_cached"] = value::number(static_cast<std::uint64_t>(status.families_cached));
+  body["attempts_running"] = value::number(static_cast<std::uint64_t>(status.attempts_running));
+  body["stopping"] = value::boolean(status.stopping);
+  body["active_calls"] = value::number(static_cast<std::uint64_t>(active_calls_.load()));
+  http::HttpResponse response;
+  response.body = body.serialize();
+  responder.send(response);
+}
+
+/// Other nodes ask whether this process runs an attempt.
+void CallerApi::attempt(const std::string& id, http::Responder& responder) {
+  std::int64_t attempt = 0;
+  try {
+    attempt = std::stoll(id);
+  } catch (const std::exception&) {
+    return refuse(Kind::kUnknownResource, "", responder);
+  }
   auto body = web::json::value::object();
-  body["member_id"] = web::json::value::string(std::to_string(status.member_id));
-  body["members_alive"] =
-      web::json::value::number(static_cast<std::uint64_t>(status.members_alive));
-  body["slots_held"] = web::json::value::number(static_cast<std::uint64_t>(status.slots_held));
-  body["slots_led"] = web::json::value::number(static_cast<std::uint64_t>(status.slots_led));
-  body["slots_open"] = web::json::value::number(static_cast<std::uint64_t>(status.slots_open));
-  body["slots_full"] = web::json::value::number(static_cast<std::uint64_t>(status.slots_full));
-  body["configuration_live"] = web::json::value::boolean(node_.configuration_live());
-  body["programs"] = web::json::value::number(static_cast<std::uint64_t>(status.programs));
-  body["stopping"] = web::json::value::boolean(status.stopping);
-  body["active_calls"] = web::json::value::number(static_cast<std::uint64_t>(active_calls_.load()));
+  body["running"] = web::json::value::boolean(node_.runs_attempt(attempt));
   http::HttpResponse response;
   response.body = body.serialize();
   responder.send(response);
@@ -288,17 +301,30 @@
 
 // ---------------------------------------------------------------- answers
 
-wire::ProgramReply CallerApi::ask(const std::string& program, const wire::ProgramRequest& request) {
-  return node_.route(program, request, kRequestPatience);
+wire::ProgramReply CallerApi::ask(const wire::ProgramRequest& request) {
+  return node_.execute(request, kRequestPatience);
 }
 
-void CallerApi::count(const wire::ProgramReply& reply) {
-  if (reply.__isset.outcome) statistics_.count_outcome(reply.outcome.outcome);
-  if (reply.__isset.refusal) statistics_.count_refusal(reply.refusal.kind);
+void CallerApi::note(const RequestName& name, const wire::ProgramReply& reply) {
+  const char* outcome = reply.__isset.view || reply.__isset.accepted ? "done" : "undecided";
+  if (reply.__isset.outcome) {
+    statistics_.count_outcome(reply.outcome.outcome);
+    outcome = reply.outcome.outcome == wire::Outcome::kSucceeded ? "succeeded" : "failed";
+  }
+  if (reply.__isset.refusal) {
+    statistics_.count_refusal(reply.refusal.kind);
+    outcome = base::error_answer(reply.refusal.kind).name;
+  }
+  const auto status = node_.status();
+  log_.event("request", [&](auto& line) {
+    line.with("route", name.route).with("program", name.program).with("key", name.key);
+    line.with("generation", status.generation).with("outcome", outcome);
+  });
 }
 
-void CallerApi::answer(const wire::ProgramReply& reply, http::Responder& responder) {
-  count(reply);
+void CallerApi::answer(const RequestName& name, const wire::ProgramReply& reply,
+                       http::Responder& responder) {
+  note(name, reply);
   responder.send(reply_answer(reply));
 }
 
@@ -308,4 +334,4 @@
   responder.send(refusal_answer(kind, detail));
 }
 
-}  // namespace sailgate::gateway
+}  // namespace sailgate::api
--- a/src/gateway/statistics.cpp
+++ b/src/api/statistics.cpp
@@ -1,4 +1,4 @@
-#include "gateway/statistics.hpp"
+#include "api/statistics.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -8,7 +8,7 @@
 
 #include "base/error_table.hpp"
 
-namespace sailgate::gateway {
+namespace sailgate::api {
 namespace {
 
 using prometheus::BuildCounter;
@@ -91,17 +91,12 @@
 void Statistics::observe_overhead(double seconds) { families_->overhead.Observe(seconds); }
 
 std::string Statistics::render(const node::NodeStatus& status) {
-  families_->set("members_alive", static_cast<double>(status.members_alive));
-  families_->set("slots_held", static_cast<double>(status.slots_held));
-  families_->set("slots_led", static_cast<double>(status.slots_led));
-  families_->set("slots_open", static_cast<double>(status.slots_open));
-  families_->set("programs", static_cast<double>(status.programs));
-  families_->set("state_bytes", static_cast<double>(status.state_bytes));
-  families_->set("envelopes_sent", static_cast<double>(status.envelopes_sent));
-  families_->set("envelopes_dropped", static_cast<double>(status.envelopes_dropped));
-  families_->set("envelope_bytes_sent", static_cast<double>(status.envelope_bytes_sent));
+  families_->set("families_cached", static_cast<double>(status.families_cached));
+  families_->set("attempts_running", static_cast<double>(status.attempts_running));
+  families_->set("generation", static_cast<double>(status.generation));
+  families_->set("configuration_live", status.configuration_live ? 1 : 0);
   families_->set("stopping", status.stopping ? 1 : 0);
   return prometheus::TextSerializer().Serialize(families_->registry.Collect());
 }
 
-}  // namespace sailgate::gateway
+}  // namespace sailgate::api
--- a/src/gateway/statistics.hpp
+++ b/src/api/statistics.hpp
@@ -7,7 +7,7 @@
 #include "node/node_runtime.hpp"
 #include "sailgate_types.h"
 
-namespace sailgate::gateway {
+namespace sailgate::api {
 
 /// Counters and gauges of one process. Thread-safe.
 class Statistics {
@@ -38,4 +38,4 @@
   std::unique_ptr<Families> families_;
 };
 
-}  // namespace sailgate::gateway
+}  // namespace sailgate::api
--- a/src/backend/backend_client.cpp
+++ b/src/backend/backend_client.cpp
@@ -10,7 +10,7 @@
 namespace sailgate::backend {
 namespace {
 
-using gateway::DispatchResult;
+using api::DispatchResult;
 using web::json::value;
 using Clock = std::chrono::steady_clock;
 
@@ -156,7 +156,7 @@
   return result;
 }
 
-bool HttpBackendClient::evict(const node::EvictionOrder& order) {
+bool HttpBackendClient::evict(const program::EvictionOrder& order) {
   http::HttpRequest request;
   request.method = "POST";
   request.path = {"v1", "cache", "evict"};
@@ -167,15 +167,15 @@
   return answer.body_complete && answer.response.status == kOk;
 }
 
-void HttpBackendClient::cancel(const node::CancelOrder& order) {
+void HttpBackendClient::cancel(const program::CancelOrder& order) {
   http::HttpRequest request;
   request.method = "POST";
   request.path = {"v1", "attempts", std::to_string(order.attempt), "cancel"};
   client_.send(order.backend, request, kControlTimeout);
 }
 
-node::InquiryAnswer HttpBackendClient::inquire(const node::OutcomeInquiry& inquiry) {
-  node::InquiryAnswer result;
+program::InquiryAnswer HttpBackendClient::inquire(const program::OutcomeInquiry& inquiry) {
+  program::InquiryAnswer result;
   result.inquiry = inquiry;
   http::HttpRequest request;
   request.method = "POST";
@@ -190,18 +190,32 @@
     const auto json = value::parse(answer.response.body);
     const auto verdict = json.at("verdict").as_string();
     if (verdict == "ran") {
-      result.verdict = node::InquiryAnswer::Verdict::kRan;
+      result.verdict = program::InquiryAnswer::Verdict::kRan;
       result.result = json.at("result").serialize();
     } else if (verdict == "not_run") {
-      result.verdict = node::InquiryAnswer::Verdict::kNotRun;
+      result.verdict = program::InquiryAnswer::Verdict::kNotRun;
     }
   } catch (const std::exception&) {
     // Ask again later.
-    result.verdict = node::InquiryAnswer::Verdict::kOpen;
+    result.verdict = program::InquiryAnswer::Verdict::kOpen;
   }
   return result;
 }
 
+AttemptState HttpBackendClient::ask_gateway(const program::GatewayCheck& check) {
+  http::HttpRequest request;
+  request.path = {"v1", "attempts", std::to_string(check.attempt)};
+  const auto answer = client_.send(check.gateway_address, request, kControlTimeout, true);
+  if (answer.delivery == http::Delivery::kUnsent) return AttemptState::kNotRunning;
+  if (!answer.body_complete || answer.response.status != kOk) return AttemptState::kNoAnswer;
+  try {
+    const bool running = value::parse(answer.response.body).at("running").as_bool();
+    return running ? AttemptState::kRunning : AttemptState::kNotRunning;
+  } catch (const std::exception&) {
+    return AttemptState::kNoAnswer;
+  }
+}
+
 std::optional<LoadReport> HttpBackendClient::load(const std::string& backend) {
   http::HttpRequest request;
   request.path = {"v1", "load"};
--- a/src/backend/backend_client.hpp
+++ b/src/backend/backend_client.hpp
@@ -6,10 +6,10 @@
 #include <optional>
 #include <string>
 
+#include "api/call_flow.hpp"
 #include "backend/call_content.hpp"
-#include "gateway/core/call_flow.hpp"
 #include "http/http_client.hpp"
-#include "node/core/node_actions.hpp"
+#include "program/due_work.hpp"
 
 namespace sailgate::backend {
 
@@ -19,6 +19,9 @@
   bool draining = false;
 };
 
+/// What a process says about an attempt it is to be running.
+enum class AttemptState { kRunning, kNotRunning, kNoAnswer };
+
 /// Calls to back ends. Implementations are thread-safe and may block.
 class BackendClient {
  public:
@@ -31,12 +34,14 @@
   virtual ~BackendClient() = default;
 
   /// Runs one attempt to its end or the deadline. Never throws.
-  virtual gateway::DispatchResult run(const AttemptOrder& order, std::chrono::milliseconds deadline,
-                                      const PieceHandler& on_piece) = 0;
+  virtual api::DispatchResult run(const AttemptOrder& order, std::chrono::milliseconds deadline,
+                                  const PieceHandler& on_piece) = 0;
   /// @return whether the engine confirmed that it holds nothing of the program.
-  virtual bool evict(const node::EvictionOrder& order) = 0;
-  virtual void cancel(const node::CancelOrder& order) = 0;
-  virtual node::InquiryAnswer inquire(const node::OutcomeInquiry& inquiry) = 0;
+  virtual bool evict(const program::EvictionOrder& order) = 0;
+  virtual void cancel(const program::CancelOrder& order) = 0;
+  virtual program::InquiryAnswer inquire(const program::OutcomeInquiry& inquiry) = 0;
+  /// Asks another process of sailgate. One that cannot be connected to runs nothing.
+  virtual AttemptState ask_gateway(const program::GatewayCheck& check) = 0;
   /// @return nothing when the back end does not answer.
   virtual std::optional<LoadReport> load(const std::string& backend) = 0;
 };
@@ -46,19 +51,18 @@
  public:
   explicit HttpBackendClient(http::HttpClient& client) : client_(client) {}
 
-  gateway::DispatchResult run(const AttemptOrder& order, std::chrono::milliseconds deadline,
-                              const PieceHandler& on_piece) override;
-  bool evict(const node::EvictionOrder& order) override;
-  void cancel(const node::CancelOrder& order) override;
-  node::InquiryAnswer inquire(const node::OutcomeInquiry& inquiry) override;
+  api::DispatchResult run(const AttemptOrder& order, std::chrono::milliseconds deadline,
+                          const PieceHandler& on_piece) override;
+  bool evict(const program::EvictionOrder& order) override;
+  void cancel(const program::CancelOrder& order) override;
+  program::InquiryAnswer inquire(const program::OutcomeInquiry& inquiry) override;
+  AttemptState ask_gateway(const program::GatewayCheck& check) override;
   std::optional<LoadReport> load(const std::string& backend) override;
 
  private:
-  gateway::DispatchResult run_on_engine(const AttemptOrder& order,
-                                        std::chrono::milliseconds deadline,
-                                        const PieceHandler& on_piece);
-  gateway::DispatchResult run_on_service(const AttemptOrder& order,
-                                         std::chrono::milliseconds deadline);
+  api::DispatchResult run_on_engine(const AttemptOrder& order, std::chrono::milliseconds deadline,
+                                    const PieceHandler& on_piece);
+  api::DispatchResult run_on_service(const AttemptOrder& order, std::chrono::milliseconds deadline);
 
   http::HttpClient& client_;
 };
--- a/src/platform/machine_list.cpp
+++ b/src/backend/machine_list.cpp
@@ -1,10 +1,10 @@
-#include "platform/machine_list.hpp"
+#include "backend/machine_list.hpp"
 
 #include <cpprest/json.h>
 
 #include <utility>
 
-namespace sailgate::platform {
+namespace sailgate::backend {
 namespace {
 
 constexpr std::chrono::milliseconds kTimeout{1500};
@@ -34,4 +34,4 @@
   return machines;
 }
 
-}  // namespace sailgate::platform
+}  // namespace sailgate::backend
--- a/src/platform/machine_list.hpp
+++ b/src/backend/machine_list.hpp
@@ -1,4 +1,4 @@
-/// @file Access to the platform's lagging list of live and leaving machines.
+/// @file Access to a lagging list of live and leaving machines.
 #pragma once
 
 #include <string>
@@ -6,9 +6,9 @@
 
 #include "http/http_client.hpp"
 
-namespace sailgate::platform {
+namespace sailgate::backend {
 
-/// One machine as the platform lists it.
+/// One machine as the list shows it.
 struct Machine {
   std::string address;  ///< "host:port" of the process on it
   bool leaving = false;
@@ -37,4 +37,4 @@
   std::string address_;
 };
 
-}  // namespace sailgate::platform
+}  // namespace sailgate::backend
--- a/src/cluster/beacon_sender.cpp
+++ b/src/cluster/beacon_sender.cpp
@@ -24,9 +24,8 @@
       directory_(directory),
       compose_(std::move(compose)) {}
 
-net::Millis BeaconSender::round_time() const {
-  const auto peers = static_cast<std::int64_t>(directory_.peers().size());
-  return std::max(kShortestRound, kTimePerPeer * peers);
+net::Millis BeaconSender::round_time(std::size_t peers) {
+  return std::max(kShortestRound, kTimePerPeer * static_cast<std::int64_t>(peers));
 }
 
 net::Millis BeaconSender::silence_limit() const { return round_time() * kMissedBeacons; }
--- a/src/cluster/beacon_sender.hpp
+++ b/src/cluster/beacon_sender.hpp
@@ -18,6 +18,9 @@
   BeaconSender(net::asio::io_context& context, const net::Endpoint& endpoint,
                PeerDirectory& directory, std::function<wire::Beacon()> compose);
 
+  /// Time in which each of so many peers gets one beacon.
+  static net::Millis round_time(std::size_t peers);
+
   void start();
   /// A peer that was silent for this long is taken for lost.
   net::Millis silence_limit() const;
@@ -27,7 +30,7 @@
 
   net::asio::awaitable<void> send();
   net::asio::awaitable<void> receive();
-  net::Millis round_time() const;
+  net::Millis round_time() const { return round_time(directory_.peers().size()); }
 
   net::asio::io_context& context_;
   net::asio::ip::udp::socket socket_;
--- /dev/null
+++ b/src/configuration/bundle_roll.cpp
@@ -0,0 +1,90 @@
+#include "configuration/bundle_roll.hpp"
+
+#include <algorithm>
+
+#include "base/refusal.hpp"
+#include "configuration/bundle_check.hpp"
+#include "wire/codec.hpp"
+
+namespace sailgate::configuration {
+
+namespace {
+
+using Kind = wire::ErrorKind;
+
+constexpr const char* kTable = "configuration";
+constexpr const char* kKey = "in-force";
+
+std::string describe_winner(const wire::Configuration& in_force) {
+  auto text = "generation " + std::to_string(in_force.generation) + " is in force";
+  if (in_force.bundles.empty()) return text;
+  const auto& newest = in_force.bundles.back();
+  return text + ", by version " + std::to_string(newest.version) + " of partner " + newest.partner;
+}
+
+}  // namespace
+
+store::RangeRead configuration_range() {
+  store::RangeRead range;
+  range.table = kTable;
+  range.from_key = kKey;
+  range.limit = 1;
+  return range;
+}
+
+wire::Configuration configuration_of(const std::vector<store::Row>& rows) {
+  if (rows.empty() || rows.front().id.key != kKey) return {};
+  return wire::decode<wire::Configuration>(rows.front().value);
+}
+
+BundleRoll::BundleRoll(wire::SignedBundle signed_bundle, const PartnerKeys& keys)
+    : signed_bundle_(std::move(signed_bundle)), keys_(keys) {}
+
+void BundleRoll::load(std::vector<store::Row> rows) {
+  in_force_ = configuration_of(rows);
+  version_ = rows.empty() ? 0 : rows.front().version;
+}
+
+void BundleRoll::refuse(wire::ErrorKind::type kind, const std::string& detail) {
+  refusal_ = base::make_refusal(kind);
+  refusal_->detail = detail;
+}
+
+std::optional<store::Transaction> BundleRoll::evaluate() {
+  refusal_.reset();
+  const auto& bundle = signed_bundle_.bundle;
+  auto problem = problem_with_signatures(signed_bundle_, keys_);
+  if (problem.empty()) problem = problem_alone(bundle);
+  if (!problem.empty()) {
+    refuse(Kind::kBundleRefused, problem);
+    return std::nullopt;
+  }
+  // An operator who lost the answer rolls the same bundle again.
+  const auto& bundles = in_force_.bundles;
+  if (std::find(bundles.begin(), bundles.end(), bundle) != bundles.end()) {
+    next_ = in_force_;
+    return std::nullopt;
+  }
+  if (bundle.builds_on != in_force_.generation) {
+    refuse(Kind::kBundleConflict, describe_winner(in_force_));
+    return std::nullopt;
+  }
+  problem = problem_together(bundle, in_force_);
+  if (!problem.empty()) {
+    refuse(Kind::kBundleRefused, problem);
+    return std::nullopt;
+  }
+  next_ = with_bundle(in_force_, bundle);
+  store::Transaction transaction;
+  const store::RowId id{kTable, "", kKey};
+  transaction.conditions.push_back({id, version_});
+  store::Row row;
+  row.id = id;
+  row.value = wire::encode(next_);
+  transaction.puts.push_back(std::move(row));
+  return transaction;
+}
+
+void BundleRoll::written(std::int64_t version) { version_ = version; }
+
+}  // namespace sailgate::configuration
--- a/src/configuration/configuration_holder.cpp
+++ b/src/configuration/configuration_holder.cpp
@@ -4,26 +4,17 @@
 
 namespace sailgate::configuration {
 
-std::optional<wire::RenewConfigurationLease> ConfigurationHolder::poll(base::Millis now) {
-  if (now < next_poll_at_) return std::nullopt;
-  next_poll_at_ = now + knobs_.configuration_poll;
-  wire::RenewConfigurationLease request;
-  request.member = member_;
-  request.generation = configuration_.generation;
-  return request;
+void ConfigurationHolder::on_read(wire::Configuration configuration, base::Millis asked_at) {
+  // NOTE: answers may come out of order; one that is older than what is held extends nothing.
+  if (configuration.generation < configuration_.generation) return;
+  configuration_ = std::move(configuration);
+  lease_until_ = std::max(lease_until_, asked_at + knobs_.configuration_lease);
 }
 
-void ConfigurationHolder::on_lease(const wire::ConfigurationLease& lease, base::Millis asked_at) {
-  // NOTE: answers may come out of order; one that is older than what is held extends nothing.
-  const auto held = configuration_.generation;
-  const bool offered = lease.__isset.configuration && lease.generation > held;
-  if (offered) {
-    configuration_ = lease.configuration;
-    // The authority waits for this node to state the new generation.
-    next_poll_at_ = 0;
-  }
-  if (!offered && lease.generation != held) return;
-  lease_until_ = std::max(lease_until_, asked_at + lease.duration_ms);
+base::Millis time_until_in_force(const base::Knobs& knobs) {
+  constexpr base::Millis kPercent = 100;
+  const auto margin = knobs.configuration_lease * knobs.clock_drift_percent / kPercent;
+  return knobs.configuration_lease + margin;
 }
 
 }  // namespace sailgate::configuration
--- a/src/configuration/configuration_holder.hpp
+++ b/src/configuration/configuration_holder.hpp
@@ -2,27 +2,22 @@
 #pragma once
 
 #include <memory>
-#include <optional>
 
 #include "base/knobs.hpp"
-#include "configuration/lease_table.hpp"
+#include "configuration/lease_rules.hpp"
 #include "sailgate_types.h"
 
 namespace sailgate::configuration {
 
-/// Node side of the configuration lease. A started process holds no lease and serves nothing until
-/// it got one, so that it cannot serve under an older generation than its predecessor. Not
-/// thread-safe.
+/// A started process holds no lease and serves nothing until it has read the configuration, so that
+/// it cannot serve under an older generation than its predecessor. Not thread-safe.
 class ConfigurationHolder {
  public:
-  ConfigurationHolder(const base::Knobs& knobs, std::shared_ptr<const LeaseRules> rules,
-                      std::int64_t member)
-      : knobs_(knobs), rules_(std::move(rules)), member_(member) {}
+  ConfigurationHolder(const base::Knobs& knobs, std::shared_ptr<const LeaseRules> rules)
+      : knobs_(knobs), rules_(std::move(rules)) {}
 
-  /// @return a request for the authority when one is due.
-  std::optional<wire::RenewConfigurationLease> poll(base::Millis now);
-  /// Takes the authority's answer. @param asked_at when the request was made, on the same clock.
-  void on_lease(const wire::ConfigurationLease& lease, base::Millis asked_at);
+  /// Takes what was read. @param asked_at when the reading began, on this process's clock.
+  void on_read(wire::Configuration configuration, base::Millis asked_at);
 
   /// Whether this node may serve now.
   bool live(base::Millis now) const { return rules_->lease_live(now, lease_until_); }
@@ -32,10 +27,11 @@
  private:
   const base::Knobs& knobs_;
   std::shared_ptr<const LeaseRules> rules_;
-  std::int64_t member_;
   wire::Configuration configuration_;
   base::Millis lease_until_ = 0;
-  base::Millis next_poll_at_ = 0;
 };
 
+/// Time after a configuration was stored at which no node serves under an older one any more.
+base::Millis time_until_in_force(const base::Knobs& knobs);
+
 }  // namespace sailgate::configuration
--- a/src/http/http_message.hpp
+++ b/src/http/http_message.hpp
@@ -15,6 +15,7 @@
 struct HttpRequest {
   std::string method = "GET";
   std::vector<std::string> path;  ///< decoded segments
+  std::string query;              ///< as it came, without the question mark
   Headers headers;                ///< names in lower case
   std::string body;
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -31,6 +31,7 @@
   for (const auto& segment : web::uri::split_path(path)) {
     result.path.push_back(web::uri::decode(segment));
   }
+  result.query = request.relative_uri().query();
   for (const auto& header : request.headers()) result.headers[lower(header.first)] = header.second;
   result.body = std::move(body);
   return result;
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -1,7 +1,5 @@
 #include "node/node_runtime.hpp"
 
-#include <glog/logging.h>
-
 #include <algorithm>
 #include <chrono>
 #include <limits>
@@ -10,62 +8,42 @@
 
 #include "base/digest.hpp"
 #include "configuration/bundle_check.hpp"
-#include "wire/replies.hpp"
+#include "configuration/bundle_roll.hpp"
+#include "program/program_replies.hpp"
+#include "program/request_decision.hpp"
 
 namespace sailgate::node {
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
+using StepKind = store::OptimisticUpdate::Step::Kind;
 
 constexpr std::size_t kBackgroundThreads = 6;
 constexpr std::size_t kBackgroundQueue = 4096;
-/// Longest a forwarded request occupies a connection.
-constexpr base::Millis kForwardTimeout = 3000;
+constexpr base::Millis kTimerInterval = 100;
 constexpr base::Millis kBackendPollInterval = 500;
-constexpr base::Millis kRouteRetryPause = 20;
-constexpr int kMaximumHops = 4;
-constexpr unsigned kIncarnationRandomBits = 20;
-
-/// Start time above random bits: higher than any earlier incarnation's id.
-std::int64_t new_member_id() {
-  const auto started =
-      duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-  std::random_device device;
-  const std::int64_t noise = device() & ((1U << kIncarnationRandomBits) - 1U);
-  return static_cast<std::int64_t>(started) * (std::int64_t{1} << kIncarnationRandomBits) + noise;
-}
+constexpr base::Millis kSettlePatience = 3000;
 
 std::uint64_t random_seed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-}  // namespace
+std::int64_t new_process_id() { return static_cast<std::int64_t>(random_seed() >> 1U); }
 
-base::Millis NodeRuntime::now() {
-  return duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
-}
+}  // namespace
 
 NodeRuntime::NodeRuntime(const NodeSettings& settings, Services services)
     : settings_(settings),
       services_(services),
-      member_id_(new_member_id()),
+      process_id_(new_process_id()),
+      families_(services.store, settings_.knobs),
+      configuration_(settings_.knobs, std::make_shared<configuration::LeaseRules>()),
+      random_(random_seed()),
       background_(kBackgroundThreads, kBackgroundQueue) {
-  NodeCore::Options options;
-  options.self.id = member_id_;
-  options.self.host = settings_.host;
-  options.self.rpc_port = settings_.rpc_port;
-  options.self.zone = settings_.zone;
-  options.knobs = settings_.knobs;
-  options.policies = NodePolicies::standard();
-  options.policies.partner_keys = settings_.partner_keys;
-  options.seeds = settings_.seeds;
-  options.backends = settings_.backends;
-  options.seed = random_seed();
-  core_ = std::make_unique<NodeCore>(std::move(options), now());
-  server_ = std::make_unique<rpc::NodeServer>(settings_.host, settings_.rpc_port, *this);
+  for (const auto& backend : settings_.backends) backends_.add(backend);
+  const auto parts = static_cast<std::uint64_t>(families_.parts());
+  next_part_ = static_cast<std::int32_t>(random_.below(parts));
   timer_ = std::thread([this] { run_timer(); });
 }
 
@@ -76,82 +54,126 @@
   }
   timer_wake_.notify_all();
   timer_.join();
-  server_.reset();
   background_.stop();
 }
 
-// ---------------------------------------------------------------- core
+std::string NodeRuntime::address() const {
+  return settings_.host + ":" + std::to_string(settings_.http_port);
+}
 
-void NodeRuntime::run(const Step& step) {
-  NodeActions actions;
-  {
-    const std::lock_guard<std::mutex> lock(core_mutex_);
-    step(*core_, now());
-    actions = core_->take_actions();
-    // Replies are handed over under the lock, which guards the table; waiters wake up after it.
-    for (auto& completed : actions.completed) {
-      const auto found = tickets_.find(completed.ticket);
-      if (found == tickets_.end()) continue;
-      found->second.set_value(std::move(completed.reply));
-      tickets_.erase(found);
-    }
-  }
-  carry_out(std::move(actions));
+// ---------------------------------------------------------------- requests
+
+wire::ProgramReply NodeRuntime::execute(const wire::ProgramRequest& request,
+                                        base::Millis patience) {
+  wire::ProgramReply reply;
+  const auto decide = [&](program::FamilyState& state) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const program::DecisionContext context{chooser_, backends_, settings_.zone, random_,
+                                           unix_now()};
+    reply = program::decide(state, request, context);
+  };
+  const auto family = program::family_of(request);
+  const auto end = families_.change(family, decide, patience);
+  if (end == ChangeEnd::kTooLarge) return program::refusal_reply(wire::ErrorKind::kStorageFull);
+  if (end == ChangeEnd::kUnknown) return {};
+  const bool ended = request.__isset.end_program && reply.__isset.accepted;
+  const bool waits =
+      reply.__isset.refusal && reply.refusal.kind == wire::ErrorKind::kCallInProgress;
+  // An ended program owes evictions; a call in progress may have lost the process that ran it.
+  if (ended || waits) background_.submit([this, family] { settle_family(family); });
+  return reply;
 }
 
-void NodeRuntime::carry_out(NodeActions actions) {
-  for (auto& outgoing : actions.envelopes) {
-    peers_.send(outgoing.address, std::move(outgoing.envelope));
-  }
-  for (auto& command : actions.table) {
-    background_.submit([this, command = std::move(command)] {
-      const auto answer = services_.table.execute(command);
-      run([&answer](NodeCore& core, base::Millis time) { core.on_table_answer(answer, time); });
-    });
-  }
-  for (auto& order : actions.evictions) {
-    background_.submit([this, order = std::move(order)] {
-      if (!services_.backends.evict(order)) return;
-      run([&order](NodeCore& core, base::Millis time) { core.on_evicted(order, time); });
-    });
-  }
-  for (auto& inquiry : actions.inquiries) {
-    background_.submit([this, inquiry = std::move(inquiry)] {
-      const auto answer = services_.backends.inquire(inquiry);
-      run([&answer](NodeCore& core, base::Millis time) { core.on_inquiry_answer(answer, time); });
-    });
+wire::ProgramReply NodeRuntime::roll(const wire::SignedBundle& signed_bundle,
+                                     base::Millis patience) {
+  configuration::BundleRoll bundle_roll(signed_bundle, settings_.partner_keys);
+  const store::UpdateRules rules;
+  store::OptimisticUpdate steps(rules, bundle_roll, configuration::configuration_range(), false,
+                                monotonic_now() + patience);
+  const milliseconds timeout(settings_.knobs.store_timeout);
+  auto step = steps.start();
+  while (step.kind != StepKind::kDone) {
+    if (step.wait > 0) std::this_thread::sleep_for(milliseconds(step.wait));
+    if (step.kind == StepKind::kRead) {
+      auto result = services_.store.read(std::move(step.read), timeout);
+      step = steps.on_read(std::move(result), monotonic_now());
+    } else {
+      const auto result = services_.store.transact(std::move(step.write), timeout);
+      step = steps.on_write(result, monotonic_now());
+    }
   }
-  for (const auto& lease : actions.lease_requests) {
-    background_.submit([this, lease] {
-      wire::ProgramRequest request;
-      request.__set_renew_configuration_lease(lease.request);
-      const auto reply =
-          route_slot(kConfigurationSlot, request, settings_.knobs.configuration_poll);
-      if (!reply.__isset.configuration_lease) return;
-      run([&](NodeCore& core, base::Millis) {
-        core.on_configuration_lease(reply.configuration_lease, lease.asked_at);
-      });
+  if (!step.decided) return {};
+  const auto& bundle = signed_bundle.bundle;
+  wire::ProgramReply reply;
+  if (bundle_roll.refusal()) {
+    reply.__set_refusal(*bundle_roll.refusal());
+    services_.log.event("bundle_refused", [&](auto& line) {
+      line.with("partner", bundle.partner).with("version", bundle.version);
+      line.with("why", reply.refusal.detail);
     });
+    return reply;
   }
-  for (auto& order : actions.cancels) {
-    background_.submit([this, order = std::move(order)] { services_.backends.cancel(order); });
-  }
+  const auto generation = bundle_roll.configuration().generation;
+  services_.log.event("bundle_stored", [&](auto& line) {
+    line.with("partner", bundle.partner).with("version", bundle.version);
+    line.with("generation", generation);
+  });
+  std::this_thread::sleep_for(milliseconds(configuration::time_until_in_force(settings_.knobs)));
+  return program::accepted_reply(std::to_string(generation));
 }
 
+// ---------------------------------------------------------------- timer
+
 void NodeRuntime::run_timer() {
-  base::Millis next_poll = now();
+  base::Millis next_poll = 0;
+  base::Millis next_read = 0;
+  base::Millis next_sweep = monotonic_now() + settings_.knobs.sweep_interval;
   std::unique_lock<std::mutex> lock(timer_mutex_);
   while (!timer_stopping_) {
     lock.unlock();
-    run([](NodeCore& core, base::Millis time) { core.on_tick(time); });
-    if (now() >= next_poll) {
-      next_poll = now() + kBackendPollInterval;
+    const auto now = monotonic_now();
+    if (now >= next_read) {
+      next_read = now + settings_.knobs.configuration_poll;
+      background_.submit([this] { read_configuration(); });
+    }
+    if (now >= next_poll) {
+      next_poll = now + kBackendPollInterval;
       poll_backends();
     }
+    if (now >= next_sweep) {
+      next_sweep = now + settings_.knobs.sweep_interval;
+      background_.submit([this] { sweep(); });
+    }
     lock.lock();
-    timer_wake_.wait_for(lock, milliseconds(settings_.knobs.heartbeat_interval),
-                         [this] { return timer_stopping_; });
+    timer_wake_.wait_for(lock, milliseconds(kTimerInterval), [this] { return timer_stopping_; });
+  }
+}
+
+void NodeRuntime::read_configuration() {
+  const auto asked_at = monotonic_now();
+  const auto result = services_.store.read(configuration::configuration_range(),
+                                           milliseconds(settings_.knobs.store_timeout));
+  const bool answered = result.status == store::StoreStatus::kDone;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (answered != store_answers_) {
+    store_answers_ = answered;
+    services_.log.event(answered ? "store_reached" : "store_lost",
+                        [&](auto& line) { line.with("generation", configuration_.generation()); });
+  }
+  if (!answered) return;
+  const auto before = configuration_.generation();
+  try {
+    configuration_.on_read(configuration::configuration_of(result.rows), asked_at);
+  } catch (const std::exception& error) {
+    services_.log.event("configuration_unreadable",
+                        [&](auto& line) { line.with("why", error.what()); });
+    return;
   }
+  if (configuration_.generation() == before) return;
+  services_.log.event("configuration", [&](auto& line) {
+    line.with("generation", configuration_.generation()).with("before", before);
+    line.with("row_version", result.rows.front().version);
+  });
 }
 
 void NodeRuntime::poll_backends() {
@@ -159,10 +181,11 @@
     background_.submit([this, id = backend.id] {
       const auto report = services_.backends.load(id);
       if (!report) return;
-      run([&](NodeCore& core, base::Millis time) {
-        core.on_backend_load(id, report->running, time);
-        if (report->draining) core.on_backend_leaving(id);
-      });
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        backends_.set_reported_load(id, report->running, monotonic_now());
+      }
+      if (report->draining) report_leaving(id);
     });
   }
   if (services_.machines == nullptr) return;
@@ -173,23 +196,91 @@
   });
 }
 
-void NodeRuntime::report_leaving(const std::string& backend) {
-  run([&backend](NodeCore& core, base::Millis) { core.on_backend_leaving(backend); });
+// ---------------------------------------------------------------- due work
+
+void NodeRuntime::sweep() {
+  for (std::int32_t i = 0; i < settings_.knobs.parts_per_sweep; ++i) {
+    std::int32_t part = 0;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      part = next_part_;
+      next_part_ = (next_part_ + 1) % families_.parts();
+    }
+    for (const auto& family : families_.due_families(part, unix_now())) settle_family(family);
+  }
+}
+
+void NodeRuntime::settle_family(const std::string& family) {
+  program::DueOrders orders;
+  const auto settle = [&](program::FamilyState& state) {
+    orders = program::settle_due(state, unix_now(), settings_.knobs);
+  };
+  if (families_.change(family, settle, kSettlePatience) != ChangeEnd::kDecided) return;
+  services_.log.event("family_settled", [&](auto& line) {
+    line.with("family", family).with("evictions", orders.evictions.size());
+    line.with("cancels", orders.cancels.size()).with("inquiries", orders.inquiries.size());
+    line.with("checks", orders.checks.size());
+    line.with("removed", static_cast<int>(orders.remove_family));
+  });
+  if (orders.remove_family) families_.remove(family, kSettlePatience);
+  carry_out(family, std::move(orders));
 }
 
+void NodeRuntime::change_quietly(const std::string& family, program::FamilyUpdate::Change change) {
+  // NOTE: what is not stored now stays due, and is done again.
+  families_.change(family, std::move(change), kSettlePatience);
+}
+
+void NodeRuntime::carry_out(const std::string& family, program::DueOrders orders) {
+  for (const auto& order : orders.cancels) services_.backends.cancel(order);
+  for (const auto& order : orders.evictions) {
+    if (!services_.backends.evict(order)) continue;
+    wire::EvictionAcknowledged acknowledged;
+    acknowledged.program = order.program;
+    acknowledged.backend = order.backend;
+    change_quietly(family, [acknowledged](program::FamilyState& state) {
+      state.acknowledge_eviction(acknowledged);
+    });
+  }
+  for (const auto& inquiry : orders.inquiries) {
+    const auto answer = services_.backends.inquire(inquiry);
+    change_quietly(family, [answer](program::FamilyState& state) {
+      program::settle_inquiry(state, answer, unix_now());
+    });
+  }
+  for (const auto& check : orders.checks) check_gateway(family, check);
+}
+
+void NodeRuntime::check_gateway(const std::string& family, const program::GatewayCheck& check) {
+  const bool own = check.gateway == process_id_;
+  const auto state = own ? (runs_attempt(check.attempt) ? backend::AttemptState::kRunning
+                                                        : backend::AttemptState::kNotRunning)
+                         : services_.backends.ask_gateway(check);
+  if (state != backend::AttemptState::kNotRunning) return;
+  services_.log.event("gateway_lost", [&](auto& line) {
+    line.with("program", check.program).with("attempt", check.attempt);
+    line.with("gateway", check.gateway_address);
+  });
+  change_quietly(family, [check](program::FamilyState& changed) {
+    program::settle_lost_attempt(changed, check, unix_now());
+  });
+}
+
+// ---------------------------------------------------------------- configuration
+
 bool NodeRuntime::configuration_live() const {
-  const std::lock_guard<std::mutex> lock(core_mutex_);
-  return core_->configuration().live(now());
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return configuration_.live(monotonic_now());
 }
 
 wire::Configuration NodeRuntime::configuration() const {
-  const std::lock_guard<std::mutex> lock(core_mutex_);
-  return core_->configuration().configuration();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return configuration_.configuration();
 }
 
 bool NodeRuntime::admits(const std::string& tenant, const std::string& token) const {
-  const std::lock_guard<std::mutex> lock(core_mutex_);
-  const auto& in_force = core_->configuration().configuration();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto& in_force = configuration_.configuration();
   if (in_force.generation == 0) return true;
   const auto* rule = configuration::find_tenant(in_force, tenant);
   if (rule == nullptr) return false;
@@ -201,8 +292,8 @@
 
 std::optional<wire::ProgramRule> NodeRuntime::program_rule(const std::string& tenant,
                                                            const std::string& kind) const {
-  const std::lock_guard<std::mutex> lock(core_mutex_);
-  const auto& in_force = core_->configuration().configuration();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto& in_force = configuration_.configuration();
   if (in_force.generation == 0) {
     wire::ProgramRule unlimited;
     unlimited.kind = kind;
@@ -215,121 +306,55 @@
   return *rule;
 }
 
-bool NodeRuntime::backend_is_leaving(const std::string& backend) const {
-  const std::lock_guard<std::mutex> lock(core_mutex_);
-  const auto* state = core_->backends().find(backend);
-  return state != nullptr && state->leaving;
-}
-
-// ---------------------------------------------------------------- requests
-
-wire::ProgramReply NodeRuntime::execute_here(std::int32_t slot, const wire::ProgramRequest& request,
-                                             base::Millis timeout) {
-  std::future<wire::ProgramReply> reply;
-  Ticket ticket = 0;
-  run([&](NodeCore& core, base::Millis time) {
-    ticket = next_ticket_++;
-    reply = tickets_[ticket].get_future();
-    core.submit(ticket, slot, request, time);
-  });
-  if (reply.wait_for(milliseconds(timeout)) == std::future_status::ready) return reply.get();
-  const std::lock_guard<std::mutex> lock(core_mutex_);
-  tickets_.erase(ticket);
-  return {};
-}
+// ---------------------------------------------------------------- back ends
 
-wire::ProgramReply NodeRuntime::route(const std::string& program,
-                                      const wire::ProgramRequest& request, base::Millis timeout) {
-  return route_slot(slot_of(program, settings_.knobs.slot_count), request, timeout);
+void NodeRuntime::report_leaving(const std::string& backend) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto* state = backends_.find(backend);
+  if (state == nullptr || state->leaving) return;
+  backends_.set_leaving(backend, true);
+  services_.log.event("backend_leaving", [&](auto& line) { line.with("backend", backend); });
 }
 
-wire::ProgramReply NodeRuntime::route_slot(std::int32_t slot, const wire::ProgramRequest& request,
-                                           base::Millis timeout) {
-  const auto give_up_at = now() + timeout;
-  std::int64_t hint = 0;
-  int hops = 0;
-  while (now() < give_up_at) {
-    membership::Address address;
-    std::int64_t target = 0;
-    {
-      const std::lock_guard<std::mutex> lock(core_mutex_);
-      target = hint != 0 ? hint : core_->leader_hint(slot);
-      const auto* member = core_->membership().find(target);
-      if (member != nullptr) address = {member->host, member->rpc_port};
-    }
-    const auto left = std::min(give_up_at - now(), kForwardTimeout);
-    if (left <= 0) break;
-    wire::ProgramReply reply;
-    if (target == member_id_) {
-      reply = execute_here(slot, request, left);
-    } else if (!address.host.empty()) {
-      const auto remote = requests_.execute(address, slot, request, static_cast<int>(left));
-      if (remote) reply = *remote;
-    }
-    if (wire::is_decisive(reply)) return reply;
-    hint = reply.__isset.redirect ? reply.redirect.leader : 0;
-    ++hops;
-    if (hint == 0 || hops > kMaximumHops) {
-      hint = 0;
-      hops = 0;
-      std::this_thread::sleep_for(milliseconds(kRouteRetryPause));
-    }
-  }
-  return {};
+bool NodeRuntime::backend_is_leaving(const std::string& backend) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto* state = backends_.find(backend);
+  return state != nullptr && state->leaving;
 }
 
-// ---------------------------------------------------------------- peers
-
-void NodeRuntime::deliver(const wire::Envelope& envelope) {
-  run([&envelope](NodeCore& core, base::Millis time) { core.on_envelope(envelope, time); });
+void NodeRuntime::attempt_started(std::int64_t attempt, const std::string& backend) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  running_.insert(attempt);
+  backends_.attempt_started(backend);
 }
 
-wire::ProgramReply NodeRuntime::execute(std::int32_t slot, const wire::ProgramRequest& request) {
-  if (slot < 0 || slot >= settings_.knobs.slot_count) {
-    return refusal_reply(wire::ErrorKind::kMalformedRequest);
-  }
-  return execute_here(slot, request, kForwardTimeout);
+void NodeRuntime::attempt_ended(std::int64_t attempt, const std::string& backend) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  running_.erase(attempt);
+  backends_.attempt_ended(backend);
 }
 
-wire::Member NodeRuntime::identify() {
-  const std::lock_guard<std::mutex> lock(core_mutex_);
-  return core_->membership().self();
+bool NodeRuntime::runs_attempt(std::int64_t attempt) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return running_.count(attempt) > 0;
 }
 
 // ---------------------------------------------------------------- stop, status
 
 void NodeRuntime::begin_stop() {
-  run([](NodeCore& core, base::Millis time) { core.begin_stop(time); });
-}
-
-bool NodeRuntime::released() const {
-  const std::lock_guard<std::mutex> lock(core_mutex_);
-  return core_->released(now());
-}
-
-bool NodeRuntime::successor_known() const {
-  const std::lock_guard<std::mutex> lock(core_mutex_);
-  return core_->successor_known();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  stopping_ = true;
 }
 
 NodeStatus NodeRuntime::status() const {
   NodeStatus status;
-  status.member_id = member_id_;
-  status.envelopes_sent = peers_.sent();
-  status.envelopes_dropped = peers_.dropped();
-  status.envelope_bytes_sent = peers_.sent_bytes();
-  const std::lock_guard<std::mutex> lock(core_mutex_);
-  status.members_alive = core_->membership().usable_members().size();
-  status.slots_led = core_->led_slots();
-  status.stopping = core_->stopping();
-  for (const auto& [slot, replica] : core_->replicas()) {
-    if (!replica->group().is_member(member_id_)) continue;
-    ++status.slots_held;
-    if (replica->takes_programs(now())) ++status.slots_open;
-    if (core_->group_is_full(*replica, now())) ++status.slots_full;
-    status.programs += replica->state().programs().size();
-    status.state_bytes += replica->state().state_bytes();
-  }
+  status.process_id = process_id_;
+  status.families_cached = families_.cached();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  status.attempts_running = running_.size();
+  status.generation = configuration_.generation();
+  status.configuration_live = configuration_.live(monotonic_now());
+  status.stopping = stopping_;
   return status;
 }
 
--- a/src/node/node_runtime.hpp
+++ b/src/node/node_runtime.hpp
@@ -1,68 +1,58 @@
-/// @file Runs one NodeCore on real clocks, sockets and threads.
+/// @file One node of the product's own interface: decides program requests on the rows of the table
+/// store, follows the configuration, does what is due.
 ///
-/// Lock order: core_mutex_ guards the core and the ticket table and is the only lock of this class;
-/// nothing blocks while it is held, and no other module's lock is taken under it. Actions of the
-/// core are carried out after it is released.
+/// Lock order: mutex_ guards back ends, configuration, random source and running attempts; nothing
+/// blocks while it is held, and of other modules only the log's lock is taken under it.
 #pragma once
 
 #include <condition_variable>
 #include <functional>
-#include <future>
-#include <map>
-#include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 
 #include "backend/backend_client.hpp"
+#include "backend/machine_list.hpp"
+#include "base/random.hpp"
+#include "configuration/configuration_holder.hpp"
 #include "http/worker_pool.hpp"
-#include "node/core/node_core.hpp"
+#include "node/family_store.hpp"
 #include "node/node_settings.hpp"
-#include "platform/machine_list.hpp"
-#include "platform/table_service.hpp"
-#include "rpc/node_server.hpp"
-#include "rpc/peer_sender.hpp"
-#include "rpc/request_client.hpp"
+#include "observe/shared_log.hpp"
+#include "scheduling/backend_choice.hpp"
 
 namespace sailgate::node {
 
-/// Counts for the metrics page.
+/// Counts for the status and metrics pages.
 struct NodeStatus {
-  std::int64_t member_id = 0;
-  std::size_t members_alive = 0;
-  std::size_t slots_held = 0;
-  std::size_t slots_led = 0;
-  std::size_t slots_open = 0;  ///< led, and taking programs
-  std::size_t slots_full = 0;  ///< led, with as many usable members as wanted, and recorded
-  std::size_t programs = 0;
-  std::size_t state_bytes = 0;
-  std::uint64_t envelopes_sent = 0;
-  std::uint64_t envelopes_dropped = 0;
-  std::uint64_t envelope_bytes_sent = 0;
+  std::int64_t process_id = 0;
+  std::size_t families_cached = 0;
+  std::size_t attempts_running = 0;
+  std::int64_t generation = 0;
+  bool configuration_live = false;
   bool stopping = false;
 };
 
 /// Thread-safe.
-class NodeRuntime : public rpc::NodeHandler {
+class NodeRuntime {
  public:
   struct Services {
-    platform::TableService& table;
-    platform::MachineList* machines;  ///< may be absent
+    store::BlockingStore& store;
+    backend::MachineList* machines;  ///< may be absent
     backend::BackendClient& backends;
+    observe::SharedLog& log;
   };
 
   NodeRuntime(const NodeSettings& settings, Services services);
   NodeRuntime(const NodeRuntime&) = delete;
   NodeRuntime& operator=(const NodeRuntime&) = delete;
-  ~NodeRuntime() override;
+  ~NodeRuntime();
 
-  /// Runs a program request on whatever node leads the program's slot; follows redirects.
-  /// @return an unset reply when no leader could be reached in time.
-  wire::ProgramReply route(const std::string& program, const wire::ProgramRequest& request,
-                           base::Millis timeout);
-  /// Same, for a slot; kConfigurationSlot leads to the configuration authority.
-  wire::ProgramReply route_slot(std::int32_t slot, const wire::ProgramRequest& request,
-                                base::Millis timeout);
+  /// Decides a program request. @return an unset reply when nobody could tell in time.
+  wire::ProgramReply execute(const wire::ProgramRequest& request, base::Millis patience);
+  /// Puts a bundle in force; returns when no node serves under an older configuration any more.
+  wire::ProgramReply roll(const wire::SignedBundle& signed_bundle, base::Millis patience);
 
   /// Whether this node may serve under its configuration now.
   bool configuration_live() const;
@@ -73,52 +63,51 @@
   /// Without any bundle in force everything is allowed.
   std::optional<wire::ProgramRule> program_rule(const std::string& tenant,
                                                 const std::string& kind) const;
-  /// Tells the core at once that a back end refused because it is leaving.
+  /// A back end refused because it is leaving.
   void report_leaving(const std::string& backend);
   /// Whether this node knows that a back end is leaving.
   bool backend_is_leaving(const std::string& backend) const;
 
+  /// This process begins and ends to run an attempt.
+  void attempt_started(std::int64_t attempt, const std::string& backend);
+  void attempt_ended(std::int64_t attempt, const std::string& backend);
+  bool runs_attempt(std::int64_t attempt) const;
+
   /// Begins a planned stop.
   void begin_stop();
-  /// Whether no group lists this node any more.
-  bool released() const;
-  /// Whether some node is there to take replicas over.
-  bool successor_known() const;
   NodeStatus status() const;
-  std::int64_t member_id() const { return member_id_; }
-  static base::Millis now();
-
-  // rpc::NodeHandler
-  void deliver(const wire::Envelope& envelope) override;
-  wire::ProgramReply execute(std::int32_t slot, const wire::ProgramRequest& request) override;
-  wire::Member identify() override;
+  std::int64_t process_id() const { return process_id_; }
+  /// Where other nodes ask about this process's attempts.
+  std::string address() const;
 
  private:
-  using Step = std::function<void(NodeCore&, base::Millis)>;
-
-  /// Runs `step` on the core under the lock, then carries out its actions.
-  void run(const Step& step);
-  void carry_out(NodeActions actions);
   void run_timer();
+  void read_configuration();
   void poll_backends();
-  wire::ProgramReply execute_here(std::int32_t slot, const wire::ProgramRequest& request,
-                                  base::Millis timeout);
+  void sweep();
+  void settle_family(const std::string& family);
+  void carry_out(const std::string& family, program::DueOrders orders);
+  void check_gateway(const std::string& family, const program::GatewayCheck& check);
+  void change_quietly(const std::string& family, program::FamilyUpdate::Change change);
 
   const NodeSettings settings_;
   Services services_;
-  const std::int64_t member_id_;
-  mutable std::mutex core_mutex_;
-  std::unique_ptr<NodeCore> core_;
-  Ticket next_ticket_ = 1;
-  std::map<Ticket, std::promise<wire::ProgramReply>> tickets_;
-  rpc::PeerSender peers_;
-  rpc::RequestClient requests_;
-  http::WorkerPool background_;  ///< table service, evictions, inquiries, load reports
+  const std::int64_t process_id_;
+  FamilyStore families_;
+  scheduling::BackendChooser chooser_;
+  mutable std::mutex mutex_;
+  scheduling::BackendDirectory backends_;
+  configuration::ConfigurationHolder configuration_;
+  base::Random random_;
+  std::set<std::int64_t> running_;
+  bool store_answers_ = false;
+  bool stopping_ = false;
+  std::int32_t next_part_ = 0;
+  http::WorkerPool background_;  ///< due work, load reports
   std::mutex timer_mutex_;
   std::condition_variable timer_wake_;
   bool timer_stopping_ = false;
   std::thread timer_;
-  std::unique_ptr<rpc::NodeServer> server_;
 };
 
 }  // namespace sailgate::node
--- a/src/program/slot_state.cpp
+++ b/src/program/family_state.cpp
@@ -1,11 +1,9 @@
-#include "program/slot_state.hpp"
+#include "program/family_state.hpp"
 
 #include <algorithm>
 #include <stdexcept>
 
 #include "base/digest.hpp"
-#include "configuration/bundle_check.hpp"
-#include "wire/codec.hpp"
 
 namespace sailgate::program {
 namespace {
@@ -15,12 +13,6 @@
 
 /// Stands between a parent's id and the rest of its child's id.
 constexpr char kChildSeparator = '.';
-/// Fixed cost counted for a program or call besides its texts.
-constexpr std::size_t kRecordOverhead = 256;
-
-std::size_t text_bytes(const wire::CallRecord& call) {
-  return kRecordOverhead + call.call.request_body.size() + call.outcome.result.size();
-}
 
 std::string turn_content(const wire::CallRecord& call) {
   return std::to_string(call.call.sequence) + '\n' + call.call.request_key + '\n' +
@@ -39,23 +31,11 @@
 
 }  // namespace
 
-wire::ErrorKind::type SlotState::apply(const wire::JournalEntry& entry) {
-  if (entry.program_opened) return apply_opened(*entry.program_opened);
-  if (entry.call_admitted) return apply_admitted(*entry.call_admitted);
-  if (entry.attempt_started) return apply_started(*entry.attempt_started);
-  if (entry.attempt_ended) return apply_ended(*entry.attempt_ended);
-  if (entry.program_closed) return apply_closed(*entry.program_closed);
-  if (entry.eviction_acknowledged) return apply_evicted(*entry.eviction_acknowledged);
-  if (entry.program_forgotten) return apply_forgotten(*entry.program_forgotten);
-  if (entry.call_withdrawn) return apply_withdrawn(*entry.call_withdrawn);
-  if (entry.configuration_accepted) return apply_configuration(*entry.configuration_accepted);
-  if (entry.row_intended) possible_rows_.push_back(entry.row_intended->row);
-  if (entry.row_recorded) possible_rows_.assign(1, entry.row_recorded->row);
-  return Kind::kNone;
+std::string family_of(const std::string& program) {
+  return program.substr(0, program.find(kChildSeparator));
 }
 
-wire::ErrorKind::type SlotState::check_opening(const wire::ProgramOpened& opened) const {
-  if (state_bytes_ >= state_limit_) return Kind::kStorageFull;
+wire::ErrorKind::type FamilyState::check_opening(const wire::ProgramOpened& opened) const {
   if (opened.parent.empty()) return Kind::kNone;
   const auto* parent = find(opened.parent);
   if (parent == nullptr || parent->opened.tenant != opened.tenant) return Kind::kUnknownProgram;
@@ -64,7 +44,7 @@
   return Kind::kNone;
 }
 
-wire::ErrorKind::type SlotState::check_admission(const wire::CallAdmitted& call) const {
+wire::ErrorKind::type FamilyState::check_admission(const wire::CallAdmitted& call) const {
   const auto* record = find(call.program);
   if (record == nullptr) return Kind::kUnknownProgram;
   const auto* known = find_call(*record, call.request_key);
@@ -78,7 +58,7 @@
   return Kind::kNone;
 }
 
-wire::ErrorKind::type SlotState::apply_opened(const wire::ProgramOpened& opened) {
+wire::ErrorKind::type FamilyState::open(const wire::ProgramOpened& opened, base::Millis now_unix) {
   const auto* existing = find(opened.program);
   if (existing != nullptr) return Kind::kNone;
   const auto error = check_opening(opened);
@@ -89,12 +69,13 @@
   wire::ProgramRecord record;
   record.opened = opened;
   record.next_sequence = 1;
-  state_bytes_ += kRecordOverhead;
+  note_change(record, now_unix);
+  grew_ = true;
   programs_.emplace(opened.program, std::move(record));
   return Kind::kNone;
 }
 
-wire::ErrorKind::type SlotState::apply_admitted(const wire::CallAdmitted& call) {
+wire::ErrorKind::type FamilyState::admit(const wire::CallAdmitted& call, base::Millis now_unix) {
   const auto error = check_admission(call);
   if (error != Kind::kNone) return error;
   auto& record = programs_.at(call.program);
@@ -102,12 +83,15 @@
   entry.call = call;
   entry.phase = CallPhase::kAdmitted;
   hold_reservation(record, entry);
-  state_bytes_ += text_bytes(entry);
+  grew_ = true;
   record.calls.push_back(std::move(entry));
+  text_changes_.push_back({call.program, call.sequence, false, false, call.request_body});
+  note_change(record, now_unix);
   return Kind::kNone;
 }
 
-wire::ErrorKind::type SlotState::apply_started(const wire::AttemptStarted& started) {
+wire::ErrorKind::type FamilyState::start(const wire::AttemptStarted& started,
+                                         base::Millis now_unix) {
   auto* record = find_mutable(started.program);
   if (record == nullptr || record->calls.empty()) return Kind::kUnknownCall;
   if (record->ended) return Kind::kProgramEnded;
@@ -127,8 +111,12 @@
   call.attempts += 1;
   call.backend = started.backend;
   call.gateway = started.gateway;
+  call.gateway_address = started.gateway_address;
   call.nonce = started.nonce;
   call.deadline_in_ms = started.deadline_in_ms;
+  call.started_at_unix_ms = now_unix;
+  ++attempts_started_;
+  note_change(*record, now_unix);
   auto& used = record->backends_used;
   const bool engine = call.call.target_kind == wire::TargetKind::kEngine;
   if (engine && std::find(used.begin(), used.end(), started.backend) == used.end()) {
@@ -137,12 +125,13 @@
   return Kind::kNone;
 }
 
-wire::ErrorKind::type SlotState::apply_ended(const wire::AttemptEnded& ended) {
+wire::ErrorKind::type FamilyState::end(const wire::AttemptEnded& ended, base::Millis now_unix) {
   auto* record = find_mutable(ended.program);
   if (record == nullptr || record->calls.empty()) return Kind::kUnknownCall;
   auto& call = record->calls.back();
   if (call.call.sequence != ended.sequence) return Kind::kUnknownCall;
   if (!rules_->ending_matches(call, ended)) return Kind::kUnknownCall;
+  note_change(*record, now_unix);
   if (record->ended) owe_eviction_again(*record, call.backend);
   switch (ended.outcome) {
     case wire::Outcome::kNotRun:
@@ -171,32 +160,20 @@
   return Kind::kNone;
 }
 
-void SlotState::hold_reservation(wire::ProgramRecord& record, wire::CallRecord& call) {
+void FamilyState::hold_reservation(wire::ProgramRecord& record, wire::CallRecord& call) {
   if (call.reservation_held) return;
   call.reservation_held = true;
   record.reserved_tokens += call.call.reserved_tokens;
 }
 
-void SlotState::drop_reservation(wire::ProgramRecord& record, wire::CallRecord& call) {
+void FamilyState::drop_reservation(wire::ProgramRecord& record, wire::CallRecord& call) {
   if (!call.reservation_held) return;
   call.reservation_held = false;
   record.reserved_tokens -= call.call.reserved_tokens;
 }
 
-wire::ErrorKind::type SlotState::apply_withdrawn(const wire::CallWithdrawn& withdrawn) {
-  auto* record = find_mutable(withdrawn.program);
-  if (record == nullptr || record->calls.empty()) return Kind::kUnknownCall;
-  const auto& call = record->calls.back();
-  const bool same =
-      call.call.sequence == withdrawn.sequence && call.call.request_key == withdrawn.request_key;
-  if (!same) return Kind::kUnknownCall;
-  if (call.phase != CallPhase::kAdmitted) return Kind::kCallInProgress;
-  release_call(*record);
-  return Kind::kNone;
-}
-
 /// An engine may have cached the program again after its eviction: it owes another one.
-void SlotState::owe_eviction_again(wire::ProgramRecord& record, const std::string& backend) {
+void FamilyState::owe_eviction_again(wire::ProgramRecord& record, const std::string& backend) {
   auto& owed = record.evictions_owed;
   const bool owes = std::find(owed.begin(), owed.end(), backend) != owed.end();
   const auto& used = record.backends_used;
@@ -204,34 +181,24 @@
   if (engine && !owes && rules_->eviction_owed(record, backend)) owed.push_back(backend);
 }
 
-/// Of two bundles that build on the same generation the first in the journal takes effect.
-wire::ErrorKind::type SlotState::apply_configuration(const wire::ConfigurationAccepted& accepted) {
-  const auto& bundle = accepted.signed_bundle.bundle;
-  if (bundle.builds_on != configuration_.generation) return Kind::kBundleConflict;
-  if (!configuration::problem_together(bundle, configuration_).empty()) {
-    return Kind::kBundleRefused;
-  }
-  configuration_ = configuration::with_bundle(configuration_, bundle);
-  return Kind::kNone;
-}
-
 /// The call provably never reached a back end: it is as if it had not been admitted.
-void SlotState::release_call(wire::ProgramRecord& record) {
+void FamilyState::release_call(wire::ProgramRecord& record) {
   auto& call = record.calls.back();
   drop_reservation(record, call);
-  state_bytes_ -= text_bytes(call);
+  text_changes_.push_back(
+      {record.opened.program, call.call.sequence, false, true, std::move(call.call.request_body)});
   record.calls.pop_back();
 }
 
-void SlotState::finish_call(wire::ProgramRecord& record, wire::CallRecord& call,
-                            const wire::AttemptEnded& ended) {
+void FamilyState::finish_call(wire::ProgramRecord& record, wire::CallRecord& call,
+                              const wire::AttemptEnded& ended) {
   call.phase = CallPhase::kDone;
   call.outcome.outcome = ended.outcome;
   call.outcome.error = ended.error;
   call.outcome.used_tokens = std::min(ended.used_tokens, call.call.reserved_tokens);
   call.outcome.sequence = ended.sequence;
   call.outcome.result = ended.result;
-  state_bytes_ += ended.result.size();
+  text_changes_.push_back({ended.program, ended.sequence, true, false, ended.result});
   drop_reservation(record, call);
   record.settled_tokens += call.outcome.used_tokens;
   record.next_sequence += 1;
@@ -243,7 +210,7 @@
   }
 }
 
-wire::ErrorKind::type SlotState::apply_closed(const wire::ProgramClosed& closed) {
+wire::ErrorKind::type FamilyState::close(const wire::ProgramClosed& closed, base::Millis now_unix) {
   auto* record = find_mutable(closed.program);
   if (record == nullptr) return Kind::kUnknownProgram;
   // Descendants' ids begin with the parent's id and a dot, so they follow it in the map.
@@ -254,13 +221,15 @@
     descendants.push_back(&it->second);
   }
   // Deepest first, so that each one's unused budget reaches its parent before that one closes.
-  for (auto it = descendants.rbegin(); it != descendants.rend(); ++it) close_program(**it);
-  close_program(*record);
+  for (auto it = descendants.rbegin(); it != descendants.rend(); ++it)
+    close_program(**it, now_unix);
+  close_program(*record, now_unix);
   return Kind::kNone;
 }
 
-void SlotState::close_program(wire::ProgramRecord& record) {
+void FamilyState::close_program(wire::ProgramRecord& record, base::Millis now_unix) {
   if (record.ended) return;
+  note_change(record, now_unix);
   record.ended = true;
   for (const auto& backend : record.backends_used) {
     if (rules_->eviction_owed(record, backend)) record.evictions_owed.push_back(backend);
@@ -268,19 +237,7 @@
   return_unused_budget(record);
 }
 
-wire::ErrorKind::type SlotState::apply_forgotten(const wire::ProgramForgotten& forgotten) {
-  const auto found = programs_.find(forgotten.program);
-  if (found == programs_.end()) return Kind::kUnknownProgram;
-  const auto& record = found->second;
-  const bool call_open = !record.calls.empty() && record.calls.back().phase != CallPhase::kDone;
-  if (!record.ended || call_open || !record.evictions_owed.empty()) return Kind::kCallInProgress;
-  state_bytes_ -= kRecordOverhead;
-  for (const auto& call : record.calls) state_bytes_ -= text_bytes(call);
-  programs_.erase(found);
-  return Kind::kNone;
-}
-
-void SlotState::return_unused_budget(const wire::ProgramRecord& record) {
+void FamilyState::return_unused_budget(const wire::ProgramRecord& record) {
   auto* parent = find_mutable(record.opened.parent);
   if (parent == nullptr) return;
   // Tokens still reserved by a running call stay charged: they may yet be used.
@@ -289,63 +246,81 @@
   parent->settled_tokens += charged;
 }
 
-wire::ErrorKind::type SlotState::apply_evicted(const wire::EvictionAcknowledged& evicted) {
+wire::ErrorKind::type FamilyState::pause(const wire::ToolPauseReported& pause,
+                                         base::Millis now_unix) {
+  auto* record = find_mutable(pause.program);
+  if (record == nullptr) return Kind::kUnknownProgram;
+  if (record->ended) return Kind::kProgramEnded;
+  note_change(*record, now_unix + pause.expected_ms);
+  return Kind::kNone;
+}
+
+wire::ErrorKind::type FamilyState::acknowledge_eviction(const wire::EvictionAcknowledged& evicted) {
   auto* record = find_mutable(evicted.program);
   if (record == nullptr) return Kind::kUnknownProgram;
+  // While an attempt runs there, the engine may cache the program again.
+  const bool running = !record->calls.empty() &&
+                       record->calls.back().phase == CallPhase::kRunning &&
+                       record->calls.back().backend == evicted.backend;
+  if (running) return Kind::kCallInProgress;
   auto& owed = record->evictions_owed;
-  owed.erase(std::remove(owed.begin(), owed.end(), evicted.backend), owed.end());
+  const auto kept = std::remove(owed.begin(), owed.end(), evicted.backend);
+  if (kept == owed.end()) return Kind::kNone;
+  owed.erase(kept, owed.end());
+  changed_ = true;
   return Kind::kNone;
 }
 
-std::string SlotState::snapshot() const {
-  wire::SlotSnapshot snapshot;
-  snapshot.programs.reserve(programs_.size());
-  for (const auto& [id, record] : programs_) snapshot.programs.push_back(record);
-  snapshot.possible_rows = possible_rows_;
-  snapshot.configuration = configuration_;
-  return wire::encode(snapshot);
+void FamilyState::note_change(wire::ProgramRecord& record, base::Millis now_unix) {
+  changed_ = true;
+  record.changed_at_unix_ms = std::max(record.changed_at_unix_ms, now_unix);
 }
 
-void SlotState::restore(const std::string& bytes) {
-  programs_.clear();
-  possible_rows_.clear();
-  configuration_ = {};
-  state_bytes_ = 0;
-  if (bytes.empty()) return;
-  auto snapshot = wire::decode<wire::SlotSnapshot>(bytes);
-  possible_rows_ = std::move(snapshot.possible_rows);
-  configuration_ = std::move(snapshot.configuration);
-  for (auto& record : snapshot.programs) {
-    state_bytes_ += kRecordOverhead;
-    for (const auto& call : record.calls) state_bytes_ += text_bytes(call);
-    auto id = record.opened.program;
-    programs_.emplace(std::move(id), std::move(record));
-  }
+bool FamilyState::finished() const {
+  return std::all_of(programs_.begin(), programs_.end(), [](const auto& entry) {
+    const auto& record = entry.second;
+    const bool call_open =
+        !record.calls.empty() && (record.calls.back().phase == CallPhase::kRunning ||
+                                  record.calls.back().phase == CallPhase::kUnknown);
+    return record.ended && !call_open && record.evictions_owed.empty();
+  });
+}
+
+void FamilyState::mark_stored() {
+  changed_ = false;
+  grew_ = false;
+  text_changes_.clear();
+}
+
+void FamilyState::restore(wire::ProgramRecord record) {
+  auto id = record.opened.program;
+  programs_.insert_or_assign(std::move(id), std::move(record));
 }
 
-const wire::ProgramRecord* SlotState::find(const std::string& program) const {
+const wire::ProgramRecord* FamilyState::find(const std::string& program) const {
   const auto found = programs_.find(program);
   return found == programs_.end() ? nullptr : &found->second;
 }
 
-wire::ProgramRecord* SlotState::find_mutable(const std::string& program) {
+wire::ProgramRecord* FamilyState::find_mutable(const std::string& program) {
   const auto found = programs_.find(program);
   return found == programs_.end() ? nullptr : &found->second;
 }
 
-bool SlotState::same_request(const wire::CallAdmitted& known, const wire::CallAdmitted& repeated) {
+bool FamilyState::same_request(const wire::CallAdmitted& known,
+                               const wire::CallAdmitted& repeated) {
   return known.request_digest == repeated.request_digest && known.sequence == repeated.sequence;
 }
 
-const wire::CallRecord* SlotState::find_call(const wire::ProgramRecord& record,
-                                             const std::string& request_key) {
+const wire::CallRecord* FamilyState::find_call(const wire::ProgramRecord& record,
+                                               const std::string& request_key) {
   const auto found = std::find_if(
       record.calls.begin(), record.calls.end(),
       [&](const wire::CallRecord& call) { return call.call.request_key == request_key; });
   return found == record.calls.end() ? nullptr : &*found;
 }
 
-std::vector<wire::Turn> SlotState::verified_history(const wire::ProgramRecord& record) {
+std::vector<wire::Turn> FamilyState::verified_history(const wire::ProgramRecord& record) {
   std::vector<wire::Turn> history;
   std::string digest;
   for (const auto& call : record.calls) {
--- a/src/node/core/program_replies.cpp
+++ b/src/program/program_replies.cpp
@@ -1,8 +1,8 @@
-#include "node/core/program_replies.hpp"
+#include "program/program_replies.hpp"
 
 #include "base/refusal.hpp"
 
-namespace sailgate::node {
+namespace sailgate::program {
 
 wire::ProgramReply refusal_reply(wire::ErrorKind::type kind) {
   wire::ProgramReply reply;
@@ -10,14 +10,6 @@
   return reply;
 }
 
-wire::ProgramReply redirect_reply(std::int64_t leader) {
-  wire::Redirect redirect;
-  redirect.leader = leader;
-  wire::ProgramReply reply;
-  reply.__set_redirect(redirect);
-  return reply;
-}
-
 wire::ProgramReply call_refusal(wire::ErrorKind::type kind, const wire::CallRecord* call) {
   auto reply = refusal_reply(kind);
   if (call != nullptr && call->attempts > 0) reply.refusal.ran = wire::Ran::kUnknown;
@@ -38,11 +30,4 @@
   return reply;
 }
 
-std::string describe_winner(const wire::Configuration& in_force) {
-  auto text = "generation " + std::to_string(in_force.generation) + " is in force";
-  if (in_force.bundles.empty()) return text;
-  const auto& newest = in_force.bundles.back();
-  return text + ", by version " + std::to_string(newest.version) + " of partner " + newest.partner;
-}
-
-}  // namespace sailgate::node
+}  // namespace sailgate::program
--- a/src/program/program_rules.hpp
+++ b/src/program/program_rules.hpp
@@ -8,7 +8,7 @@
 
 namespace sailgate::program {
 
-/// Rules applied, on every replica alike, when a journal entry takes effect. Must be pure.
+/// Rules applied when a family changes. Must be pure.
 class ProgramRules {
  public:
   ProgramRules() = default;
--- a/src/scheduling/backend_directory.hpp
+++ b/src/scheduling/backend_directory.hpp
@@ -18,7 +18,7 @@
   wire::TargetKind::type kind = wire::TargetKind::kEngine;
   std::set<std::string> targets;  ///< models, operations or tool names it serves
   std::string zone;
-  std::int32_t capacity = 16;  ///< attempts one leader may run on it at once
+  std::int32_t capacity = 16;  ///< attempts one node may run on it at once
 };
 
 /// Back end with its changing state.
--- a/src/simulation/fault.hpp
+++ b/src/simulation/fault.hpp
@@ -14,16 +14,18 @@
   kNothing,   ///< only time passes
   kKillNode,  ///< the process dies, with everything it held
   kKillZone,
+  kKillAll,       ///< all power is lost at once
   kRestartNodes,  ///< every dead process starts again, empty
   kFreezeNode,    ///< the process stops running, its clock goes on
   kThawNodes,
-  kCutZone,  ///< no message in or out of the zone, among nodes
-  kCutOneWay,
+  kRefuseNode,  ///< the table service turns one node away
+  kCutZone,     ///< a zone cannot reach the table service
   kHealLinks,
-  kDisturbNetwork,  ///< messages delayed, reordered, duplicated
   kTableDown,
+  kTableRefuses,
   kTableSlow,
   kTableLosesAnswers,
+  kTableLate,  ///< writes without an answer that are done seconds later
   kTableUp,
   kDisturbBackends,  ///< answers late or crossed
   kDriftClock,
@@ -40,7 +42,7 @@
 struct Fault {
   FaultKind kind = FaultKind::kNothing;
   std::size_t target = 0;  ///< node, zone or back end, modulo their number
-  std::size_t other = 0;   ///< second node of a one-way cut
+  std::size_t other = 0;   ///< variant of some faults
   base::Millis then_wait = 0;
 };
 
--- a/src/simulation/simulated_backend.cpp
+++ b/src/simulation/simulated_backend.cpp
@@ -20,8 +20,8 @@
 
 void SimulatedBackend::dispatch(const DispatchedCall& call, const Reply& reply) {
   if (fenced_.count(call.attempt) > 0) {
-    gateway::DispatchResult refused;
-    refused.kind = gateway::DispatchResult::Kind::kRefused;
+    api::DispatchResult refused;
+    refused.kind = api::DispatchResult::Kind::kRefused;
     reply(refused);
     return;
   }
@@ -36,8 +36,8 @@
 void SimulatedBackend::finish(const DispatchedCall& call, const Reply& reply) {
   if (cancelled_.count(call.attempt) > 0) return;
   running_.erase(call.request_key);
-  gateway::DispatchResult result;
-  result.kind = gateway::DispatchResult::Kind::kSucceeded;
+  api::DispatchResult result;
+  result.kind = api::DispatchResult::Kind::kSucceeded;
   result.answered_attempt = call.attempt;
   const auto spread = std::max<std::int64_t>(call.token_ceiling - kMinimumTokens, 0);
   const auto extra = random_.below(static_cast<std::uint64_t>(spread) + 1);
@@ -68,15 +68,15 @@
 
 void SimulatedBackend::cancel(std::int64_t attempt) { cancelled_.insert(attempt); }
 
-node::InquiryAnswer SimulatedBackend::inquire(const node::OutcomeInquiry& inquiry) {
-  node::InquiryAnswer answer;
+program::InquiryAnswer SimulatedBackend::inquire(const program::OutcomeInquiry& inquiry) {
+  program::InquiryAnswer answer;
   answer.inquiry = inquiry;
   const auto done = finished_.find(inquiry.request_key);
   if (done != finished_.end()) {
-    answer.verdict = node::InquiryAnswer::Verdict::kRan;
+    answer.verdict = program::InquiryAnswer::Verdict::kRan;
     answer.result = done->second;
   } else if (running_.count(inquiry.request_key) == 0) {
-    answer.verdict = node::InquiryAnswer::Verdict::kNotRun;
+    answer.verdict = program::InquiryAnswer::Verdict::kNotRun;
     fenced_.insert(inquiry.attempt);
   }
   return answer;
--- a/src/simulation/simulated_backend.hpp
+++ b/src/simulation/simulated_backend.hpp
@@ -7,9 +7,9 @@
 #include <set>
 #include <string>
 
+#include "api/call_flow.hpp"
 #include "base/random.hpp"
-#include "gateway/core/call_flow.hpp"
-#include "node/core/node_actions.hpp"
+#include "program/due_work.hpp"
 #include "scheduling/backend_directory.hpp"
 #include "simulation/event_queue.hpp"
 #include "simulation/oracle.hpp"
@@ -28,7 +28,7 @@
 /// One back end. Not thread-safe.
 class SimulatedBackend {
  public:
-  using Reply = std::function<void(const gateway::DispatchResult&)>;
+  using Reply = std::function<void(const api::DispatchResult&)>;
 
   SimulatedBackend(EventQueue& events, Oracle& oracle, scheduling::Backend description,
                    std::uint64_t seed);
@@ -38,7 +38,7 @@
   void evict(const std::string& program);
   void cancel(std::int64_t attempt);
   /// Tells what became of an attempt; one that never came will be refused from now on.
-  node::InquiryAnswer inquire(const node::OutcomeInquiry& inquiry);
+  program::InquiryAnswer inquire(const program::OutcomeInquiry& inquiry);
 
   /// From now on new work is refused after `tolerance`, and the oracle watches.
   void leave(base::Millis tolerance);
@@ -62,10 +62,10 @@
   std::set<std::string> cached_;
   std::set<std::string> evicted_;
   std::set<std::int64_t> cancelled_;
-  std::set<std::int64_t> fenced_;                 ///< attempts that must not run any more
-  std::map<std::string, std::string> running_;    ///< request key -> program
-  std::map<std::string, std::string> finished_;   ///< request key -> result
-  std::optional<gateway::DispatchResult> stray_;  ///< an answer that waits to be crossed
+  std::set<std::int64_t> fenced_;                ///< attempts that must not run any more
+  std::map<std::string, std::string> running_;   ///< request key -> program
+  std::map<std::string, std::string> finished_;  ///< request key -> result
+  std::optional<api::DispatchResult> stray_;     ///< an answer that waits to be crossed
 };
 
 }  // namespace sailgate::simulation
