--- /dev/null
+++ b/tests/configuration/bundle_roll_test.cpp
@@ -0,0 +1,109 @@
+#include "configuration/bundle_roll.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "configuration/configuration_holder.hpp"
+#include "simulation/in_memory_rows.hpp"
+#include "simulation/simulated_operator.hpp"
+
+using namespace sailgate;
+using configuration::BundleRoll;
+using Kind = store::OptimisticUpdate::Step::Kind;
+
+namespace {
+
+const store::UpdateRules kRules;
+
+wire::SignedBundle bundle(const std::string& partner, std::int64_t version,
+                          std::int64_t builds_on) {
+  wire::SignedBundle made;
+  made.bundle.partner = partner;
+  made.bundle.version = version;
+  made.bundle.builds_on = builds_on;
+  for (const auto* signer : simulation::kPartners) {
+    made.signatures.push_back(
+        configuration::sign(made.bundle, signer, simulation::partner_key_pair(signer).secret_key));
+  }
+  return made;
+}
+
+struct Fixture {
+  simulation::InMemoryRows table;
+  configuration::PartnerKeys keys = simulation::partner_public_keys();
+
+  void finish(store::OptimisticUpdate& update, store::OptimisticUpdate::Step step) {
+    while (step.kind != Kind::kDone) {
+      step = step.kind == Kind::kRead ? update.on_read(table.read(step.read), 0)
+                                      : update.on_write(table.transact(step.write), 0);
+    }
+  }
+  void roll(BundleRoll& subject) {
+    store::OptimisticUpdate update(kRules, subject, configuration::configuration_range(), false,
+                                   1000);
+    finish(update, update.start());
+  }
+  wire::Configuration stored() {
+    return configuration::configuration_of(table.read(configuration::configuration_range()).rows);
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "without a row generation 0 is in force", "[configuration]") {
+  REQUIRE(stored().generation == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "a bundle signed by all partners is stored", "[configuration]") {
+  BundleRoll subject(bundle("federation", 1, 0), keys);
+  roll(subject);
+  REQUIRE_FALSE(subject.refusal());
+  REQUIRE(stored().generation == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a bundle without a partner's signature is refused", "[configuration]") {
+  auto unsigned_bundle = bundle("federation", 1, 0);
+  unsigned_bundle.signatures.pop_back();
+  BundleRoll subject(unsigned_bundle, keys);
+  roll(subject);
+  REQUIRE(subject.refusal()->kind == wire::ErrorKind::kBundleRefused);
+  REQUIRE(stored().generation == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "of two operators who race one is told who won", "[configuration]") {
+  BundleRoll first(bundle("federation", 1, 0), keys);
+  BundleRoll second(bundle("pharmacy", 7, 0), keys);
+  store::OptimisticUpdate early(kRules, second, configuration::configuration_range(), false, 1000);
+  const auto read = early.start();
+  const auto write = early.on_read(table.read(read.read), 0);
+  roll(first);
+  finish(early, write);
+  REQUIRE(second.refusal()->kind == wire::ErrorKind::kBundleConflict);
+  REQUIRE(second.refusal()->detail.find("version 1 of partner federation") != std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture, "a bundle that is rolled again is not taken twice", "[configuration]") {
+  BundleRoll first(bundle("federation", 1, 0), keys);
+  roll(first);
+  BundleRoll again(bundle("federation", 1, 0), keys);
+  roll(again);
+  REQUIRE_FALSE(again.refusal());
+  REQUIRE(again.configuration().generation == 1);
+  REQUIRE(stored().generation == 1);
+}
+
+TEST_CASE("a node serves only for its lease after it read the configuration", "[configuration]") {
+  const base::Knobs knobs;
+  configuration::ConfigurationHolder holder(knobs, std::make_shared<configuration::LeaseRules>());
+  REQUIRE_FALSE(holder.live(0));
+  wire::Configuration read;
+  read.generation = 2;
+  holder.on_read(read, 1000);
+  REQUIRE(holder.live(1000 + knobs.configuration_lease - 1));
+  REQUIRE_FALSE(holder.live(1000 + knobs.configuration_lease));
+  // An answer from before says nothing of what is in force now.
+  read.generation = 1;
+  holder.on_read(read, 3000);
+  REQUIRE(holder.generation() == 2);
+  REQUIRE_FALSE(holder.live(1000 + knobs.configuration_lease));
+  REQUIRE(configuration::time_until_in_force(knobs) > knobs.configuration_lease);
+}
--- /dev/null
+++ b/tests/platform/table_wire_test.cpp
@@ -0,0 +1,77 @@
+#include "table_wire.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace sailgate;
+
+namespace {
+
+std::string query_of(const net::TextRequest& request) {
+  const std::string target(request.target().data(), request.target().size());
+  return target.substr(target.find('?') + 1);
+}
+
+}  // namespace
+
+TEST_CASE("a transaction survives the wire", "[platform]") {
+  store::Transaction transaction;
+  transaction.conditions.push_back({{"t", "p", "k"}, 7});
+  store::Row row;
+  row.id = {"t", "p", "k"};
+  row.value = std::string("\0\xff bytes", 8);
+  transaction.puts.push_back(row);
+  transaction.removals.push_back({"t", "p", "gone"});
+  const auto read = platform::decode_transaction(platform::encode_transaction(transaction).body());
+  REQUIRE(read.conditions.front().version == 7);
+  REQUIRE(read.puts.front().value == row.value);
+  REQUIRE(read.removals.front().key == "gone");
+}
+
+TEST_CASE("ranges and feeds survive the wire, whatever their names hold", "[platform]") {
+  store::RangeRead range;
+  range.table = "a table";
+  range.part = "1&2=3";
+  range.from_key = std::string("key\0", 4);
+  range.to_key = "k%z";
+  range.limit = 3;
+  const auto read = platform::decode_read(query_of(platform::encode_read(range)));
+  REQUIRE(read.table == range.table);
+  REQUIRE(read.part == range.part);
+  REQUIRE(read.from_key == range.from_key);
+  REQUIRE(read.to_key == range.to_key);
+  REQUIRE(read.limit == 3);
+  platform::FollowCall call;
+  call.table = "t";
+  call.after = 41;
+  call.wait = net::Millis(900);
+  const auto follow = platform::decode_follow(query_of(platform::encode_follow(call)));
+  REQUIRE(follow.after == 41);
+  REQUIRE(follow.wait == call.wait);
+}
+
+TEST_CASE("results survive the wire", "[platform]") {
+  store::StoreResult result;
+  result.status = store::StoreStatus::kConflict;
+  result.version = 12;
+  result.more = true;
+  store::Row row;
+  row.id = {"t", "", "k"};
+  row.value = "v";
+  row.version = 9;
+  store::Row gone = row;
+  gone.removed = true;
+  result.rows = {row, gone};
+  const auto read =
+      platform::decode_result(platform::status_of(result.status), platform::encode_result(result));
+  REQUIRE(read.status == result.status);
+  REQUIRE(read.version == 12);
+  REQUIRE(read.more);
+  REQUIRE(read.rows.front().value == "v");
+  REQUIRE(read.rows.back().removed);
+}
+
+TEST_CASE("damaged calls are errors, damaged answers are no answers", "[platform]") {
+  REQUIRE_THROWS(platform::decode_transaction("{"));
+  REQUIRE_THROWS(platform::decode_follow("after=x&wait_ms=1"));
+  REQUIRE(platform::decode_result(200, "{").status == store::StoreStatus::kUnknown);
+}
--- /dev/null
+++ b/tests/program/due_work_test.cpp
@@ -0,0 +1,146 @@
+#include "program/due_work.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace sailgate;
+using program::FamilyState;
+using program::settle_due;
+
+namespace {
+
+constexpr base::Millis kStart = 1'000'000;
+constexpr base::Millis kDeadline = 5000;
+const base::Knobs kKnobs;
+
+/// A family with one program and one running call.
+struct Fixture {
+  FamilyState state{std::make_shared<program::ProgramRules>()};
+
+  void run_call(wire::TargetKind::type kind) {
+    wire::ProgramOpened opened;
+    opened.program = "p";
+    opened.call_limit = 5;
+    state.open(opened, kStart);
+    wire::CallAdmitted call;
+    call.program = "p";
+    call.sequence = 1;
+    call.request_key = "k";
+    call.target_kind = kind;
+    call.repeatable = kind == wire::TargetKind::kEngine;
+    state.admit(call, kStart);
+    wire::AttemptStarted started;
+    started.program = "p";
+    started.sequence = 1;
+    started.request_key = "k";
+    started.attempt = 7;
+    started.backend = "backend";
+    started.gateway = 3;
+    started.deadline_in_ms = kDeadline;
+    state.start(started, kStart);
+    state.mark_stored();
+  }
+  wire::CallPhase::type phase() const { return state.find("p")->calls.back().phase; }
+  void close() {
+    wire::ProgramClosed closed;
+    closed.program = "p";
+    state.close(closed, kStart);
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "an attempt under way is left alone", "[program]") {
+  run_call(wire::TargetKind::kEngine);
+  const auto orders = settle_due(state, kStart + 10, kKnobs);
+  REQUIRE(orders.checks.empty());
+  REQUIRE_FALSE(state.changed());
+}
+
+TEST_CASE_METHOD(Fixture, "an attempt that takes long has its gateway asked", "[program]") {
+  run_call(wire::TargetKind::kEngine);
+  const auto orders = settle_due(state, kStart + kKnobs.gateway_check_interval, kKnobs);
+  REQUIRE(orders.checks.size() == 1);
+  REQUIRE(orders.checks.front().gateway == 3);
+  // The next one to look sees that somebody asks.
+  REQUIRE(state.changed());
+  REQUIRE(phase() == wire::CallPhase::kRunning);
+}
+
+TEST_CASE_METHOD(Fixture, "an attempt whose gateway is gone may be made again", "[program]") {
+  run_call(wire::TargetKind::kEngine);
+  const auto orders = settle_due(state, kStart + kKnobs.gateway_check_interval, kKnobs);
+  program::settle_lost_attempt(state, orders.checks.front(), kStart + 3000);
+  REQUIRE(phase() == wire::CallPhase::kAdmitted);
+}
+
+TEST_CASE_METHOD(Fixture, "an overdue attempt is given up and cancelled", "[program]") {
+  run_call(wire::TargetKind::kEngine);
+  const auto overdue = kStart + kDeadline + kKnobs.attempt_grace;
+  REQUIRE(program::next_due(state, kStart, kKnobs) <= overdue);
+  const auto orders = settle_due(state, overdue, kKnobs);
+  REQUIRE(orders.cancels.size() == 1);
+  REQUIRE(phase() == wire::CallPhase::kAdmitted);
+}
+
+TEST_CASE_METHOD(Fixture, "an unknown outcome is asked for until it is known", "[program]") {
+  run_call(wire::TargetKind::kApplication);
+  const auto overdue = kStart + kDeadline + kKnobs.attempt_grace;
+  auto orders = settle_due(state, overdue, kKnobs);
+  REQUIRE(orders.inquiries.size() == 1);
+  program::InquiryAnswer answer;
+  answer.inquiry = orders.inquiries.front();
+  program::settle_inquiry(state, answer, overdue);
+  REQUIRE(phase() == wire::CallPhase::kUnknown);
+  REQUIRE(program::next_due(state, overdue, kKnobs) <= overdue + kKnobs.inquiry_interval);
+  answer.verdict = program::InquiryAnswer::Verdict::kRan;
+  answer.result = "done";
+  program::settle_inquiry(state, answer, overdue);
+  REQUIRE(phase() == wire::CallPhase::kDone);
+}
+
+TEST_CASE_METHOD(Fixture, "a call proved not run is as if it had not been made", "[program]") {
+  run_call(wire::TargetKind::kApplication);
+  auto orders = settle_due(state, kStart + kDeadline + kKnobs.attempt_grace, kKnobs);
+  program::InquiryAnswer answer;
+  answer.inquiry = orders.inquiries.front();
+  answer.verdict = program::InquiryAnswer::Verdict::kNotRun;
+  program::settle_inquiry(state, answer, kStart + kDeadline);
+  REQUIRE(state.find("p")->calls.empty());
+}
+
+TEST_CASE_METHOD(Fixture, "an ended program owes its engines evictions, then goes after retention",
+                 "[program]") {
+  run_call(wire::TargetKind::kEngine);
+  wire::AttemptEnded ended;
+  ended.program = "p";
+  ended.sequence = 1;
+  ended.attempt = 7;
+  state.end(ended, kStart);
+  close();
+  auto orders = settle_due(state, kStart, kKnobs);
+  REQUIRE(orders.evictions.size() == 1);
+  REQUIRE_FALSE(orders.remove_family);
+  wire::EvictionAcknowledged acknowledged;
+  acknowledged.program = "p";
+  acknowledged.backend = "backend";
+  state.acknowledge_eviction(acknowledged);
+  const auto over = kStart + kKnobs.retention;
+  REQUIRE(program::next_due(state, kStart, kKnobs) == over);
+  REQUIRE_FALSE(settle_due(state, over - 1, kKnobs).remove_family);
+  REQUIRE(settle_due(state, over, kKnobs).remove_family);
+}
+
+TEST_CASE_METHOD(Fixture, "an idle program is ended, and a reported pause is no idleness",
+                 "[program]") {
+  wire::ProgramOpened opened;
+  opened.program = "p";
+  state.open(opened, kStart);
+  wire::ToolPauseReported pause;
+  pause.program = "p";
+  pause.expected_ms = 10'000;
+  state.pause(pause, kStart);
+  settle_due(state, kStart + kKnobs.idle_limit, kKnobs);
+  REQUIRE_FALSE(state.find("p")->ended);
+  settle_due(state, kStart + kKnobs.idle_limit + pause.expected_ms, kKnobs);
+  REQUIRE(state.find("p")->ended);
+}
