Broken answers are logged, idle programs forgotten, stale reads known from peers

Change: answer_broken with id, engine, bytes and why; beacons carry the newest store version a node has seen, and followers take no older answer; a program unused for two minutes is forgotten: what it spent moves to an entry of the budget row that belongs to nobody, the rest is given back. Fields that were decoded and not used are gone.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -23,6 +23,8 @@
   2: list<EngineLoad> loads
   /** Whether the table store answers the sender's own calls. */
   3: bool reaches_store
+  /** Newest version of the table store that the sender has seen: older answers are stale. */
+  4: i64 store_version
 }
 
 /** Calls of the table store that a peer makes for the sender; see store/table_store.hpp. */
--- a/src/balancing/engine.hpp
+++ b/src/balancing/engine.hpp
@@ -15,7 +15,6 @@
   std::string zone;
   int slots = 1;
   bool draining = false;
-  net::Millis warm_up_left{0};
 };
 
 /// An engine with this node's own observations. Requests under way hold it by shared pointer, so it
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace sailgate::cluster {
 
 namespace {
@@ -39,6 +41,7 @@
     if (peer.incarnation != beacon.incarnation) continue;
     peer.last_heard = now;
     peer.reaches_store = beacon.reaches_store;
+    newest_store_version_ = std::max(newest_store_version_, beacon.store_version);
     peer.loads.clear();
     for (const auto& load : beacon.loads) peer.loads[load.engine] = load.in_flight;
     return true;
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -54,6 +54,9 @@
   /// Live peers that the store answers; those of this zone if there are any.
   std::vector<Peer> reaching_store(net::TimePoint now, net::Millis silence) const;
 
+  /// Newest version of the store that a beacon named; 0 before any.
+  std::int64_t newest_store_version() const { return newest_store_version_; }
+
   /// Requests of live peers in flight at an engine.
   int peer_load(const std::string& engine, net::TimePoint now, net::Millis silence) const;
 
@@ -63,6 +66,7 @@
   std::string self_;
   std::string zone_;
   std::map<std::string, Peer> peers_;
+  std::int64_t newest_store_version_ = 0;
 };
 
 }  // namespace sailgate::cluster
--- a/src/ledger/budget_account.cpp
+++ b/src/ledger/budget_account.cpp
@@ -8,6 +8,8 @@
 
 /// A grant takes up to this share of what is left: tokens of a holder that dies are lost.
 constexpr std::int64_t kGrantDivisor = 2;
+/// Holder of tokens that were spent by processes that have forgotten the program.
+constexpr std::int64_t kNobody = 0;
 /// A grant covers at most this many turns like the one that asked.
 constexpr std::int64_t kGrantTurns = 8;
 
@@ -53,10 +55,19 @@
   return row;
 }
 
+std::optional<wire::BudgetRow> BudgetAccount::begin_retirement() {
+  if (!idle() || row_.granted.count(holder_) == 0) return std::nullopt;
+  granted_ = used_;
+  auto row = row_;
+  row.granted.erase(holder_);
+  row.granted[kNobody] += used_;
+  return row;
+}
+
 std::vector<std::int64_t> BudgetAccount::other_holders() const {
   std::vector<std::int64_t> holders;
   for (const auto& [holder, tokens] : row_.granted) {
-    if (holder != holder_ && tokens > 0) holders.push_back(holder);
+    if (holder != holder_ && holder != kNobody && tokens > 0) holders.push_back(holder);
   }
   return holders;
 }
--- a/src/ledger/budget_account.hpp
+++ b/src/ledger/budget_account.hpp
@@ -6,6 +6,7 @@
 ///  1. A holder raises its entry before it uses more, and waits for the write.
 ///  2. It lowers its entry to give tokens back, and stops using them before it writes.
 ///  3. Entries of dead holders stay: their tokens count as spent.
+///  4. A holder that forgets the program moves what it spent to an entry that belongs to nobody.
 #pragma once
 
 #include <cstdint>
@@ -35,6 +36,10 @@
   /// Row that gives back what is neither used nor reserved, and takes it out of use at once.
   /// nullopt when there is nothing to give.
   std::optional<wire::BudgetRow> begin_release();
+  /// Row that gives back what is not used and counts what is used as spent by nobody in particular,
+  /// so that this object can be dropped once that is stored. Nothing can be reserved meanwhile.
+  /// nullopt while a turn is under way, or when there is nothing to write.
+  std::optional<wire::BudgetRow> begin_retirement();
   /// Holders, other than this one, that have tokens granted.
   std::vector<std::int64_t> other_holders() const;
 
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -15,6 +15,11 @@
 
 constexpr const char* kBudgetTable = "budgets";
 constexpr const char* kTurnTable = "turns";
+/// A program that was not used for so long is forgotten, a few at a time.
+constexpr net::Millis kIdleTime{120'000};
+constexpr net::Millis kForgetInterval{1000};
+constexpr net::Millis kForgetTime{500};
+constexpr std::size_t kForgottenAtOnce = 16;
 constexpr std::size_t kTurnCacheBytes = std::size_t{24} << 20U;
 
 bool time_left(net::TimePoint deadline) { return net::Clock::now() < deadline; }
@@ -121,20 +126,49 @@
   program.account.adopt(wire::decode<wire::BudgetRow>(row.value), row.version);
 }
 
-net::asio::awaitable<bool> ProgramLedger::release(std::string id, net::TimePoint deadline) {
-  const auto entry = programs_.find(id);
-  if (entry == programs_.end()) co_return true;
-  auto held = entry->second;
-  const auto guard = co_await held->mutex.lock();
+net::asio::awaitable<bool> ProgramLedger::give_back(std::string id, ProgramPointer program,
+                                                    GiveBack plan, net::TimePoint deadline) {
+  const auto guard = co_await program->mutex.lock();
   while (time_left(deadline)) {
-    auto row = held->account.begin_release();
+    auto row = (program->account.*plan)();
     if (!row) co_return true;
-    const auto status = co_await write_budget(id, held, std::move(*row), deadline);
+    const auto status = co_await write_budget(id, program, std::move(*row), deadline);
     if (status == StoreStatus::kDone) co_return true;
   }
   co_return false;
 }
 
+net::asio::awaitable<bool> ProgramLedger::release(std::string id, net::TimePoint deadline) {
+  const auto entry = programs_.find(id);
+  if (entry == programs_.end()) co_return true;
+  auto held = entry->second;
+  co_return co_await give_back(id, held, &BudgetAccount::begin_release, deadline);
+}
+
+net::asio::awaitable<void> ProgramLedger::forget(std::string id) {
+  auto held = programs_.at(id);
+  const auto last_used = held->last_used;
+  const auto deadline = net::Clock::now() + kForgetTime;
+  const bool done = co_await give_back(id, held, &BudgetAccount::begin_retirement, deadline);
+  held->leaving = false;
+  // NOTE: a turn may have come meanwhile; its account goes on with what the row says.
+  const bool unused = held->last_used == last_used && held->account.idle();
+  if (done && unused) programs_.erase(id);
+}
+
+void ProgramLedger::forget_idle(net::TimePoint now) {
+  if (now < next_forgetting_) return;
+  next_forgetting_ = now + kForgetInterval;
+  std::size_t begun = 0;
+  for (const auto& [id, program] : programs_) {
+    const bool idle = now >= program->last_used + kIdleTime && program->account.idle();
+    if (!idle || program->leaving) continue;
+    program->leaving = true;
+    net::asio::co_spawn(context_, forget(id), net::asio::detached);
+    if (++begun == kForgottenAtOnce) return;
+  }
+}
+
 std::vector<std::int64_t> ProgramLedger::other_holders(const std::string& id) {
   return program(id)->account.other_holders();
 }
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -46,6 +46,10 @@
 
   /// Gives back tokens of the program that no turn uses. @return whether the store has it so.
   net::asio::awaitable<bool> release(std::string program, net::TimePoint deadline);
+  /// Gives back the tokens of programs that were not used for long, and forgets them.
+  void forget_idle(net::TimePoint now);
+  /// Programs in memory.
+  std::size_t programs() const { return programs_.size(); }
   /// Other processes that hold tokens of the program, as far as this one knows.
   std::vector<std::int64_t> other_holders(const std::string& program);
 
@@ -67,10 +71,16 @@
     BudgetAccount account;
     net::AsyncMutex mutex;  ///< one write of the budget row at a time
     net::TimePoint last_used{};
+    bool leaving = false;  ///< being forgotten
   };
   using ProgramPointer = std::shared_ptr<Program>;
 
+  using GiveBack = std::optional<wire::BudgetRow> (BudgetAccount::*)();
+
   ProgramPointer program(const std::string& id);
+  /// Writes what `plan` gives until that holds. @return whether the store has it so.
+  net::asio::awaitable<bool> give_back(std::string id, ProgramPointer program, GiveBack plan,
+                                       net::TimePoint deadline);
   net::asio::awaitable<ReserveOutcome> raise_grant(std::string id, ProgramPointer program,
                                                    std::int64_t tokens, std::int64_t budget,
                                                    net::TimePoint deadline);
@@ -79,6 +89,7 @@
                                                         net::TimePoint deadline);
   net::asio::awaitable<bool> read_budget(std::string id, ProgramPointer program,
                                          net::TimePoint deadline);
+  net::asio::awaitable<void> forget(std::string id);
   static void adopt_rows(Program& program, const store::StoreResult& result);
 
   net::asio::io_context& context_;
@@ -88,6 +99,7 @@
   std::int64_t holder_;
   std::unordered_map<std::string, ProgramPointer> programs_;
   TurnCache turns_;
+  net::TimePoint next_forgetting_{};
 };
 
 }  // namespace sailgate::ledger
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -223,7 +223,7 @@
     line.with("removed", static_cast<int>(orders.remove_family));
   });
   if (orders.remove_family) families_.remove(family, kSettlePatience);
-  carry_out(family, std::move(orders));
+  carry_out(family, orders);
 }
 
 void NodeRuntime::change_quietly(const std::string& family, program::FamilyUpdate::Change change) {
@@ -231,7 +231,7 @@
   families_.change(family, std::move(change), kSettlePatience);
 }
 
-void NodeRuntime::carry_out(const std::string& family, program::DueOrders orders) {
+void NodeRuntime::carry_out(const std::string& family, const program::DueOrders& orders) {
   for (const auto& order : orders.cancels) services_.backends.cancel(order);
   for (const auto& order : orders.evictions) {
     if (!services_.backends.evict(order)) continue;
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -31,7 +31,6 @@
   net::Millis timeout{0};    ///< longest time a request may be held
   net::Millis objective{0};  ///< an answer within it earns its full worth
   int priority = 0;          ///< 0 is the most urgent
-  int max_attempts = 1;      ///< most engines one request may be sent to
   bool resumable = false;    ///< a stream may go on at another engine
   bool retained = false;     ///< turns bring only their new input; the system keeps the rest
   net::Millis retention{0};
@@ -44,8 +43,6 @@
 /// A service and what its engines are like.
 struct Service {
   std::string name;
-  std::string health_path;
-  int max_connections = 0;
   int tokens_per_event = 0;  ///< tokens in one event of a stream; 0 for plain services
 };
 
--- a/src/serving/call_handler.cpp
+++ b/src/serving/call_handler.cpp
@@ -105,7 +105,6 @@
                                                net::TimePoint received_at) {
   Call call(channel, std::move(request));
   call.received_at = received_at;
-  channel.reset_answer();
   ++state_.active_requests;
   CallEnd end;
   try {
--- a/src/serving/client_channel.cpp
+++ b/src/serving/client_channel.cpp
@@ -74,7 +74,6 @@
 
 net::asio::awaitable<bool> ClientChannel::write(std::string bytes) {
   if (gone_) co_return false;
-  answer_begun_ = true;
   stream_.expires_after(kWriteTimeout);
   net::Error error;
   co_await net::asio::async_write(stream_, net::asio::buffer(bytes), net::awaiting(error));
--- a/src/serving/client_channel.hpp
+++ b/src/serving/client_channel.hpp
@@ -33,10 +33,6 @@
   net::asio::awaitable<bool> begin_chunked(net::http::response_header<> head);
   net::asio::awaitable<bool> write_chunk(const std::string& bytes);
   net::asio::awaitable<bool> end_chunked();
-  /// Whether any byte of an answer was written since reset_answer().
-  bool answer_begun() const { return answer_begun_; }
-  void reset_answer() { answer_begun_ = false; }
-
   /// Answers carry "Connection: close" from now on.
   void close_after_answer() { keep_ = false; }
   bool keep() const { return keep_ && !gone_; }
@@ -57,7 +53,6 @@
   std::shared_ptr<Watch> watch_;
   bool gone_ = false;
   bool keep_ = true;
-  bool answer_begun_ = false;
 };
 
 }  // namespace sailgate::serving
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -51,6 +51,15 @@
 
 }  // namespace
 
+void note_failure(NodeState& state, balancing::Engine& engine, const char* what) {
+  engine.consecutive_failures = std::min(engine.consecutive_failures + 1, kMostCountedFailures);
+  engine.avoid_until = net::Clock::now() + kFailurePause * engine.consecutive_failures;
+  state.log.event("engine_failed")
+      .with("engine", engine.record.id)
+      .with("what", what)
+      .with("failures", engine.consecutive_failures);
+}
+
 void note_success(balancing::Engine& engine) {
   engine.consecutive_failures = 0;
   engine.avoid_until = {};
@@ -109,15 +118,6 @@
   engine.avoid_until = net::Clock::now() + kRefusalPause;
 }
 
-void Dispatcher::note_failure(balancing::Engine& engine, const char* what) {
-  engine.consecutive_failures = std::min(engine.consecutive_failures + 1, kMostCountedFailures);
-  engine.avoid_until = net::Clock::now() + kFailurePause * engine.consecutive_failures;
-  state_.log.event("engine_failed")
-      .with("engine", engine.record.id)
-      .with("what", what)
-      .with("failures", engine.consecutive_failures);
-}
-
 std::optional<DispatchFailure> Dispatcher::reason_to_stop(const Call& call) {
   if (call.channel.gone()) return DispatchFailure::kCallerGone;
   if (call.time_left() <= kDeadlineMargin) return DispatchFailure::kTimedOut;
@@ -170,7 +170,7 @@
     result.end = OfferEnd::kAnswered;
   } else if (outcome == OpenOutcome::kNotSent) {
     log_offer(call, *engine, "not_sent");
-    note_failure(*engine, "connect");
+    note_failure(state_, *engine, "connect");
     result.end = OfferEnd::kNotSent;
   } else if (outcome == OpenOutcome::kAborted) {
     result.end = OfferEnd::kAborted;
@@ -180,7 +180,7 @@
   } else {
     log_broken(call, exchange, outcome);
     log_offer(call, *engine, "broken");
-    note_failure(*engine, "broken");
+    note_failure(state_, *engine, "broken");
     result.end = OfferEnd::kBroken;
   }
   if (result.end != OfferEnd::kAnswered) call.exchange = nullptr;
--- a/src/serving/dispatcher.hpp
+++ b/src/serving/dispatcher.hpp
@@ -54,12 +54,14 @@
                                                          const std::string& last_event_id) const;
   balancing::EnginePointer select(const Call& call);
   void note_refusal(EngineExchange& exchange);
-  void note_failure(balancing::Engine& engine, const char* what);
   void log_offer(const Call& call, const balancing::Engine& engine, const char* outcome);
 
   NodeState& state_;
 };
 
+/// Marks a failure of an engine: others come first for a while.
+void note_failure(NodeState& state, balancing::Engine& engine, const char* what);
+
 /// Marks a good answer of an engine.
 void note_success(balancing::Engine& engine);
 
--- a/src/serving/edge_protocol.hpp
+++ b/src/serving/edge_protocol.hpp
@@ -15,7 +15,6 @@
 struct CallDescription {
   std::string request_id;     ///< unique for each attempt of the caller
   std::string program;        ///< empty: not part of a program
-  std::string session;        ///< line of turns within the program
   std::string previous_turn;  ///< request id of the turn this one goes on from; empty: none
   std::optional<net::Millis> deadline;       ///< how long the caller will wait
   std::optional<std::int64_t> token_budget;  ///< of the whole program
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -1,5 +1,7 @@
 #include "serving/gateway.hpp"
 
+#include <algorithm>
+
 #include "net/socket_state.hpp"
 #include "wire/codec.hpp"
 
@@ -253,6 +255,8 @@
     const auto now = net::Clock::now();
     state_.connections.expire(now);
     state_.store.set_silence_limit(state_.beacons.silence_limit());
+    share_store_version();
+    state_.ledger.forget_idle(now);
     for (const auto& engine : state_.engines.all()) {
       engine->peer_in_flight =
           state_.peers.peer_load(engine->record.id, now, state_.beacons.silence_limit());
@@ -264,6 +268,16 @@
   }
 }
 
+void Gateway::share_store_version() {
+  auto newest = state_.peers.newest_store_version();
+  for (auto* follower : {&configuration_follower_, &engine_follower_, &peer_follower_}) {
+    newest = std::max(newest, follower->newest_seen());
+  }
+  state_.newest_store_version = newest;
+  configuration_follower_.note_version(newest);
+  engine_follower_.note_version(newest);
+}
+
 void Gateway::stop() {
   if (state_.stopping) return;
   state_.stopping = true;
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -39,6 +39,8 @@
   void take_configuration(const store::Row& row);
   void take_engine(const store::Row& row);
   void note_contact(bool reached);
+  /// Answers of the store that are older than what some node has seen are not taken over.
+  void share_store_version();
   store::FollowerCallbacks configuration_callbacks();
   store::FollowerCallbacks engine_callbacks();
   store::FollowerCallbacks peer_callbacks();
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -45,6 +45,7 @@
     wire::Beacon message;
     message.incarnation = incarnation;
     message.reaches_store = store.direct_works();
+    message.store_version = newest_store_version;
     for (const auto& engine : engines.all()) {
       if (engine->in_flight == 0) continue;
       wire::EngineLoad load;
@@ -62,6 +63,7 @@
   std::shared_ptr<const routing::RouteTable> routes;  ///< nullptr before the first configuration
   balancing::EngineRegistry engines;
   bool engines_known = false;
+  std::int64_t newest_store_version = 0;  ///< seen by this node or a peer
   EngineConnectionPool connections;
   cluster::PeerDirectory peers;
   cluster::PeerClients peer_clients;
--- a/src/serving/plain_call.cpp
+++ b/src/serving/plain_call.cpp
@@ -39,6 +39,13 @@
       co_return CallEnd{taken ? "answered" : "caller_gone", taken};
     }
     failure = failure_of(outcome);
+    state_.log.event("answer_broken")
+        .with("id", call_.description.request_id)
+        .with("engine", exchange.engine().record.id)
+        .with("status", exchange.head().result_int())
+        .with("bytes", body.size())
+        .with("why", exchange.failure());
+    if (outcome == ReadOutcome::kBroken) note_failure(state_, exchange.engine(), "answer broken");
     if (failure != DispatchFailure::kOutcomeUnknown || !repeatable) break;
   }
   co_return co_await answer_failure(call_, failure);
--- a/src/serving/plain_call.hpp
+++ b/src/serving/plain_call.hpp
@@ -9,11 +9,12 @@
 /// breaks off can be asked for again where the route allows it.
 class PlainCall {
  public:
-  PlainCall(NodeState& state, Call& call) : call_(call), dispatcher_(state) {}
+  PlainCall(NodeState& state, Call& call) : state_(state), call_(call), dispatcher_(state) {}
 
   net::asio::awaitable<CallEnd> run();
 
  private:
+  NodeState& state_;
   Call& call_;
   Dispatcher dispatcher_;
 };
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -110,7 +110,8 @@
         .with("id", call_.description.request_id)
         .with("engine", exchange.engine().record.id)
         .with("events", events_)
-        .with("resumable", static_cast<int>(resumable));
+        .with("resumable", static_cast<int>(resumable))
+        .with("why", exchange.failure());
     if (!resumable) break;
   }
   co_return co_await fail(DispatchFailure::kOutcomeUnknown);
@@ -121,7 +122,15 @@
   auto outcome = ReadOutcome::kData;
   while (outcome == ReadOutcome::kData) outcome = co_await exchange.read_some(body);
   call_.exchange = nullptr;
-  if (outcome != ReadOutcome::kEnd || begun_) co_return co_await fail(failure_of(outcome));
+  if (outcome != ReadOutcome::kEnd || begun_) {
+    state_.log.event("answer_broken")
+        .with("id", call_.description.request_id)
+        .with("engine", exchange.engine().record.id)
+        .with("status", exchange.head().result_int())
+        .with("bytes", body.size())
+        .with("why", exchange.failure());
+    co_return co_await fail(failure_of(outcome));
+  }
   auto head = exchange.head();
   exchange.finish();
   const bool taken = co_await call_.channel.write_answer(std::move(head), std::move(body), false);
--- a/src/store/table_follower.hpp
+++ b/src/store/table_follower.hpp
@@ -29,6 +29,7 @@
   void stop() { stopped_ = true; }
   /// Somebody has seen this version of the store: older answers are stale.
   void note_version(std::int64_t version);
+  std::int64_t newest_seen() const { return newest_seen_; }
 
  private:
   net::asio::awaitable<bool> read_whole();
--- a/tests/cluster/peer_directory_test.cpp
+++ b/tests/cluster/peer_directory_test.cpp
@@ -114,3 +114,18 @@
   directory.put("bad", bad, now);
   REQUIRE(directory.peers().count("bad") == 0);
 }
+
+TEST_CASE_METHOD(Fixture, "the newest version of the store that any peer saw is known",
+                 "[cluster]") {
+  REQUIRE(directory.newest_store_version() == 0);
+  auto message = beacon(1);
+  message.store_version = 40;
+  directory.on_beacon(message, now);
+  message.store_version = 30;
+  directory.on_beacon(message, now);
+  REQUIRE(directory.newest_store_version() == 40);
+  auto stranger = beacon(99);
+  stranger.store_version = 500;
+  directory.on_beacon(stranger, now);
+  REQUIRE(directory.newest_store_version() == 40);
+}
--- a/tests/ledger/budget_account_test.cpp
+++ b/tests/ledger/budget_account_test.cpp
@@ -111,6 +111,22 @@
   REQUIRE_FALSE(account.plan_grant(401, kBudget));
 }
 
+TEST_CASE("a retired account's tokens count as spent, and the rest is free", "[ledger]") {
+  BudgetAccount account(1);
+  account.adopt(*account.plan_grant(400, kBudget), 1);
+  REQUIRE(account.reserve(100));
+  REQUIRE_FALSE(account.begin_retirement());
+  account.settle(100, 60);
+  const auto row = account.begin_retirement();
+  REQUIRE(row);
+  REQUIRE_FALSE(account.reserve(1));
+  BudgetAccount again(1);
+  again.adopt(*row, 2);
+  REQUIRE(again.other_holders().empty());
+  REQUIRE(again.plan_grant(kBudget - 60, kBudget));
+  REQUIRE_FALSE(again.plan_grant(kBudget - 59, kBudget));
+}
+
 TEST_CASE("a settlement that is told twice does not free tokens", "[ledger]") {
   BudgetAccount account(1);
   account.adopt(*account.plan_grant(kBudget, kBudget), 1);
@@ -127,6 +143,7 @@
     std::vector<std::deque<std::int64_t>> reservations(3);
     std::int64_t spent = 0;
     std::int64_t next_holder = 1;
+    std::vector<std::int64_t> holders{1, 2, 3};
     for (int i = 0; i < 3; ++i) accounts.emplace_back(next_holder++);
     const auto steps = *rc::gen::inRange(1, 120);
     for (int step = 0; step < steps; ++step) {
@@ -134,7 +151,7 @@
       auto& account = accounts[who];
       const auto fate =
           static_cast<Fate>(*rc::gen::weightedElement<int>({{6, 0}, {1, 1}, {1, 2}, {1, 3}}));
-      switch (*rc::gen::inRange(0, 6)) {
+      switch (*rc::gen::inRange(0, 7)) {
         case 0:
         case 1: {
           const auto tokens = *rc::gen::inRange<std::int64_t>(1, 300);
@@ -163,11 +180,22 @@
             store.late.pop_front();
           }
           break;
+        case 6: {
+          // The program is forgotten, and comes back to the same process.
+          const auto row = account.begin_retirement();
+          if (!row) break;
+          const auto before = account.version();
+          send(store, account, *row, fate);
+          if (account.version() > before && store.row == *row)
+            account = BudgetAccount(holders[who]);
+          break;
+        }
         case 5:
           if (*rc::gen::inRange(0, 5) != 0) break;
           // The process dies: its open reservations count as handed out whole.
           for (const auto tokens : reservations[who]) spent += tokens;
           reservations[who].clear();
+          holders[who] = next_holder;
           account = BudgetAccount(next_holder++);
           break;
       }
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -128,3 +128,31 @@
   table.set_mode(MemoryTable::Mode::kUp);
   REQUIRE(record(first, turn("1", nullptr)));
 }
+
+TEST_CASE_METHOD(Fixture, "an idle program is forgotten and its tokens are given back",
+                 "[ledger]") {
+  REQUIRE(reserve(first, 600) == ReserveOutcome::kReserved);
+  first.forget_idle(net::Clock::now() + std::chrono::hours(1));
+  test::run_until(context, [&] { return context.poll() == 0; });
+  REQUIRE(first.programs() == 1);  // a turn is under way
+  first.settle("program", 600, 100);
+  first.forget_idle(net::Clock::now() + std::chrono::hours(2));
+  test::run_until(context, [&] { return first.programs() == 0; });
+  REQUIRE(reserve(second, 900) == ReserveOutcome::kReserved);
+  REQUIRE(reserve(second, 1) == ReserveOutcome::kExhausted);
+  // What it had spent counts on.
+  REQUIRE(reserve(first, 1) == ReserveOutcome::kExhausted);
+}
+
+TEST_CASE_METHOD(Fixture, "without the store an idle program is kept", "[ledger]") {
+  REQUIRE(reserve(first, 600) == ReserveOutcome::kReserved);
+  first.settle("program", 600, 100);
+  table.set_mode(MemoryTable::Mode::kRefuses);
+  first.forget_idle(net::Clock::now() + std::chrono::hours(1));
+  const auto wait = [this]() -> net::asio::awaitable<bool> {
+    co_await net::sleep_for(context, net::Millis(700));
+    co_return true;
+  };
+  REQUIRE(run(context, wait()));
+  REQUIRE(first.programs() == 1);
+}
--- a/tests/serving/gateway_test.cpp
+++ b/tests/serving/gateway_test.cpp
@@ -273,3 +273,16 @@
   REQUIRE(got.status == 200);
   REQUIRE(got.head["Connection"] == "close");
 }
+
+TEST_CASE_METHOD(GatewayFixture,
+                 "an answer that breaks off is logged with its request and counts as a failure",
+                 "[serving]") {
+  start();
+  engine.set_script([](const auto& request) {
+    const auto whole = test::engine_answer(request, "the whole body");
+    return EngineReply{whole.substr(0, whole.size() - 5), true, false};
+  });
+  REQUIRE(ask(request("POST", "/unsafe/x", "", "input")).status == 502);
+  REQUIRE(logged({"\"answer_broken\"", "\"id\":\"r-1\"", "\"engine\":\"e-1\""}) == 1);
+  REQUIRE(gateway->state().engines.find("e-1")->consecutive_failures == 1);
+}
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -1,10 +1,10 @@
 /// @file A whole gateway on loopback over a table in memory, with engines that a test scripts.
 #pragma once
 
-#include <fcntl.h>
-
+#include <cstdio>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "edge_headers.hpp"
 #include "records.hpp"
@@ -32,7 +32,8 @@
 
 struct GatewayFixture {
   net::asio::io_context context;
-  observe::StructuredLog log{::open("/dev/null", O_WRONLY)};
+  std::unique_ptr<std::FILE, int (*)(std::FILE*)> log_file{std::tmpfile(), std::fclose};
+  observe::StructuredLog log{fileno(log_file.get())};
   MemoryTable table{context};
   platform::EdgeHeaders protocol;
   platform::Records records;
@@ -120,6 +121,23 @@
     co_return answer;
   }
 
+  /// Lines of the log so far that hold all of these texts.
+  int logged(const std::vector<std::string>& texts) {
+    log.flush();
+    std::rewind(log_file.get());
+    int count = 0;
+    std::string line;
+    for (int c = 0; (c = std::fgetc(log_file.get())) != EOF;) {
+      line += static_cast<char>(c);
+      if (c != '\n') continue;
+      bool all = true;
+      for (const auto& text : texts) all = all && line.find(text) != std::string::npos;
+      count += all ? 1 : 0;
+      line.clear();
+    }
+    return count;
+  }
+
   CallerAnswer ask(const std::string& bytes) { return run(context, exchange(bytes)); }
 };
 
