--- a/apps/sailgate_bench/faults.cpp
+++ b/apps/sailgate_bench/faults.cpp
@@ -2,11 +2,14 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
+#include <iterator>
 #include <random>
 #include <sstream>
 #include <thread>
+#include <vector>
 
 #include "cli/command_line.hpp"
 #include "live_caller.hpp"
@@ -21,7 +24,6 @@
 constexpr int kStopTimeout = 70'000;
 constexpr int kMemoryTimeout = 30'000;
 constexpr int kCalls = 6;
-constexpr std::size_t kFaultKinds = 6;
 constexpr std::chrono::milliseconds kFreeze{4000};
 constexpr std::chrono::milliseconds kPoll{100};
 constexpr std::chrono::milliseconds kDown{1500};
@@ -35,33 +37,23 @@
   FaultInjector(LocalDeployment& deployment, const FaultOptions& options, std::ostream& text)
       : deployment_(deployment), options_(options), text_(text), random_(options.seed) {}
 
-  /// Runs all kinds of faults in turn until the callers are done or the number is reached.
+  /// Runs the stated number of faults: every kind once, in an order that follows from the seed,
+  /// then kinds at random.
   void run() {
+    std::vector<Fault> kinds{&FaultInjector::kill_node,       &FaultInjector::freeze_node,
+                             &FaultInjector::stop_node,       &FaultInjector::table_outage,
+                             &FaultInjector::table_disturbed, &FaultInjector::kill_all,
+                             &FaultInjector::break_link,      &FaultInjector::break_links};
+    std::shuffle(kinds.begin(), kinds.end(), random_);
     for (std::size_t i = 0; i < options_.faults; ++i) {
-      switch (i % kFaultKinds) {
-        case 0:
-          kill_node();
-          break;
-        case 1:
-          freeze_node();
-          break;
-        case 2:
-          stop_node();
-          break;
-        case 3:
-          table_outage();
-          break;
-        case 4:
-          table_disturbed();
-          break;
-        default:
-          kill_all();
-          break;
-      }
+      const auto next = i < kinds.size() ? i : random_() % kinds.size();
+      (this->*kinds[next])();
     }
   }
 
  private:
+  using Fault = void (FaultInjector::*)();
+
   std::size_t pick() { return random_() % deployment_.node_count(); }
 
   void note(const std::string& what) { text_ << "  fault: " << what << "\n"; }
@@ -91,6 +83,36 @@
     wait_for_service();
   }
 
+  LinkMode pick_mode() {
+    constexpr LinkMode kModes[] = {LinkMode::kDelay, LinkMode::kReset, LinkMode::kSilent,
+                                   LinkMode::kOneWay};
+    return kModes[random_() % std::size(kModes)];
+  }
+
+  void break_one(std::size_t link) {
+    const auto mode = pick_mode();
+    note(std::string(name_of(mode)) + " on a link to " + deployment_.links().target(link));
+    deployment_.links().set_mode(link, mode);
+  }
+
+  /// One link fails for a while.
+  void break_link() {
+    break_one(random_() % deployment_.links().count());
+    std::this_thread::sleep_for(kDisturbed);
+    deployment_.links().heal();
+    wait_for_service();
+  }
+
+  /// A third of the links fail for a while, each in its own way.
+  void break_links() {
+    for (std::size_t link = 0; link < deployment_.links().count(); ++link) {
+      if (random_() % 3 == 0) break_one(link);
+    }
+    std::this_thread::sleep_for(kDisturbed);
+    deployment_.links().heal();
+    wait_for_service();
+  }
+
   /// All power is lost at once: nothing in memory is left.
   void kill_all() {
     note("SIGKILL of all nodes");
@@ -195,6 +217,7 @@
 FaultReport faults(const FaultOptions& options) {
   DeploymentShape shape;
   shape.base_port = options.base_port;
+  shape.proxied = true;
   LocalDeployment deployment(shape, options.programs_directory, options.work_directory);
   FaultReport report;
   report.started = deployment.start(kStartTimeout);
--- a/apps/sailgate_bench/local_deployment.cpp
+++ b/apps/sailgate_bench/local_deployment.cpp
@@ -47,6 +47,10 @@
     application_engines_.push_back(start_standin("application-engine", {}));
   }
   tool_address_ = start_standin("tool", {});
+  for (const auto& engine : engines_) engine_links_.push_back(reached_through(engine));
+  for (const auto& application : application_engines_) {
+    application_links_.push_back(reached_through(application));
+  }
   for (std::size_t zone = 0; zone < shape_.zones; ++zone) {
     for (std::size_t i = 0; i < shape_.nodes_per_zone; ++i) {
       Node node;
@@ -68,6 +72,10 @@
   return true;
 }
 
+std::string LocalDeployment::reached_through(const std::string& address) {
+  return shape_.proxied ? links_.add(address) : address;
+}
+
 std::string LocalDeployment::start_standin(const std::string& kind,
                                            const std::vector<std::string>& options) {
   const auto port = std::to_string(next_port_++);
@@ -87,17 +95,18 @@
          serves + "]\nzone = \"zone" + std::to_string(zone % shape_.zones + 1) + "\"\n";
 }
 
-void LocalDeployment::write_settings(Node& node) const {
+void LocalDeployment::write_settings(Node& node) {
   std::ofstream file(node.settings_file);
   file << "host = \"" << node.host << "\"\nzone = \"" << node.zone << "\"\n";
   file << "http_port = " << shape_.base_port << "\n";
-  file << "table_service = \"" << table_address_ << "\"\n";
+  file << "table_service = \"" << reached_through(table_address_) << "\"\n";
   file << "machine_list = \"" << machine_list_address_ << "\"\n";
   file << shape_.extra_settings;
   std::size_t zone = 0;
-  for (const auto& engine : engines_) file << backend_table(engine, "engine", "\"model\"", zone++);
+  for (const auto& engine : engine_links_)
+    file << backend_table(engine, "engine", "\"model\"", zone++);
   zone = 0;
-  for (const auto& application : application_engines_) {
+  for (const auto& application : application_links_) {
     file << backend_table(application, "application", "\"book\", \"order\", \"status\"", zone++);
   }
   file << backend_table(tool_address_, "tool", "\"calendar\", \"insurer\"", 0);
--- a/apps/sailgate_bench/local_deployment.hpp
+++ b/apps/sailgate_bench/local_deployment.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "child_process.hpp"
+#include "fault_proxy.hpp"
 #include "http/http_client.hpp"
 
 namespace sailgate::bench {
@@ -21,6 +22,7 @@
   std::int64_t step_microseconds = 2000;
   std::int64_t answer_tokens = 24;
   std::int32_t base_port = 21000;
+  bool proxied = false;  ///< nodes reach table service and back ends through links with faults
   std::string extra_settings;  ///< appended to each node's settings file
 };
 
@@ -53,6 +55,8 @@
   const std::vector<std::string>& engines() const { return engines_; }
   const std::vector<std::string>& application_engines() const { return application_engines_; }
   const std::string& tool_address() const { return tool_address_; }
+  /// Links of the nodes, when the deployment is proxied.
+  FaultProxies& links() { return links_; }
   /// Sets faults of a stand-in, as JSON.
   bool set_faults(const std::string& address, const std::string& json);
   /// GET of a path; an empty body when it fails.
@@ -71,10 +75,12 @@
     std::unique_ptr<ChildProcess> process;
   };
 
+  /// Address that nodes use for a service.
+  std::string reached_through(const std::string& address);
   std::string start_standin(const std::string& kind, const std::vector<std::string>& options);
   std::string backend_table(const std::string& address, const std::string& kind,
                             const std::string& serves, std::size_t zone) const;
-  void write_settings(Node& node) const;
+  void write_settings(Node& node);
   bool wait_until_answering(const std::string& address, const std::vector<std::string>& path,
                             int timeout_millis);
 
@@ -82,6 +88,7 @@
   std::string programs_;
   std::string work_;
   http::HttpClient client_;
+  FaultProxies links_;
   std::int32_t next_port_;
   std::vector<Node> nodes_;
   std::vector<std::unique_ptr<ChildProcess>> standins_;
@@ -90,6 +97,8 @@
   std::string tool_address_;
   std::string object_store_address_;
   std::vector<std::string> engines_;
+  std::vector<std::string> engine_links_;
+  std::vector<std::string> application_links_;
   std::vector<std::string> application_engines_;
 };
 
--- a/tests/processes/deployment_test.cpp
+++ b/tests/processes/deployment_test.cpp
@@ -224,7 +224,7 @@
   bench::FaultOptions options;
   options.programs = 8;
   options.callers = 3;
-  options.faults = 6;
+  options.faults = 8;
   options.outage_millis = 2000;
   options.base_port = 24400;
   options.programs_directory = programs_directory();
