A soak of real gateway processes: faults from outside, rules of the platform checked while it runs

sailgate-soak starts gateways, the table stand-in and engines of its own, links between them, and callers that run programs of turns with chains, budgets and tools. Faults in an order by seed: kills of one and all, freezes, planned stops, links delayed, reset, silenced or cut one way, the table service down, silent, slow, throttling, partly out of service, losing answers, writing late or forgetting its history, engines that refuse, lose or break off answers.

--- /dev/null
+++ b/tests/soak/soak_caller.hpp
@@ -0,0 +1,59 @@
+/// @file Callers of the soak: programs of turns and tool calls, retried as the platform's clients
+/// do.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "base/random.hpp"
+#include "net/http_client.hpp"
+#include "soak/soak_checker.hpp"
+
+namespace sailgate::soak {
+
+/// An answer as a caller saw it.
+struct SoakAnswer {
+  int status = 0;      ///< 0: none
+  bool whole = false;  ///< it did not end early
+  std::string body;
+  net::Millis retry_after{0};
+};
+
+/// Runs one program at a time on the soak's event loop.
+class SoakCaller {
+ public:
+  /// @param node gives the address of a node to send the next request to.
+  SoakCaller(net::asio::io_context& context, SoakChecker& checker,
+             std::function<net::Endpoint()> node, std::string name, std::uint64_t seed);
+
+  /// Runs programs until stop(), then ends the last one.
+  net::asio::awaitable<void> run();
+  void stop() { stopping_ = true; }
+  bool finished() const { return finished_; }
+  int programs() const { return programs_; }
+
+ private:
+  net::asio::awaitable<void> run_program(std::string program);
+  /// @return the turn's id once it was answered whole; empty when the budget is spent or all
+  /// tries failed.
+  net::asio::awaitable<std::string> run_turn(std::string program, std::string previous);
+  net::asio::awaitable<void> run_tool(std::string program);
+  net::asio::awaitable<SoakAnswer> send(std::string path, std::string headers, std::string body);
+  net::asio::awaitable<void> pause_after(SoakAnswer answer);
+  std::string next_id();
+  /// Takes what came of a stream. @return the output, when it is one whole run of this request.
+  std::string take_events(const std::string& id, const std::string& program,
+                          const SoakAnswer& answer);
+
+  net::asio::io_context& context_;
+  SoakChecker& checker_;
+  std::function<net::Endpoint()> node_;
+  std::string name_;
+  base::Random random_;
+  int requests_ = 0;
+  int programs_ = 0;
+  bool stopping_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace sailgate::soak
--- /dev/null
+++ b/tests/soak/soak_checker.cpp
@@ -0,0 +1,89 @@
+#include "soak/soak_checker.hpp"
+
+namespace sailgate::soak {
+
+namespace {
+
+/// Statuses that promise that the request has not run and never will.
+bool promises_not_run(int status) {
+  return status == 402 || status == 404 || status == 408 || status == 421 || status == 429 ||
+         status == 503;
+}
+
+}  // namespace
+
+void SoakChecker::violation(const std::string& rule, const std::string& what) {
+  violations_.push_back(rule + ": " + what);
+}
+
+void SoakChecker::request_sent(const std::string& id, const std::string& program,
+                               const std::string& previous, const std::string& input,
+                               bool at_most_once) {
+  sent_[id] = {program, previous, input, at_most_once};
+}
+
+std::string SoakChecker::prompt(const Sent& sent) const {
+  std::string text = sent.input;
+  std::string previous = sent.previous;
+  while (!previous.empty()) {
+    const auto& turn = turns_.at(previous);
+    text = turn.input + turn.output + text;
+    previous = turn.previous;
+  }
+  return text;
+}
+
+void SoakChecker::turn_answered(const std::string& id, const std::string& output) {
+  const auto& sent = sent_.at(id);
+  turns_[id] = {sent.previous, sent.input, output};
+  if (runs_.count(id) == 0) violation("MIXED", id + " was answered and never run");
+}
+
+void SoakChecker::tokens_handed(const std::string& program, std::int64_t tokens,
+                                std::int64_t budget, std::int64_t most_of_one_turn) {
+  auto& sum = tokens_[program];
+  sum += tokens;
+  if (sum > budget + most_of_one_turn) {
+    violation("BUDGET", program + " was handed " + std::to_string(sum) + " of " +
+                            std::to_string(budget) + " tokens");
+  }
+}
+
+void SoakChecker::refused(const std::string& id, int status) {
+  ++refusals_[status];
+  const auto& sent = sent_.at(id);
+  if (status == 404) {
+    violation("LOST", id + " was told that turn " + sent.previous + " does not exist");
+  }
+  if (!promises_not_run(status)) return;
+  promised_not_run_.insert(id);
+  if (runs_.count(id) > 0) {
+    violation("REFUSED", id + " was answered " + std::to_string(status) + " and has run");
+  }
+}
+
+void SoakChecker::mixed(const std::string& id, const std::string& what) {
+  violation("MIXED", id + ": " + what);
+}
+
+void SoakChecker::not_finished(const std::string& program, const std::string& why) {
+  violation("RECOVER", program + " did not finish: " + why);
+}
+
+void SoakChecker::run_began(const std::string& id, const std::string& body) {
+  const auto sent = sent_.find(id);
+  if (sent == sent_.end()) {
+    violation("UNASKED", "an engine runs " + id + ", which nobody sent");
+    return;
+  }
+  if (body != prompt(sent->second)) {
+    violation("UNASKED", "an engine runs " + id + " with another body");
+  }
+  const int runs = ++runs_[id];
+  if (sent->second.at_most_once && runs > 1) violation("TWICE", id + " runs again");
+  if (promised_not_run_.count(id) > 0) {
+    violation("REFUSED", id + " runs after it was promised that it does not");
+  }
+}
+
+}  // namespace sailgate::soak
--- /dev/null
+++ b/tests/soak/soak_checker.hpp
@@ -0,0 +1,65 @@
+/// @file What callers were told and what engines did, checked against the rules of the platform.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sailgate::soak {
+
+/// A turn that its caller saw whole.
+struct WholeTurn {
+  std::string previous;
+  std::string input;
+  std::string output;  ///< data of each event, each followed by a line feed
+};
+
+/// Single-threaded: everything runs on the soak's event loop.
+class SoakChecker {
+ public:
+  // Callers.
+  /// A request is about to be sent. @param previous turn it goes on from; empty: none.
+  void request_sent(const std::string& id, const std::string& program, const std::string& previous,
+                    const std::string& input, bool at_most_once);
+  void turn_answered(const std::string& id, const std::string& output);
+  /// Tokens that reached the caller, also of answers that broke off.
+  void tokens_handed(const std::string& program, std::int64_t tokens, std::int64_t budget,
+                     std::int64_t most_of_one_turn);
+  /// An answer other than a success.
+  void refused(const std::string& id, int status);
+  /// A success or part of one carried something of another request.
+  void mixed(const std::string& id, const std::string& what);
+  void not_finished(const std::string& program, const std::string& why);
+
+  // Engines.
+  /// An engine begins to work on a request.
+  void run_began(const std::string& id, const std::string& body);
+
+  const std::vector<std::string>& violations() const { return violations_; }
+  std::size_t turns() const { return turns_.size(); }
+  std::size_t runs() const { return runs_.size(); }
+  const std::map<int, int>& refusals() const { return refusals_; }
+
+ private:
+  struct Sent {
+    std::string program;
+    std::string previous;
+    std::string input;
+    bool at_most_once = false;
+  };
+
+  void violation(const std::string& rule, const std::string& what);
+  std::string prompt(const Sent& sent) const;
+
+  std::map<std::string, Sent> sent_;
+  std::map<std::string, WholeTurn> turns_;
+  std::map<std::string, int> runs_;
+  std::set<std::string> promised_not_run_;
+  std::map<std::string, std::int64_t> tokens_;
+  std::map<int, int> refusals_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace sailgate::soak
--- /dev/null
+++ b/tests/soak/soak_engine.cpp
@@ -0,0 +1,38 @@
+#include "soak/soak_engine.hpp"
+
+namespace sailgate::soak {
+
+SoakEngines::SoakEngines(net::asio::io_context& context, SoakChecker& checker, std::uint64_t seed,
+                         std::size_t count)
+    : checker_(checker), random_(seed) {
+  for (std::size_t i = 0; i < count; ++i) {
+    engines_.push_back(std::make_unique<test::FakeEngine>(context));
+    engines_.back()->set_script([this](const auto& request) { return answer(request); });
+  }
+}
+
+test::EngineReply SoakEngines::answer(const net::TextRequest& request) {
+  const auto field = request["Sailgate-Request-Id"];
+  const std::string id(field.data(), field.size());
+  const bool trouble = random_.chance(trouble_percent_);
+  const auto kind = random_.below(3);
+  if (trouble && kind == 0) return {test::not_run_answer(), false, false};
+  checker_.run_began(id, request.body());
+  if (trouble && kind == 1) return {"", true, false};
+  const std::string target(request.target().data(), request.target().size());
+  std::string bytes;
+  if (target.rfind("/turns/", 0) == 0) {
+    bytes = test::stream_head(request);
+    const auto events = 1 + random_.below(kMostEvents);
+    for (std::uint64_t i = 1; i <= events; ++i) {
+      bytes += test::event_chunk(static_cast<int>(i), id + ":" + std::to_string(i));
+    }
+    bytes += test::kLastChunk;
+  } else {
+    bytes = test::engine_answer(request, "done " + id);
+  }
+  if (trouble) return {bytes.substr(0, random_.below(bytes.size())), true, false};
+  return {bytes, false, false};
+}
+
+}  // namespace sailgate::soak
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,343 @@
+#include "soak/soak_run.hpp"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <vector>
+
+#include "child_process.hpp"
+#include "fault_proxy.hpp"
+#include "soak/soak_caller.hpp"
+#include "soak/soak_engine.hpp"
+#include "table_client.hpp"
+
+namespace sailgate::soak {
+
+namespace {
+
+using bench::LinkMode;
+
+constexpr int kFirstPort = 23100;
+constexpr int kTablePort = 23090;
+constexpr std::size_t kEngines = 4;
+constexpr int kCallers = 8;
+constexpr int kStopTimeout = 12'000;
+constexpr net::Millis kStartLimit{30'000};
+constexpr net::Millis kCalm{1500};
+constexpr net::Millis kFaultTime{2500};
+constexpr net::Millis kFinishLimit{60'000};
+constexpr net::Millis kPoll{50};
+constexpr std::uint64_t kEngineTrouble = 3;
+
+std::string text_of(const net::Endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+/// Everything of one run. The event loop is the caller's thread.
+class Soak {
+ public:
+  explicit Soak(const SoakOptions& options)
+      : options_(options),
+        random_(options.seed),
+        engines_(context_, checker_, options.seed, kEngines),
+        table_address_("127.0.0.1:" + std::to_string(kTablePort)),
+        table_(context_, {net::asio::ip::address_v4::loopback(), kTablePort}) {
+    std::filesystem::create_directories(options_.work_directory);
+  }
+
+  SoakReport run() {
+    SoakReport report;
+    bool done = false;
+    net::asio::co_spawn(context_, play(report), [&](const std::exception_ptr& error) {
+      done = true;
+      if (error) report.text += "  the soak itself failed\n";
+    });
+    while (!done) context_.run_one();
+    for (auto& node : nodes_) node.process->signal(SIGTERM);
+    for (auto& node : nodes_) {
+      const bool clean = node.process->wait(kStopTimeout) && node.process->exit_code() == 0;
+      if (!clean) text_ << "  VIOLATION stop: " << node.name << " did not exit with 0\n";
+      report.violations += clean ? 0 : 1;
+    }
+    report.violations += checker_.violations().size();
+    report.turns = checker_.turns();
+    for (const auto& violation : checker_.violations())
+      text_ << "  VIOLATION " << violation << "\n";
+    for (const auto& [status, count] : checker_.refusals()) {
+      text_ << "  answered " << status << ": " << count << "\n";
+    }
+    report.text += text_.str();
+    return report;
+  }
+
+ private:
+  struct Node {
+    std::string name;
+    std::string settings_file;
+    net::Endpoint callers;
+    net::Endpoint readiness;
+    std::unique_ptr<bench::ChildProcess> process;
+    bool down = false;
+  };
+  using Fault = net::asio::awaitable<void> (Soak::*)();
+
+  // ---------------------------------------------------------------- start
+
+  void start_table() {
+    standin_ = std::make_unique<bench::ChildProcess>(
+        std::vector<std::string>{options_.programs_directory + "/sailgate-standin", "table-service",
+                                 "--host", "127.0.0.1", "--port", std::to_string(kTablePort)},
+        options_.work_directory + "/table.log");
+  }
+
+  void add_node(int index) {
+    Node node;
+    node.name = "node-" + std::to_string(index);
+    const auto ip = "127.0.2." + std::to_string(index + 1);
+    const auto address = net::asio::ip::make_address(ip);
+    node.callers = {address, static_cast<std::uint16_t>(kFirstPort)};
+    node.readiness = {address, static_cast<std::uint16_t>(kFirstPort + 1)};
+    node.settings_file = options_.work_directory + "/" + node.name + ".toml";
+    std::ofstream file(node.settings_file);
+    file << "node = \"" << node.name << "\"\nzone = \"zone" << index % 2 << "\"\nip = \"" << ip
+         << "\"\nport_range = [" << kFirstPort + 10 << ", " << kFirstPort + 20
+         << "]\n[listen]\nfront = \"" << text_of(node.callers) << "\"\nready = \""
+         << text_of(node.readiness) << "\"\n[bounds]\ngrace_s = 8\n[provider]\naddr = \""
+         << links_.add(table_address_) << "\"\n";
+    file.close();
+    nodes_.push_back(std::move(node));
+  }
+
+  void start_node(Node& node) {
+    node.down = false;
+    node.process = std::make_unique<bench::ChildProcess>(
+        std::vector<std::string>{options_.programs_directory + "/sailgate-gateway", "--settings",
+                                 node.settings_file},
+        options_.work_directory + "/" + node.name + ".log");
+  }
+
+  static std::string route(const std::string& name, const std::string& kind, bool retained) {
+    return R"({"name":")" + name + R"(","host":"h","path_prefix":"/)" + name + R"(/","kind":")" +
+           kind + R"(","timeout_ms":4000,"slo_ms":500,"priority":1,"service":"app",)" +
+           R"("max_attempts":1,"retain_s":60,"retained":)" + (retained ? "true" : "false") + "}";
+  }
+
+  net::asio::awaitable<bool> write_rows() {
+    store::Transaction transaction;
+    const auto put = [&](const std::string& table, const std::string& key,
+                         const std::string& value) {
+      store::Row row;
+      row.id = {table, "", key};
+      row.value = value;
+      transaction.puts.push_back(row);
+    };
+    put("op", "config",
+        R"({"version":1,"routes":[)" + route("turns", "stream", true) + "," +
+            route("unsafe", "unsafe", false) +
+            R"(],"services":[{"name":"app","engine":{"chunk_tokens":)" +
+            std::to_string(kTokensPerEvent) +
+            R"(}}],"limits":{"max_header_bytes":4000,"max_body_bytes":100000,)" +
+            R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+    for (std::size_t i = 0; i < engines_.count(); ++i) {
+      const auto link = links_.add(text_of(engines_.endpoint(i)));
+      put("servers", "engine-" + std::to_string(i),
+          R"({"service":"app","addr":")" + link + R"(","zone":"zone)" + std::to_string(i % 2) +
+              R"(","slots":16,"state":"ready"})");
+    }
+    const auto limit = net::Clock::now() + kStartLimit;
+    while (net::Clock::now() < limit) {
+      auto copy = transaction;
+      const auto result = co_await table_.transact(std::move(copy), net::Millis(500));
+      if (result.status == store::StoreStatus::kDone) co_return true;
+      co_await net::sleep_for(context_, kPoll);
+    }
+    co_return false;
+  }
+
+  net::asio::awaitable<bool> is_ready(const Node& node) {
+    net::HttpClient client(context_, node.readiness);
+    net::TextRequest request;
+    request.method(net::http::verb::get);
+    request.target("/sailgate/readyz");
+    const auto exchange = co_await client.exchange(std::move(request), net::Millis(500));
+    co_return exchange.failure == net::ExchangeFailure::kNone&& exchange.response.result_int() ==
+        200;
+  }
+
+  /// @return whether all nodes are ready before the limit.
+  net::asio::awaitable<bool> wait_until_ready() {
+    const auto limit = net::Clock::now() + kStartLimit;
+    for (const auto& node : nodes_) {
+      while (!co_await is_ready(node)) {
+        if (net::Clock::now() >= limit) co_return false;
+        co_await net::sleep_for(context_, kPoll);
+      }
+    }
+    co_return true;
+  }
+
+  // ---------------------------------------------------------------- faults
+
+  void note(const std::string& what) { text_ << "  fault: " << what << "\n"; }
+  Node& pick() { return nodes_[random_.below(nodes_.size())]; }
+  net::asio::awaitable<void> last() { return net::sleep_for(context_, kFaultTime); }
+
+  net::asio::awaitable<void> kill_node() {
+    auto& node = pick();
+    note("SIGKILL of " + node.name);
+    node.down = true;
+    node.process->signal(SIGKILL);
+    node.process->wait(kStopTimeout);
+    co_await last();
+    start_node(node);
+  }
+
+  net::asio::awaitable<void> kill_all() {
+    note("SIGKILL of all nodes");
+    for (auto& node : nodes_) node.process->signal(SIGKILL);
+    for (auto& node : nodes_) node.process->wait(kStopTimeout);
+    for (auto& node : nodes_) start_node(node);
+    co_return;
+  }
+
+  net::asio::awaitable<void> freeze_node() {
+    auto& node = pick();
+    note("SIGSTOP of " + node.name);
+    node.process->signal(SIGSTOP);
+    co_await last();
+    node.process->signal(SIGCONT);
+  }
+
+  net::asio::awaitable<void> stop_node() {
+    auto& node = pick();
+    note("SIGTERM of " + node.name);
+    node.process->signal(SIGTERM);
+    // Callers go elsewhere once the node says that it is not ready.
+    node.down = true;
+    const auto limit = net::Clock::now() + net::Millis(kStopTimeout);
+    while (node.process->running() && net::Clock::now() < limit) {
+      co_await net::sleep_for(context_, kPoll);
+    }
+    if (node.process->running() || node.process->exit_code() != 0) {
+      checker_.not_finished(node.name, "no clean exit after SIGTERM");
+    }
+    start_node(node);
+  }
+
+  net::asio::awaitable<void> set_table(std::string faults) {
+    net::HttpClient client(context_, {net::asio::ip::address_v4::loopback(), kTablePort});
+    net::TextRequest request;
+    request.method(net::http::verb::post);
+    request.target("/faults");
+    request.body() = std::move(faults);
+    co_await client.exchange(std::move(request), net::Millis(2000));
+  }
+
+  net::asio::awaitable<void> trouble_table() {
+    static const char* const kFaults[] = {R"({"down":1})",          R"({"silent":1})",
+                                          R"({"slow_ms":250})",     R"({"lose_next":40})",
+                                          R"({"late_next":40})",    R"({"parts_down":30})",
+                                          R"({"parts_down":60})",   R"({"writes_per_second":20})",
+                                          R"({"forget_history":3})"};
+    const std::string faults = kFaults[random_.below(std::size(kFaults))];
+    note("table service " + faults);
+    co_await set_table(faults);
+    co_await last();
+    co_await set_table(R"({"down":0,"silent":0,"slow_ms":0,"lose_next":0,"late_next":0,)"
+                       R"("parts_down":0,"writes_per_second":0,"forget_history":0})");
+  }
+
+  net::asio::awaitable<void> break_links() {
+    static constexpr LinkMode kModes[] = {LinkMode::kDelay, LinkMode::kReset, LinkMode::kSilent,
+                                          LinkMode::kOneWay};
+    for (std::size_t link = 0; link < links_.count(); ++link) {
+      if (!random_.chance(25)) continue;
+      const auto mode = kModes[random_.below(std::size(kModes))];
+      note(std::string(bench::name_of(mode)) + " on a link to " + links_.target(link));
+      links_.set_mode(link, mode);
+    }
+    co_await last();
+    links_.heal();
+  }
+
+  net::asio::awaitable<void> trouble_engines() {
+    note("engines refuse, lose and break off answers");
+    engines_.set_trouble(25);
+    co_await last();
+    engines_.set_trouble(kEngineTrouble);
+  }
+
+  // ---------------------------------------------------------------- play
+
+  net::Endpoint choose_node() {
+    for (int tries = 0; tries < 20; ++tries) {
+      const auto& node = pick();
+      if (!node.down) return node.callers;
+    }
+    return pick().callers;
+  }
+
+  net::asio::awaitable<void> inject() {
+    std::vector<Fault> kinds{&Soak::kill_node,     &Soak::kill_all,       &Soak::freeze_node,
+                             &Soak::stop_node,     &Soak::break_links,    &Soak::trouble_table,
+                             &Soak::trouble_table, &Soak::trouble_engines};
+    for (std::size_t i = kinds.size() - 1; i > 0; --i) {
+      std::swap(kinds[i], kinds[random_.below(i + 1)]);
+    }
+    for (int i = 0; i < options_.faults; ++i) {
+      const auto next = static_cast<std::size_t>(i) < kinds.size() ? static_cast<std::size_t>(i)
+                                                                   : random_.below(kinds.size());
+      co_await (this->*kinds[next])();
+      co_await net::sleep_for(context_, kCalm);
+    }
+  }
+
+  net::asio::awaitable<void> play(SoakReport& report) {
+    start_table();
+    if (!co_await write_rows()) co_return;
+    for (int i = 0; i < options_.nodes; ++i) add_node(i);
+    for (auto& node : nodes_) start_node(node);
+    report.started = co_await wait_until_ready();
+    if (!report.started) co_return;
+    engines_.set_trouble(kEngineTrouble);
+    for (int i = 0; i < kCallers; ++i) {
+      callers_.push_back(std::make_unique<SoakCaller>(
+          context_, checker_, [this] { return choose_node(); }, "c" + std::to_string(i),
+          random_.below(UINT64_MAX)));
+      net::asio::co_spawn(context_, callers_.back()->run(), net::asio::detached);
+    }
+    co_await inject();
+    if (!co_await wait_until_ready()) checker_.not_finished("deployment", "not all nodes ready");
+    for (auto& caller : callers_) caller->stop();
+    const auto limit = net::Clock::now() + kFinishLimit;
+    const auto all_done = [this] {
+      return std::all_of(callers_.begin(), callers_.end(),
+                         [](const auto& caller) { return caller->finished(); });
+    };
+    while (!all_done() && net::Clock::now() < limit) co_await net::sleep_for(context_, kPoll);
+    if (!all_done()) checker_.not_finished("callers", "after everything healed");
+  }
+
+  const SoakOptions& options_;
+  net::asio::io_context context_;
+  SoakChecker checker_;
+  base::Random random_;
+  SoakEngines engines_;
+  std::string table_address_;
+  platform::TableClient table_;
+  bench::FaultProxies links_;
+  std::unique_ptr<bench::ChildProcess> standin_;
+  std::vector<Node> nodes_;
+  std::vector<std::unique_ptr<SoakCaller>> callers_;
+  std::ostringstream text_;
+};
+
+}  // namespace
+
+SoakReport run_soak(const SoakOptions& options) { return Soak(options).run(); }
+
+}  // namespace sailgate::soak
--- /dev/null
+++ b/tests/soak/soak_run.hpp
@@ -0,0 +1,26 @@
+/// @file A soak of real gateway processes: faults from outside, rules checked while it runs.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace sailgate::soak {
+
+struct SoakOptions {
+  std::uint64_t seed = 1;
+  int faults = 8;
+  int nodes = 4;
+  std::string programs_directory;  ///< holds sailgate-gateway and sailgate-standin
+  std::string work_directory;      ///< for settings and logs; created
+};
+
+struct SoakReport {
+  bool started = false;
+  std::size_t violations = 0;
+  std::size_t turns = 0;  ///< answered whole
+  std::string text;       ///< lines for people
+};
+
+SoakReport run_soak(const SoakOptions& options);
+
+}  // namespace sailgate::soak
