A planned stop gives tokens back

Cause: a node that is stopped kept the tokens it held ahead; its programs' next homes could not ask for them, since it is no peer any more, and told 402 too early. Ruled out: staying a peer while stopping (turns would go on being reserved there).

--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -145,6 +145,20 @@
   co_return co_await give_back(id, held, &BudgetAccount::begin_release, deadline);
 }
 
+net::asio::awaitable<void> ProgramLedger::release_all(net::TimePoint deadline) {
+  std::vector<std::string> ids;
+  for (const auto& [id, program] : programs_) {
+    if (program->account.available() > 0) ids.push_back(id);
+  }
+  std::size_t released = 0;
+  for (const auto& id : ids) {
+    if (!time_left(deadline)) break;
+    const bool done = co_await release(id, deadline);
+    released += done ? 1 : 0;
+  }
+  log_.event("tokens_released").with("programs", ids.size()).with("done", released);
+}
+
 net::asio::awaitable<void> ProgramLedger::forget(std::string id) {
   auto held = programs_.at(id);
   const auto last_used = held->last_used;
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -46,6 +46,8 @@
 
   /// Gives back tokens of the program that no turn uses. @return whether the store has it so.
   net::asio::awaitable<bool> release(std::string program, net::TimePoint deadline);
+  /// Gives back the unused tokens of all programs, as far as the time goes: this process stops.
+  net::asio::awaitable<void> release_all(net::TimePoint deadline);
   /// Gives back the tokens of programs that were not used for long, and forgets them.
   void forget_idle(net::TimePoint now);
   /// Programs in memory.
--- a/tests/serving/stream_call_test.cpp
+++ b/tests/serving/stream_call_test.cpp
@@ -212,3 +212,18 @@
   REQUIRE(ask(request("POST", "/turns/x", turn_headers("t-2", "t-1"), "in")).whole);
   REQUIRE(ask(request("POST", "/turns/x", turn_headers("t-3", "t-2"), "in")).whole);
 }
+
+TEST_CASE_METHOD(GatewayFixture, "a planned stop gives the tokens back that no turn uses",
+                 "[serving]") {
+  start();
+  engine.set_script([](const auto& request) { return events(request, 1, 3); });
+  REQUIRE(ask(request("POST", "/turns/x", turn_headers("t-1", ""), "in")).whole);
+  ledger::ProgramLedger other(context, table, log, 99);
+  const auto reserve = [&] {
+    return test::run(context, other.reserve("p", 970, 1000, net::Clock::now() + net::Millis(100)));
+  };
+  REQUIRE(reserve() == ledger::ReserveOutcome::kExhausted);
+  gateway->stop();
+  test::run_until(context, [&] { return logged({"tokens_released"}) > 0; });
+  REQUIRE(reserve() == ledger::ReserveOutcome::kReserved);
+}
