--- a/src/simulation/simulated_node.cpp
+++ b/src/simulation/simulated_node.cpp
@@ -220,7 +220,8 @@
 
 // ---------------------------------------------------------------- updates
 
-void SimulatedNode::run_update(const UpdatePointer& update, store::OptimisticUpdate::Step step) {
+void SimulatedNode::run_update(const UpdatePointer& update,
+                               const store::OptimisticUpdate::Step& step) {
   using Kind = store::OptimisticUpdate::Step::Kind;
   if (step.kind == Kind::kDone) {
     update->done(step.decided);
@@ -242,8 +243,8 @@
 }
 
 void SimulatedNode::change_family(
-    const std::string& family, program::FamilyUpdate::Change change, base::Millis patience,
-    std::function<void(bool decided, const program::FamilyUpdate&)> done) {
+    const std::string& family, const program::FamilyUpdate::Change& change, base::Millis patience,
+    const std::function<void(bool decided, const program::FamilyUpdate&)>& done) {
   auto cached = process_->families[family];
   const bool known = cached.state != nullptr;
   auto subject = std::make_unique<program::FamilyUpdate>(family_context_, family, cached, change);
--- a/src/simulation/simulated_node.hpp
+++ b/src/simulation/simulated_node.hpp
@@ -109,10 +109,10 @@
   void carry_out(const std::string& family, const program::DueOrders& orders);
   void check_gateway(const std::string& family, const program::GatewayCheck& check);
 
-  void run_update(const UpdatePointer& update, store::OptimisticUpdate::Step step);
-  void change_family(const std::string& family, program::FamilyUpdate::Change change,
+  void run_update(const UpdatePointer& update, const store::OptimisticUpdate::Step& step);
+  void change_family(const std::string& family, const program::FamilyUpdate::Change& change,
                      base::Millis patience,
-                     std::function<void(bool decided, const program::FamilyUpdate&)> done);
+                     const std::function<void(bool decided, const program::FamilyUpdate&)>& done);
   /// Decides a request; an empty reply when nobody could tell in time.
   void execute(const wire::ProgramRequest& request, base::Millis patience, const Answer& answer);
 
