--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 #include "ledger/turn_row.hpp"
 #include "store/row_parts.hpp"
@@ -145,11 +146,20 @@
   co_return co_await give_back(id, held, &BudgetAccount::begin_release, deadline);
 }
 
-net::asio::awaitable<void> ProgramLedger::release_all(net::TimePoint deadline) {
-  std::vector<std::string> ids;
+std::vector<std::string> ProgramLedger::holding_by_use() const {
+  std::vector<std::pair<net::TimePoint, std::string>> holding;
   for (const auto& [id, program] : programs_) {
-    if (program->account.available() > 0) ids.push_back(id);
+    if (program->account.available() > 0) holding.emplace_back(program->last_used, id);
   }
+  std::sort(holding.rbegin(), holding.rend());
+  std::vector<std::string> ids;
+  ids.reserve(holding.size());
+  for (auto& [last_used, id] : holding) ids.push_back(std::move(id));
+  return ids;
+}
+
+net::asio::awaitable<void> ProgramLedger::release_all(net::TimePoint deadline) {
+  const auto ids = holding_by_use();
   std::size_t released = 0;
   for (const auto& id : ids) {
     if (!time_left(deadline)) break;
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -3,8 +3,10 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "ledger/budget_account.hpp"
 #include "ledger/turn_cache.hpp"
@@ -46,7 +48,8 @@
 
   /// Gives back tokens of the program that no turn uses. @return whether the store has it so.
   net::asio::awaitable<bool> release(std::string program, net::TimePoint deadline);
-  /// Gives back the unused tokens of all programs, as far as the time goes: this process stops.
+  /// Gives back the unused tokens of all programs, those used last first, as far as the time goes:
+  /// this process stops.
   net::asio::awaitable<void> release_all(net::TimePoint deadline);
   /// Gives back the tokens of programs that were not used for long, and forgets them.
   void forget_idle(net::TimePoint now);
@@ -92,6 +95,8 @@
   net::asio::awaitable<bool> read_budget(std::string id, ProgramPointer program,
                                          net::TimePoint deadline);
   net::asio::awaitable<void> forget(std::string id);
+  /// Programs with unused tokens, those used last first.
+  std::vector<std::string> holding_by_use() const;
   static void adopt_rows(Program& program, const store::StoreResult& result);
 
   net::asio::io_context& context_;
