--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -16,7 +16,7 @@
 /// A node that has not reached the store for this long asks callers to go elsewhere.
 constexpr net::Millis kContactTime{3500};
 /// The entry asks for readiness once a second and believes the second refusal.
-constexpr net::Millis kEntryNotices{3000};
+constexpr net::Millis kEntryNotices{3200};
 /// A planned stop ends this long before it would be forced.
 constexpr net::Millis kStopMargin{700};
 constexpr net::Millis kStopPoll{50};
@@ -290,11 +290,14 @@
   net::asio::co_spawn(context_, finish_stop(), net::asio::detached);
 }
 
-net::asio::awaitable<void> Gateway::finish_stop() {
-  co_await unregister_self();
-  // Other homes need the tokens that are held here, now and when the last turns have ended.
+net::asio::awaitable<void> Gateway::release_tokens() {
   co_await net::sleep_for(context_, kHomesNotice);
   co_await state_.ledger.release_all(net::Clock::now() + kReleaseTime);
+}
+
+net::asio::awaitable<void> Gateway::finish_stop() {
+  co_await unregister_self();
+  net::asio::co_spawn(context_, release_tokens(), net::asio::detached);
   co_await net::sleep_for(context_, kEntryNotices);
   net::Error ignored;
   acceptor_.close(ignored);
@@ -302,7 +305,7 @@
   while (state_.active_requests > 0 && net::Clock::now() < limit) {
     co_await net::sleep_for(context_, kStopPoll);
   }
-  co_await state_.ledger.release_all(std::min(limit, net::Clock::now() + kReleaseTime));
+  // NOTE: nothing may be awaited from here on: idle connections would take requests that get cut.
   const auto idle = sessions_;
   for (const auto& session : idle) session->close_if_idle();
   state_.log.event("stopped").with("active_requests", state_.active_requests);
--- a/tests/serving/gateway_test.cpp
+++ b/tests/serving/gateway_test.cpp
@@ -286,3 +286,45 @@
   REQUIRE(logged({"\"answer_broken\"", "\"id\":\"r-1\"", "\"engine\":\"e-1\""}) == 1);
   REQUIRE(gateway->state().engines.find("e-1")->consecutive_failures == 1);
 }
+
+TEST_CASE_METHOD(GatewayFixture, "the end of a planned stop takes no request that it would cut",
+                 "[serving]") {
+  start();
+  engine.set_script([](const auto& request) { return answer(request, "the body"); });
+  net::beast::tcp_stream kept(context);
+  const auto first = request("POST", "/unsafe/x", "", "input");
+  const auto talk = [&]() -> net::asio::awaitable<bool> {
+    net::Error error;
+    co_await kept.async_connect(settings.callers, net::awaiting(error));
+    co_await net::asio::async_write(kept, net::asio::buffer(first), net::awaiting(error));
+    net::beast::flat_buffer buffer;
+    net::http::response<net::http::string_body> got;
+    co_await net::http::async_read(kept, buffer, got, net::awaiting(error));
+    co_return !error && got.result_int() == 200;
+  };
+  REQUIRE(test::run(context, talk()));
+  // A program with unused tokens, and a store that does not take them back.
+  engine.set_script([](const auto& request) {
+    return EngineReply{test::stream_head(request) + test::event_chunk(1, "d") + test::kLastChunk,
+                       false, false};
+  });
+  REQUIRE(ask(request("POST", "/turns/x",
+                      "Sailgate-Request-Id: t-1\r\nSailgate-Program: p\r\n"
+                      "Sailgate-Token-Budget: 1000\r\nSailgate-Tokens: 10,100\r\n",
+                      "in"))
+              .whole);
+  engine.set_script([](const auto&) { return EngineReply{"", false, true}; });
+  table.set_mode(test::MemoryTable::Mode::kSilent);
+  const auto seen = engine.requests().size();
+  gateway->stop();
+  // Unregistering waits 0.7 s for the store, the entry has 3.2 s; then only the end is left.
+  const auto late = [&]() -> net::asio::awaitable<bool> {
+    co_await net::sleep_for(context, net::Millis(4200));
+    net::Error ignored;
+    co_await net::asio::async_write(kept, net::asio::buffer(first), net::awaiting(ignored));
+    co_await net::sleep_for(context, net::Millis(200));
+    co_return true;
+  };
+  REQUIRE(test::run(context, late()));
+  REQUIRE(engine.requests().size() == seen);
+}
