--- a/tests/serving/gateway_test.cpp
+++ b/tests/serving/gateway_test.cpp
@@ -303,16 +303,18 @@
     co_return !error && got.result_int() == 200;
   };
   REQUIRE(test::run(context, talk()));
-  // A program with unused tokens, and a store that does not take them back.
+  // Programs with unused tokens, and a store that does not take them back.
   engine.set_script([](const auto& request) {
     return EngineReply{test::stream_head(request) + test::event_chunk(1, "d") + test::kLastChunk,
                        false, false};
   });
-  REQUIRE(ask(request("POST", "/turns/x",
-                      "Sailgate-Request-Id: t-1\r\nSailgate-Program: p\r\n"
-                      "Sailgate-Token-Budget: 1000\r\nSailgate-Tokens: 10,100\r\n",
-                      "in"))
-              .whole);
+  for (const std::string program : {"p", "q", "r"}) {
+    REQUIRE(ask(request("POST", "/turns/x",
+                        "Sailgate-Request-Id: t-" + program + "\r\nSailgate-Program: " + program +
+                            "\r\nSailgate-Token-Budget: 1000\r\nSailgate-Tokens: 10,100\r\n",
+                        "in"))
+                .whole);
+  }
   engine.set_script([](const auto&) { return EngineReply{"", false, true}; });
   table.set_mode(test::MemoryTable::Mode::kSilent);
   const auto seen = engine.requests().size();
