One function drives an update on the calling thread

The roll of a bundle and the change of a family each had the loop over an update's steps; both call node::run_update now. Behaviour is the same.

--- a/src/node/family_store.cpp
+++ b/src/node/family_store.cpp
@@ -1,7 +1,6 @@
 #include "node/family_store.hpp"
 
 #include <chrono>
-#include <thread>
 
 namespace sailgate::node {
 
@@ -9,7 +8,6 @@
 
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
-using Kind = store::OptimisticUpdate::Step::Kind;
 
 constexpr std::size_t kMostCached = 4096;
 
@@ -20,11 +18,6 @@
   return duration_cast<milliseconds>(now).count();
 }
 
-base::Millis monotonic_now() {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return duration_cast<milliseconds>(now).count();
-}
-
 FamilyStore::FamilyStore(store::BlockingStore& store, const base::Knobs& knobs)
     : store_(store),
       knobs_(knobs),
@@ -35,19 +28,9 @@
   const milliseconds timeout(knobs_.store_timeout);
   store::OptimisticUpdate steps(rules_, update, context_.rows.whole(update.family()), cached,
                                 monotonic_now() + patience);
-  auto step = steps.start();
-  while (step.kind != Kind::kDone) {
-    if (step.wait > 0) std::this_thread::sleep_for(milliseconds(step.wait));
-    if (step.kind == Kind::kRead) {
-      auto result = store_.read(std::move(step.read), timeout);
-      step = steps.on_read(std::move(result), monotonic_now());
-    } else {
-      const auto result = store_.transact(std::move(step.write), timeout);
-      step = steps.on_write(result, monotonic_now());
-    }
-  }
+  const bool decided = run_update(store_, steps, timeout);
   if (update.too_large()) return ChangeEnd::kTooLarge;
-  return step.decided ? ChangeEnd::kDecided : ChangeEnd::kUnknown;
+  return decided ? ChangeEnd::kDecided : ChangeEnd::kUnknown;
 }
 
 ChangeEnd FamilyStore::change(const std::string& family, program::FamilyUpdate::Change change,
--- a/src/node/family_store.hpp
+++ b/src/node/family_store.hpp
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "node/blocking_update.hpp"
 #include "program/family_update.hpp"
-#include "store/blocking_store.hpp"
 
 namespace sailgate::node {
 
@@ -59,7 +59,5 @@
 
 /// Milliseconds of the wall clock.
 base::Millis unix_now();
-/// Milliseconds of the monotonic clock.
-base::Millis monotonic_now();
 
 }  // namespace sailgate::node
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using StepKind = store::OptimisticUpdate::Step::Kind;
 
 constexpr std::size_t kBackgroundThreads = 6;
 constexpr std::size_t kBackgroundQueue = 4096;
@@ -91,18 +90,7 @@
   store::OptimisticUpdate steps(rules, bundle_roll, configuration::configuration_range(), false,
                                 monotonic_now() + patience);
   const milliseconds timeout(settings_.knobs.store_timeout);
-  auto step = steps.start();
-  while (step.kind != StepKind::kDone) {
-    if (step.wait > 0) std::this_thread::sleep_for(milliseconds(step.wait));
-    if (step.kind == StepKind::kRead) {
-      auto result = services_.store.read(std::move(step.read), timeout);
-      step = steps.on_read(std::move(result), monotonic_now());
-    } else {
-      const auto result = services_.store.transact(std::move(step.write), timeout);
-      step = steps.on_write(result, monotonic_now());
-    }
-  }
-  if (!step.decided) return {};
+  if (!run_update(services_.store, steps, timeout)) return {};
   const auto& bundle = signed_bundle.bundle;
   wire::ProgramReply reply;
   if (bundle_roll.refusal()) {
--- a/src/program/family_rows.cpp
+++ b/src/program/family_rows.cpp
@@ -25,6 +25,9 @@
 /// A transaction takes 100 entries; some are the family's own.
 constexpr std::size_t kRemovalsAtOnce = 90;
 
+/// Digits of a piece's number, at the end of its key.
+constexpr std::size_t kPieceDigits = 3;
+
 std::string text_key(const TextChange& change, std::size_t piece) {
   char suffix[32];
   std::snprintf(suffix, sizeof(suffix), "%c%08d%c%c%03zu", kTextSeparator, change.sequence,
@@ -98,7 +101,6 @@
   wanted.program = call.call.program;
   wanted.sequence = call.call.sequence;
   wanted.result = result;
-  constexpr std::size_t kPieceDigits = 3;
   auto key = text_key(wanted, 0);
   key.resize(key.size() - kPieceDigits);
   const auto found = texts.find(key);
@@ -106,7 +108,6 @@
 }
 
 Texts join_pieces(const std::vector<store::Row>& rows) {
-  constexpr std::size_t kPieceDigits = 3;
   Texts texts;
   for (const auto& row : rows) {
     if (row.id.key.find(kTextSeparator) == std::string::npos) continue;
