Nodes of a test listen on endpoints that nobody else gets

Ruled out: ports of process tests (fixed, below the ephemeral range). Change: an address of 127.64.0.0/10 by process id, ports counted up, below the ephemeral range.

--- a/tests/cluster/cluster_test.cpp
+++ b/tests/cluster/cluster_test.cpp
@@ -159,7 +159,7 @@
   wire::PeerRow row;
   row.incarnation = 201;
   row.zone = "zone";
-  row.address = "127.0.0.1";
+  row.address = healthy.settings.peers.address().to_string();
   row.port = healthy.settings.peers.port();
   cut_off.state().peers.put("healthy", row, net::Clock::now());
   wire::Beacon beacon;
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -10,18 +10,12 @@
 #include "records.hpp"
 #include "serving/gateway.hpp"
 #include "support/fake_engine.hpp"
+#include "support/loopback_endpoints.hpp"
 #include "support/memory_table.hpp"
 #include "support/run.hpp"
 
 namespace sailgate::test {
 
-/// Loopback endpoint whose port was free just now.
-inline net::Endpoint free_endpoint(net::asio::io_context& context) {
-  net::asio::ip::tcp::acceptor probe(context,
-                                     net::Endpoint(net::asio::ip::address_v4::loopback(), 0));
-  return probe.local_endpoint();
-}
-
 /// Answer as a caller saw it.
 struct CallerAnswer {
   int status = 0;
@@ -46,9 +40,9 @@
     serving::NodeSettings made;
     made.node = "node-1";
     made.zone = "zone";
-    made.callers = free_endpoint(context);
-    made.readiness = free_endpoint(context);
-    made.peers = free_endpoint(context);
+    made.callers = own_endpoint();
+    made.readiness = own_endpoint();
+    made.peers = own_endpoint();
     made.store = made.peers;
     return made;
   }
