Changed settings are taken over while the node runs

Change: SettingsReloader reads the file on SIGHUP and when it was written; the store's address and the grace of a stop are taken over, what holds for a process's life is named in the log; a file that cannot be read changes nothing.

--- a/apps/sailgate_gateway/main.cpp
+++ b/apps/sailgate_gateway/main.cpp
@@ -6,6 +6,7 @@
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <iostream>
 
 #include "cli/command_line.hpp"
@@ -13,6 +14,7 @@
 #include "node_settings_file.hpp"
 #include "records.hpp"
 #include "serving/gateway.hpp"
+#include "serving/settings_reloader.hpp"
 #include "table_client.hpp"
 
 namespace {
@@ -29,20 +31,25 @@
 
 /// Waits for signals for as long as the event loop runs.
 void handle_signals(net::asio::signal_set& signals, serving::Gateway& gateway,
-                    observe::StructuredLog& log) {
+                    serving::SettingsReloader& reloader) {
   signals.async_wait([&](const net::Error& error, int signal) {
     if (error) return;
     if (signal == SIGHUP) {
-      // NOTE: addresses are the only settings in use, and they hold for a process's life.
-      log.event("settings_reloaded").with("changed", 0);
+      reloader.reload("signal");
     } else {
       gateway.stop();
     }
-    handle_signals(signals, gateway, log);
+    handle_signals(signals, gateway, reloader);
   });
 }
 
-int serve(const serving::NodeSettings& settings) {
+/// Time of the file's last change, in nanoseconds. @throws std::filesystem::filesystem_error
+std::int64_t modified_at(const std::string& path) {
+  return std::filesystem::last_write_time(path).time_since_epoch().count();
+}
+
+int serve(const std::string& path) {
+  const auto settings = platform::read_node_settings(path);
   observe::StructuredLog log(STDOUT_FILENO);
   net::asio::io_context context(1);
   const platform::EdgeHeaders protocol;
@@ -51,7 +58,16 @@
   const auto incarnation = draw_incarnation();
   serving::Gateway gateway(context, settings, protocol, records, store, log, incarnation);
   net::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
-  handle_signals(signals, gateway, log);
+  serving::SettingsReloader::Source source;
+  source.read = [&] { return platform::read_node_settings(path); };
+  source.modified_at = [&] { return modified_at(path); };
+  const auto apply = [&](const serving::NodeSettings& changed) {
+    store.set_server(changed.store);
+    gateway.apply(changed);
+  };
+  serving::SettingsReloader reloader(context, log, std::move(source), settings, apply);
+  handle_signals(signals, gateway, reloader);
+  net::asio::co_spawn(context, reloader.watch(), net::asio::detached);
   gateway.start();
   log.event("started")
       .with("node", settings.node)
@@ -86,9 +102,12 @@
     std::cout << "sailgate-gateway " << SAILGATE_VERSION << '\n';
     return cli::kSuccess;
   }
-  const auto settings = platform::read_node_settings(settings_path(values));
-  if (values.count("check") > 0) return cli::kSuccess;
-  return serve(settings);
+  const auto path = settings_path(values);
+  if (values.count("check") > 0) {
+    platform::read_node_settings(path);
+    return cli::kSuccess;
+  }
+  return serve(path);
 }
 
 }  // namespace
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -17,15 +17,20 @@
     idle_.pop_back();
     if (peek(connection->stream.socket()) == SocketState::kQuiet) co_return connection;
   }
-  auto connection = std::make_unique<Connection>(context_);
+  auto connection = std::make_unique<Connection>(context_, server_);
   connection->stream.expires_at(deadline);
   Error error;
-  co_await connection->stream.async_connect(server_, awaiting(error));
+  co_await connection->stream.async_connect(connection->server, awaiting(error));
   if (error) co_return nullptr;
   tune(connection->stream.socket());
   co_return connection;
 }
 
+void HttpClient::set_server(const Endpoint& server) {
+  server_ = server;
+  idle_.clear();
+}
+
 asio::awaitable<ExchangeResult> HttpClient::exchange(TextRequest request, Millis timeout) {
   const auto deadline = Clock::now() + timeout;
   ExchangeResult result;
@@ -35,7 +40,7 @@
     co_return result;
   }
   request.version(11);
-  request.set(http::field::host, format_endpoint(server_));
+  request.set(http::field::host, format_endpoint(connection->server));
   request.prepare_payload();
   auto& stream = connection->stream;
   stream.expires_at(deadline);
@@ -52,7 +57,8 @@
     result.failure = ExchangeFailure::kNoAnswer;
     co_return result;
   }
-  const bool reusable = result.response.keep_alive() && connection->buffer.size() == 0;
+  const bool reusable = result.response.keep_alive() && connection->buffer.size() == 0 &&
+                        connection->server == server_;
   if (reusable && idle_.size() < kMostIdle) idle_.push_back(std::move(connection));
   co_return result;
 }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -36,12 +36,16 @@
   /// One request and its whole response within `timeout`. Never sends a request twice.
   asio::awaitable<ExchangeResult> exchange(TextRequest request, Millis timeout);
 
+  /// Calls from now on go to another address; those under way end where they are.
+  void set_server(const Endpoint& server);
+
   /// Forgets idle connections, after a time in which they may have become silent.
   void close_idle() { idle_.clear(); }
 
  private:
   struct Connection {
-    explicit Connection(asio::io_context& context) : stream(context) {}
+    Connection(asio::io_context& context, const Endpoint& peer) : server(peer), stream(context) {}
+    Endpoint server;
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
   };
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -24,6 +24,8 @@
 
   /// Starts listening and following. @throws boost::system::system_error on an address in use.
   void start();
+  /// Takes over the settings that can change while the node runs.
+  void apply(const NodeSettings& settings) { state_.settings.stop_grace = settings.stop_grace; }
   /// Begins a planned stop; the event loop ends when it is over.
   void stop();
   /// Whether new callers may be sent here.
--- /dev/null
+++ b/src/serving/settings_reloader.cpp
@@ -0,0 +1,87 @@
+#include "serving/settings_reloader.hpp"
+
+#include <exception>
+
+namespace sailgate::serving {
+
+namespace {
+
+constexpr net::Millis kWatchInterval{1000};
+
+std::string joined(const std::vector<std::string>& names) {
+  std::string text;
+  for (const auto& name : names) {
+    if (!text.empty()) text += ',';
+    text += name;
+  }
+  return text;
+}
+
+}  // namespace
+
+SettingsChange compare_settings(const NodeSettings& before, const NodeSettings& after) {
+  SettingsChange change;
+  if (before.store != after.store) change.taken.emplace_back("store");
+  if (before.stop_grace != after.stop_grace) change.taken.emplace_back("stop_grace");
+  if (before.node != after.node) change.need_restart.emplace_back("node");
+  if (before.zone != after.zone) change.need_restart.emplace_back("zone");
+  if (before.callers != after.callers) change.need_restart.emplace_back("callers");
+  if (before.readiness != after.readiness) change.need_restart.emplace_back("readiness");
+  if (before.peers != after.peers) change.need_restart.emplace_back("peers");
+  if (before.metrics != after.metrics) change.need_restart.emplace_back("metrics");
+  return change;
+}
+
+SettingsReloader::SettingsReloader(net::asio::io_context& context, observe::StructuredLog& log,
+                                   Source source, NodeSettings current, Apply apply)
+    : context_(context),
+      log_(log),
+      source_(std::move(source)),
+      current_(std::move(current)),
+      apply_(std::move(apply)) {
+  try {
+    modified_at_ = source_.modified_at();
+  } catch (const std::exception& error) {
+    note_unreadable("start", error);
+  }
+}
+
+void SettingsReloader::note_unreadable(const char* cause, const std::exception& error) {
+  log_.event("settings_unreadable").with("cause", cause).with("why", error.what());
+}
+
+void SettingsReloader::reload(const char* cause) {
+  try {
+    auto settings = source_.read();
+    const auto change = compare_settings(current_, settings);
+    log_.event("settings_reloaded")
+        .with("cause", cause)
+        .with("taken", joined(change.taken))
+        .with("need_restart", joined(change.need_restart));
+    if (!change.taken.empty()) apply_(settings);
+    current_ = std::move(settings);
+  } catch (const std::exception& error) {
+    note_unreadable(cause, error);
+  }
+}
+
+void SettingsReloader::reload_if_written() {
+  std::int64_t modified_at = 0;
+  try {
+    modified_at = source_.modified_at();
+  } catch (const std::exception&) {
+    return;  // being replaced: the next look finds it
+  }
+  if (modified_at == modified_at_) return;
+  modified_at_ = modified_at;
+  reload("written");
+}
+
+net::asio::awaitable<void> SettingsReloader::watch() {
+  while (true) {
+    co_await net::sleep_for(context_, kWatchInterval);
+    reload_if_written();
+  }
+}
+
+}  // namespace sailgate::serving
