A budget is split over three rows in different parts of the store

Exhausted budgets are remembered for 0.3 s; lines of requests tell the time given, budget and tokens out.

--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -40,17 +40,26 @@
     if (start.lookup != LookupOutcome::kFound) co_return start;
   }
   if (request.tokens > 0) {
-    start.reservation =
-        co_await ledger_.reserve(request.program, request.tokens, request.budget, deadline);
-    if (start.reservation == ReserveOutcome::kExhausted &&
-        co_await gather_tokens(request.program)) {
-      start.reservation =
-          co_await ledger_.reserve(request.program, request.tokens, request.budget, deadline);
-    }
+    start.reservation = co_await reserve(request, deadline);
   }
   co_return start;
 }
 
+net::asio::awaitable<ReserveOutcome> TurnKeeper::reserve(const TurnRequest& request,
+                                                         net::TimePoint deadline) {
+  auto outcome =
+      co_await ledger_.reserve(request.program, request.tokens, request.budget, deadline);
+  if (outcome != ReserveOutcome::kExhausted) co_return outcome;
+  if (ledger_.exhausted_lately(request.program, request.tokens)) co_return outcome;
+  if (co_await gather_tokens(request.program)) {
+    outcome = co_await ledger_.reserve(request.program, request.tokens, request.budget, deadline);
+  }
+  if (outcome == ReserveOutcome::kExhausted) {
+    ledger_.note_exhausted(request.program, request.tokens);
+  }
+  co_return outcome;
+}
+
 net::asio::awaitable<bool> TurnKeeper::gather_tokens(std::string program) {
   bool released = false;
   const auto holders = ledger_.other_holders(program);
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -57,6 +57,9 @@
 
  private:
   net::asio::awaitable<TurnStart> begin_here(TurnRequest request, net::TimePoint deadline);
+  /// Reserves tokens, those included that other holders do not use.
+  net::asio::awaitable<ledger::ReserveOutcome> reserve(const TurnRequest& request,
+                                                       net::TimePoint deadline);
   /// Asks the other holders of a program's tokens for what they do not use.
   net::asio::awaitable<bool> gather_tokens(std::string program);
   net::asio::awaitable<bool> begin_at(Peer home, const TurnRequest& request,
--- a/src/ledger/budget_account.cpp
+++ b/src/ledger/budget_account.cpp
@@ -1,6 +1,7 @@
 #include "ledger/budget_account.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace sailgate::ledger {
 
@@ -26,68 +27,110 @@
   used_ += std::max<std::int64_t>(used, 0);
 }
 
-std::int64_t BudgetAccount::granted_to_others() const {
+std::int64_t BudgetAccount::granted() const {
   std::int64_t sum = 0;
-  for (const auto& [holder, tokens] : row_.granted) {
+  for (const auto& share : shares_) sum += share.granted;
+  return sum;
+}
+
+std::int64_t BudgetAccount::granted_to_others(const Share& share) const {
+  std::int64_t sum = 0;
+  for (const auto& [holder, tokens] : share.row.granted) {
     if (holder != holder_) sum += tokens;
   }
   return sum;
 }
 
-std::optional<wire::BudgetRow> BudgetAccount::plan_grant(std::int64_t tokens, std::int64_t budget) {
-  attempted_ = true;
-  const std::int64_t left = budget - granted_to_others() - used_ - reserved_;
-  if (left < tokens) return std::nullopt;
+std::int64_t BudgetAccount::room(std::size_t share, std::int64_t budget) const {
+  const auto count = static_cast<std::int64_t>(shares_.size());
+  const auto index = static_cast<std::int64_t>(share);
+  const std::int64_t whole = budget * (index + 1) / count - budget * index / count;
+  const auto& entry = shares_[share];
+  return std::max<std::int64_t>(whole - granted_to_others(entry) - entry.granted, 0);
+}
+
+bool BudgetAccount::can_hold(std::int64_t tokens, std::int64_t budget) const {
+  std::int64_t left = available();
+  for (std::size_t share = 0; share < shares_.size(); ++share) left += room(share, budget);
+  return left >= tokens;
+}
+
+std::optional<wire::BudgetRow> BudgetAccount::plan_grant(std::size_t share, std::int64_t tokens,
+                                                         std::int64_t budget) {
+  auto& entry = shares_[share];
+  if (!can_hold(tokens, budget)) return std::nullopt;
+  std::int64_t left = available();
+  for (std::size_t other = 0; other < shares_.size(); ++other) left += room(other, budget);
   const std::int64_t ample = std::min(left / kGrantDivisor, tokens * kGrantTurns);
-  const std::int64_t grant = used_ + reserved_ + std::max(tokens, ample);
-  auto row = row_;
-  row.granted[holder_] = std::max(grant, granted_);
+  const std::int64_t wanted = std::max(tokens, ample) - available();
+  const std::int64_t added = std::min(wanted, room(share, budget));
+  if (added <= 0) return std::nullopt;
+  entry.attempted = true;
+  auto row = entry.row;
+  row.granted[holder_] = entry.granted + added;
   return row;
 }
 
-std::optional<wire::BudgetRow> BudgetAccount::begin_release() {
-  const auto entry = row_.granted.find(holder_);
-  const std::int64_t kept = used_ + reserved_;
-  if (entry == row_.granted.end() || entry->second <= kept) return std::nullopt;
-  granted_ = kept;
-  auto row = row_;
+std::int64_t BudgetAccount::portion(std::size_t share, std::int64_t tokens) const {
+  for (std::size_t earlier = 0; earlier < share; ++earlier) tokens -= shares_[earlier].granted;
+  return std::clamp<std::int64_t>(tokens, 0, shares_[share].granted);
+}
+
+std::optional<wire::BudgetRow> BudgetAccount::begin_release(std::size_t share) {
+  auto& entry = shares_[share];
+  const auto listed = entry.row.granted.find(holder_);
+  const std::int64_t kept = portion(share, used_ + reserved_);
+  if (listed == entry.row.granted.end() || listed->second <= kept) return std::nullopt;
+  entry.granted = kept;
+  auto row = entry.row;
   row.granted[holder_] = kept;
   return row;
 }
 
-std::optional<wire::BudgetRow> BudgetAccount::begin_retirement() {
-  if (!idle() || row_.granted.count(holder_) == 0) return std::nullopt;
-  granted_ = used_;
-  auto row = row_;
+std::optional<wire::BudgetRow> BudgetAccount::begin_retirement(std::size_t share) {
+  auto& entry = shares_[share];
+  if (!idle() || entry.row.granted.count(holder_) == 0) return std::nullopt;
+  // NOTE: what is not used goes out of use in all shares at once, so that no turn begins between
+  // the writes of two of them.
+  for (std::size_t other = 0; other < shares_.size(); ++other) {
+    shares_[other].granted = portion(other, used_);
+  }
+  auto row = entry.row;
   row.granted.erase(holder_);
-  row.granted[kNobody] += used_;
+  row.granted[kNobody] += entry.granted;
   return row;
 }
 
 std::vector<std::int64_t> BudgetAccount::other_holders() const {
-  std::vector<std::int64_t> holders;
-  for (const auto& [holder, tokens] : row_.granted) {
-    if (holder != holder_ && holder != kNobody && tokens > 0) holders.push_back(holder);
+  std::set<std::int64_t> holders;
+  for (const auto& share : shares_) {
+    for (const auto& [holder, tokens] : share.row.granted) {
+      if (holder != holder_ && holder != kNobody && tokens > 0) holders.insert(holder);
+    }
   }
-  return holders;
+  return {holders.begin(), holders.end()};
 }
 
-void BudgetAccount::adopt(wire::BudgetRow row, std::int64_t version) {
-  if (version < version_) return;
-  const bool same_version = version == version_;
-  row_ = std::move(row);
-  version_ = version;
-  const auto entry = row_.granted.find(holder_);
-  const std::int64_t granted = entry == row_.granted.end() ? 0 : entry->second;
-  if (!attempted_) used_ = std::max(used_, granted);
-  attempted_ = true;
-  granted_ = same_version ? std::min(granted_, granted) : granted;
+void BudgetAccount::adopt(std::size_t share, wire::BudgetRow row, std::int64_t version) {
+  auto& entry = shares_[share];
+  if (version < entry.version) return;
+  entry.uncertain = false;
+  const bool same_version = version == entry.version;
+  entry.row = std::move(row);
+  entry.version = version;
+  const auto listed = entry.row.granted.find(holder_);
+  const std::int64_t granted = listed == entry.row.granted.end() ? 0 : listed->second;
+  if (!entry.attempted) used_ += granted;
+  entry.attempted = true;
+  entry.granted = same_version ? std::min(entry.granted, granted) : granted;
 }
 
-void BudgetAccount::adopt_absent() {
-  row_ = {};
-  version_ = 0;
-  granted_ = 0;
+void BudgetAccount::adopt_absent(std::size_t share) {
+  auto& entry = shares_[share];
+  entry.uncertain = false;
+  entry.row = {};
+  entry.version = 0;
+  entry.granted = 0;
 }
 
 }  // namespace sailgate::ledger
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -21,8 +21,19 @@
 constexpr net::Millis kForgetInterval{1000};
 constexpr net::Millis kForgetTime{500};
 constexpr std::size_t kForgottenAtOnce = 16;
+/// Pause between two rounds over the shares of a budget none of which could be drawn on.
+constexpr net::Millis kShortestRoundPause{20};
+constexpr net::Millis kLongestRoundPause{160};
+/// A budget that was found exhausted, holders asked, is not looked at again for this long.
+constexpr net::Millis kExhaustedMemory{300};
+/// A part of the store that is silent for so long is taken to be out of service.
+constexpr net::Millis kSilenceOfPart{100};
 constexpr std::size_t kTurnCacheBytes = std::size_t{24} << 20U;
 
+bool failed(StoreStatus status) {
+  return status == StoreStatus::kRefused || status == StoreStatus::kUnknown;
+}
+
 bool time_left(net::TimePoint deadline) { return net::Clock::now() < deadline; }
 
 }  // namespace
@@ -48,95 +59,176 @@
                                                             net::TimePoint deadline) {
   auto entry = program(id);
   if (entry->account.reserve(tokens)) co_return ReserveOutcome::kReserved;
+  if (exhausted_lately(id, tokens)) co_return ReserveOutcome::kExhausted;
   const auto guard = co_await entry->mutex.lock();
+  const TokenDemand demand{tokens, budget, net::Clock::now(), deadline};
   while (!entry->account.reserve(tokens)) {
-    const auto outcome = co_await raise_grant(id, entry, tokens, budget, deadline);
+    const auto outcome = co_await raise_grant(id, entry, demand);
     if (outcome != ReserveOutcome::kReserved) co_return outcome;
   }
   co_return ReserveOutcome::kReserved;
 }
 
+store::RowId ProgramLedger::budget_row(const std::string& program, std::size_t share) {
+  return {kBudgetTable, store::candidate_parts(program)[share], program};
+}
+
+std::vector<std::size_t> ProgramLedger::shares_by_health(const std::string& program) const {
+  auto parts = store::candidate_parts(program);
+  parts.resize(kBudgetShares);
+  // Holders begin with different shares, so that they seldom disturb each other.
+  auto rotated = parts;
+  const auto first = static_cast<std::uint64_t>(holder_) % kBudgetShares;
+  std::rotate(rotated.begin(), rotated.begin() + static_cast<std::ptrdiff_t>(first), rotated.end());
+  const auto ordered = budget_parts_.order(std::move(rotated), net::Clock::now());
+  std::vector<std::size_t> shares;
+  for (const auto& part : ordered) {
+    const auto found = std::find(parts.begin(), parts.end(), part);
+    shares.push_back(static_cast<std::size_t>(found - parts.begin()));
+  }
+  return shares;
+}
+
+void ProgramLedger::log_exhausted(const std::string& id, const BudgetAccount& account,
+                                  const TokenDemand& demand) {
+  auto line = log_.event("budget_exhausted");
+  line.with("program", id)
+      .with("tokens", demand.tokens)
+      .with("budget", demand.budget)
+      .with("available", account.available())
+      .with("holders", account.other_holders().size());
+  for (std::size_t share = 0; share < account.shares(); ++share) {
+    line.with("row_version_" + std::to_string(share), account.version(share));
+  }
+}
+
 net::asio::awaitable<ReserveOutcome> ProgramLedger::raise_grant(std::string id,
                                                                 ProgramPointer program,
-                                                                std::int64_t tokens,
-                                                                std::int64_t budget,
-                                                                net::TimePoint deadline) {
-  bool fresh = false;  // the row was read after this call began
-  while (time_left(deadline)) {
-    auto row = program->account.plan_grant(tokens, budget);
-    if (!row && !fresh) {
-      fresh = co_await read_budget(id, program, deadline);
-      continue;
-    }
-    if (!row) {
-      log_.event("budget_exhausted")
-          .with("program", id)
-          .with("tokens", tokens)
-          .with("budget", budget)
-          .with("holders", program->account.other_holders().size())
-          .with("row_version", program->account.version());
+                                                                TokenDemand demand) {
+  bool fresh = false;  // all rows were read after this call began
+  auto pause = kShortestRoundPause;
+  while (time_left(demand.deadline)) {
+    const auto drawn = co_await draw_on_shares(id, program, demand);
+    if (program->account.available() >= demand.tokens) co_return ReserveOutcome::kReserved;
+    if (drawn == StoreStatus::kConflict || drawn == StoreStatus::kDone) continue;
+    if (!drawn && fresh) {
+      log_exhausted(id, program->account, demand);
       co_return ReserveOutcome::kExhausted;
     }
-    const auto status = co_await write_budget(id, program, std::move(*row), deadline);
-    if (status == StoreStatus::kDone) co_return ReserveOutcome::kReserved;
-    fresh = fresh || status == StoreStatus::kConflict;
+    if (!drawn) fresh = co_await read_shares(id, program, demand.deadline);
+    if (drawn || !fresh) {
+      co_await net::sleep_for(context_, pause);
+      pause = std::min(pause * 2, kLongestRoundPause);
+    }
   }
   co_return ReserveOutcome::kUnavailable;
 }
 
+net::asio::awaitable<std::optional<StoreStatus>> ProgramLedger::draw_on_shares(
+    std::string id, ProgramPointer program, TokenDemand demand) {
+  std::optional<StoreStatus> last;
+  for (const auto share : shares_by_health(id)) {
+    auto row = program->account.plan_grant(share, demand.tokens, demand.budget);
+    if (!row) continue;
+    last = co_await write_budget(id, program, share, std::move(*row), demand.deadline);
+    if (program->account.available() >= demand.tokens || !time_left(demand.deadline)) break;
+    const auto now = net::Clock::now();
+    // Single answers get lost: the part is asked again before the other share is drawn on.
+    if (last == StoreStatus::kUnknown && now < demand.asked_at + kSilenceOfPart) break;
+    if (failed(*last)) budget_parts_.note(budget_row(id, share).part, false, now);
+  }
+  co_return last;
+}
+
+net::asio::awaitable<bool> ProgramLedger::read_shares(std::string id, ProgramPointer program,
+                                                      net::TimePoint deadline) {
+  bool all = true;
+  for (std::size_t share = 0; share < kBudgetShares; ++share) {
+    const bool read = co_await read_budget(id, program, share, deadline);
+    all = all && read;
+  }
+  co_return all;
+}
+
 net::asio::awaitable<StoreStatus> ProgramLedger::write_budget(std::string id,
                                                               ProgramPointer program,
+                                                              std::size_t share,
                                                               wire::BudgetRow row,
                                                               net::TimePoint deadline) {
-  const store::RowId row_id{kBudgetTable, store::part_of(id), id};
+  const auto row_id = budget_row(id, share);
   store::Transaction transaction;
-  transaction.conditions.push_back({row_id, program->account.version()});
+  transaction.conditions.push_back({row_id, program->account.version(share)});
   store::Row put;
   put.id = row_id;
   put.value = wire::encode(row);
   transaction.puts.push_back(std::move(put));
-  auto result = co_await store_.transact(std::move(transaction), deadline);
-  if (result.status == StoreStatus::kDone) {
-    program->account.adopt(std::move(row), result.version);
-  } else if (result.status == StoreStatus::kConflict) {
-    adopt_rows(*program, result);
-  }
+  auto result = co_await store_.transact_once(std::move(transaction), deadline);
+  const bool done = result.status == StoreStatus::kDone;
+  const bool conflict = result.status == StoreStatus::kConflict;
+  if (result.status == StoreStatus::kUnknown) program->account.note_unanswered(share);
+  if (done || conflict) budget_parts_.note(row_id.part, true, net::Clock::now());
+  if (done) program->account.adopt(share, std::move(row), result.version);
+  if (conflict) adopt_rows(*program, share, result);
   co_return result.status;
 }
 
 net::asio::awaitable<bool> ProgramLedger::read_budget(std::string id, ProgramPointer program,
-                                                      net::TimePoint deadline) {
+                                                      std::size_t share, net::TimePoint deadline) {
+  const auto row_id = budget_row(id, share);
   store::RangeRead range;
-  range.table = kBudgetTable;
-  range.part = store::part_of(id);
+  range.table = row_id.table;
+  range.part = row_id.part;
   range.from_key = id;
   range.limit = 1;
-  auto result = co_await store_.read(range, deadline);
-  if (result.status != StoreStatus::kDone) co_return false;
+  auto result = co_await store_.read_once(std::move(range), deadline);
+  const bool done = result.status == StoreStatus::kDone;
+  budget_parts_.note(row_id.part, done, net::Clock::now());
+  if (!done) co_return false;
   if (!result.rows.empty() && result.rows.front().id.key != id) result.rows.clear();
-  adopt_rows(*program, result);
+  adopt_rows(*program, share, result);
   co_return true;
 }
 
-void ProgramLedger::adopt_rows(Program& program, const store::StoreResult& result) {
+void ProgramLedger::adopt_rows(Program& program, std::size_t share,
+                               const store::StoreResult& result) {
   if (result.rows.empty() || result.rows.front().version == 0) {
-    program.account.adopt_absent();
+    program.account.adopt_absent(share);
     return;
   }
   const auto& row = result.rows.front();
-  program.account.adopt(wire::decode<wire::BudgetRow>(row.value), row.version);
+  program.account.adopt(share, wire::decode<wire::BudgetRow>(row.value), row.version);
+}
+
+net::asio::awaitable<bool> ProgramLedger::give_back_share(std::string id, ProgramPointer program,
+                                                          std::size_t share, GiveBack plan,
+                                                          net::TimePoint deadline) {
+  auto& account = program->account;
+  auto pause = kShortestRoundPause;
+  while (time_left(deadline)) {
+    const bool known =
+        !account.uncertain(share) || co_await read_budget(id, program, share, deadline);
+    if (known) {
+      auto row = (account.*plan)(share);
+      if (!row) co_return true;
+      const auto status = co_await write_budget(id, program, share, std::move(*row), deadline);
+      if (status == StoreStatus::kDone) co_return true;
+      if (status == StoreStatus::kConflict) continue;
+    }
+    co_await net::sleep_for(context_, pause);
+    pause = std::min(pause * 2, kLongestRoundPause);
+  }
+  co_return false;
 }
 
 net::asio::awaitable<bool> ProgramLedger::give_back(std::string id, ProgramPointer program,
                                                     GiveBack plan, net::TimePoint deadline) {
   const auto guard = co_await program->mutex.lock();
-  while (time_left(deadline)) {
-    auto row = (program->account.*plan)();
-    if (!row) co_return true;
-    const auto status = co_await write_budget(id, program, std::move(*row), deadline);
-    if (status == StoreStatus::kDone) co_return true;
+  bool all = true;
+  for (const auto share : shares_by_health(id)) {
+    const bool done = co_await give_back_share(id, program, share, plan, deadline);
+    all = all && done;
   }
-  co_return false;
+  co_return all;
 }
 
 net::asio::awaitable<bool> ProgramLedger::release(std::string id, net::TimePoint deadline) {
@@ -197,6 +289,18 @@
   return program(id)->account.other_holders();
 }
 
+void ProgramLedger::note_exhausted(const std::string& id, std::int64_t tokens) {
+  auto entry = program(id);
+  entry->exhausted_tokens = tokens;
+  entry->exhausted_until = net::Clock::now() + kExhaustedMemory;
+}
+
+bool ProgramLedger::exhausted_lately(const std::string& id, std::int64_t tokens) const {
+  const auto entry = programs_.find(id);
+  return entry != programs_.end() && tokens >= entry->second->exhausted_tokens &&
+         net::Clock::now() < entry->second->exhausted_until;
+}
+
 void ProgramLedger::settle(const std::string& id, std::int64_t reserved, std::int64_t used) {
   program(id)->account.settle(reserved, used);
 }
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -12,6 +12,7 @@
 #include "ledger/turn_cache.hpp"
 #include "net/async_mutex.hpp"
 #include "observe/structured_log.hpp"
+#include "store/part_health.hpp"
 #include "store/retrying_store.hpp"
 #include "store/unchanging_rows.hpp"
 
@@ -40,6 +41,10 @@
   /// Sets `tokens` of the program's budget aside for one turn.
   net::asio::awaitable<ReserveOutcome> reserve(std::string program, std::int64_t tokens,
                                                std::int64_t budget, net::TimePoint deadline);
+  /// The budget cannot hold a turn of so many tokens, and no holder gives any back: said again from
+  /// memory for a short time, as programs without end ask again and again.
+  void note_exhausted(const std::string& program, std::int64_t tokens);
+  bool exhausted_lately(const std::string& program, std::int64_t tokens) const;
   /// Ends a reservation. @param used tokens that were handed to the caller.
   void settle(const std::string& program, std::int64_t reserved, std::int64_t used);
 
@@ -70,38 +75,69 @@
   net::asio::awaitable<bool> record_turn(TurnPointer turn, net::TimePoint deadline);
 
  private:
+  /// Rows that a budget is split into, each in a part of its own.
+  static constexpr std::size_t kBudgetShares = 3;
+
+  /// What a turn needs of its program's budget.
+  struct TokenDemand {
+    std::int64_t tokens = 0;
+    std::int64_t budget = 0;
+    net::TimePoint asked_at;
+    net::TimePoint deadline;
+  };
+
   struct Program {
     Program(net::asio::io_context& context, std::int64_t holder)
-        : account(holder), mutex(context) {}
+        : account(holder, kBudgetShares), mutex(context) {}
     BudgetAccount account;
-    net::AsyncMutex mutex;  ///< one write of the budget row at a time
+    net::AsyncMutex mutex;  ///< one write of the budget's rows at a time
     net::TimePoint last_used{};
     bool leaving = false;  ///< being forgotten
+    std::int64_t exhausted_tokens = 0;
+    net::TimePoint exhausted_until{};
   };
   using ProgramPointer = std::shared_ptr<Program>;
 
-  using GiveBack = std::optional<wire::BudgetRow> (BudgetAccount::*)();
+  using GiveBack = std::optional<wire::BudgetRow> (BudgetAccount::*)(std::size_t);
+
+  /// Where a share of a program's budget is kept.
+  static store::RowId budget_row(const std::string& program, std::size_t share);
+  /// Shares whose parts failed lately come last.
+  std::vector<std::size_t> shares_by_health(const std::string& program) const;
 
   ProgramPointer program(const std::string& id);
   /// Writes what `plan` gives until that holds. @return whether the store has it so.
   net::asio::awaitable<bool> give_back(std::string id, ProgramPointer program, GiveBack plan,
                                        net::TimePoint deadline);
   net::asio::awaitable<ReserveOutcome> raise_grant(std::string id, ProgramPointer program,
-                                                   std::int64_t tokens, std::int64_t budget,
-                                                   net::TimePoint deadline);
+                                                   TokenDemand demand);
+  /// Raises the grant in one share after the other until the turn is held.
+  /// @return how the last write ended; nullopt: no share has anything to give, as far as known.
+  net::asio::awaitable<std::optional<store::StoreStatus>> draw_on_shares(std::string id,
+                                                                         ProgramPointer program,
+                                                                         TokenDemand demand);
+  /// Reads all shares anew. @return whether all were read.
+  net::asio::awaitable<bool> read_shares(std::string id, ProgramPointer program,
+                                         net::TimePoint deadline);
   net::asio::awaitable<store::StoreStatus> write_budget(std::string id, ProgramPointer program,
-                                                        wire::BudgetRow row,
+                                                        std::size_t share, wire::BudgetRow row,
                                                         net::TimePoint deadline);
-  net::asio::awaitable<bool> read_budget(std::string id, ProgramPointer program,
+  net::asio::awaitable<bool> read_budget(std::string id, ProgramPointer program, std::size_t share,
                                          net::TimePoint deadline);
+  net::asio::awaitable<bool> give_back_share(std::string id, ProgramPointer program,
+                                             std::size_t share, GiveBack plan,
+                                             net::TimePoint deadline);
+  void log_exhausted(const std::string& id, const BudgetAccount& account,
+                     const TokenDemand& demand);
   net::asio::awaitable<void> forget(std::string id);
   /// Programs with unused tokens, those used last first.
   std::vector<std::string> holding_by_use() const;
-  static void adopt_rows(Program& program, const store::StoreResult& result);
+  static void adopt_rows(Program& program, std::size_t share, const store::StoreResult& result);
 
   net::asio::io_context& context_;
   store::RetryingStore store_;
   store::UnchangingRows turn_rows_;
+  store::PartHealth budget_parts_;
   observe::StructuredLog& log_;
   std::int64_t holder_;
   std::unordered_map<std::string, ProgramPointer> programs_;
--- a/src/serving/call.hpp
+++ b/src/serving/call.hpp
@@ -28,12 +28,18 @@
   net::TimePoint deadline;  ///< the earlier of the caller's and the route's
 
   std::vector<std::string> offered;    ///< engines the request was offered to
+  std::int64_t tokens_out = 0;         ///< generated and handed to the caller
   bool may_have_run = false;           ///< some engine may have worked on it
   EngineExchange* exchange = nullptr;  ///< under way, for the caller's leaving
 
   net::Millis elapsed() const {
     return std::chrono::duration_cast<net::Millis>(net::Clock::now() - received_at);
   }
+  /// Time that caller and route allowed; 0 before that is known.
+  net::Millis time_given() const {
+    if (deadline == net::TimePoint{}) return net::Millis(0);
+    return std::chrono::duration_cast<net::Millis>(deadline - received_at);
+  }
   net::Millis time_left() const {
     return std::chrono::duration_cast<net::Millis>(deadline - net::Clock::now());
   }
--- a/src/serving/call_handler.cpp
+++ b/src/serving/call_handler.cpp
@@ -96,6 +96,9 @@
       .with("configuration", call.routes == nullptr ? 0 : call.routes->version())
       .with("outcome", end.outcome)
       .with("may_have_run", static_cast<int>(call.may_have_run))
+      .with("time_given_ms", call.time_given().count())
+      .with("token_budget", call.description.token_budget.value_or(0))
+      .with("tokens_out", call.tokens_out)
       .with("offers", call.offered.size())
       .with("engine", call.offered.empty() ? "" : call.offered.back())
       .with("elapsed_ms", call.elapsed().count());
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -85,7 +85,8 @@
   ended_ = true;
   const auto* service = call_.routes->service(call_.service);
   const std::int64_t per_event = service == nullptr ? 1 : std::max(1, service->tokens_per_event);
-  const auto used = std::min(events_ * per_event, reserved_);
+  call_.tokens_out = events_ * per_event;
+  const auto used = std::min(call_.tokens_out, reserved_);
   state_.turns.end(call_.description.program, start_, reserved_, used, turn);
 }
 
--- a/src/store/retrying_store.cpp
+++ b/src/store/retrying_store.cpp
@@ -77,4 +77,22 @@
   }
 }
 
+net::asio::awaitable<StoreResult> RetryingStore::transact_once(Transaction transaction,
+                                                               net::TimePoint deadline) {
+  auto tries = begin(deadline);
+  const auto sent_at = net::Clock::now();
+  auto result = co_await store_.transact(std::move(transaction), tries.time_of_try());
+  next(tries, result, sent_at);
+  co_return result;
+}
+
+net::asio::awaitable<StoreResult> RetryingStore::read_once(RangeRead range,
+                                                           net::TimePoint deadline) {
+  auto tries = begin(deadline);
+  const auto sent_at = net::Clock::now();
+  auto result = co_await store_.read(std::move(range), tries.time_of_try());
+  next(tries, result, sent_at);
+  co_return result;
+}
+
 }  // namespace sailgate::store
--- a/src/store/retrying_store.hpp
+++ b/src/store/retrying_store.hpp
@@ -22,6 +22,10 @@
   net::asio::awaitable<StoreResult> transact(Transaction transaction, net::TimePoint deadline);
   net::asio::awaitable<StoreResult> read(RangeRead range, net::TimePoint deadline);
 
+  /// One try, within the store's patience: for callers that have another way to go on.
+  net::asio::awaitable<StoreResult> transact_once(Transaction transaction, net::TimePoint deadline);
+  net::asio::awaitable<StoreResult> read_once(RangeRead range, net::TimePoint deadline);
+
   /// Time in which the store answers a call, if it does.
   net::Millis patience() const { return latency_.patience(); }
   LatencyEstimate& latency() { return latency_; }
--- a/tests/cluster/cluster_test.cpp
+++ b/tests/cluster/cluster_test.cpp
@@ -109,6 +109,16 @@
   REQUIRE(begin(first, program, 900).reservation == ReserveOutcome::kReserved);
 }
 
+TEST_CASE_METHOD(Fixture, "a budget that was found exhausted is not read again at once",
+                 "[cluster]") {
+  const auto program = program_at_second();
+  REQUIRE(begin(first, program, 1000).reservation == ReserveOutcome::kReserved);
+  REQUIRE(begin(first, program, 1).reservation == ReserveOutcome::kExhausted);
+  const int reads = table.reads();
+  REQUIRE(begin(first, program, 1).reservation == ReserveOutcome::kExhausted);
+  REQUIRE(table.reads() == reads);
+}
+
 TEST_CASE_METHOD(Fixture, "a peer that comes back anew does not disturb calls to the old one",
                  "[cluster]") {
   // A listener that accepts and never answers stands in for the old incarnation.
--- a/tests/ledger/budget_account_test.cpp
+++ b/tests/ledger/budget_account_test.cpp
@@ -13,44 +13,53 @@
 
 constexpr std::int64_t kBudget = 900;
 
-/// The row in the store, and writes whose answers were lost and that may still be done.
+/// The rows in the store, and writes whose answers were lost and that may still be done.
 struct Store {
+  struct Share {
+    wire::BudgetRow row;
+    std::int64_t version = 0;
+  };
   struct Write {
+    std::size_t share;
     std::int64_t expected;
     wire::BudgetRow row;
   };
 
-  wire::BudgetRow row;
-  std::int64_t version = 0;
-  std::deque<Write> late;
+  explicit Store(std::size_t count) : shares(count) {}
 
   bool apply(const Write& write) {
-    if (write.expected != version) return false;
-    row = write.row;
-    ++version;
+    auto& share = shares[write.share];
+    if (write.expected != share.version) return false;
+    share.row = write.row;
+    ++share.version;
     return true;
   }
+
+  std::vector<Share> shares;
+  std::deque<Write> late;
 };
 
 /// How a write to the store ends for the one who sent it.
 enum class Fate { kAnswered, kAnswerLost, kLate, kRefused };
 
-void send(Store& store, BudgetAccount& account, const wire::BudgetRow& row, Fate fate) {
-  const Store::Write write{account.version(), row};
-  if (fate == Fate::kRefused) return;
+/// @return whether the sender was told that it was done.
+bool send(Store& store, BudgetAccount& account, std::size_t index, const wire::BudgetRow& row,
+          Fate fate) {
+  const Store::Write write{index, account.version(index), row};
+  if (fate == Fate::kRefused) return false;
   if (fate == Fate::kLate) {
     store.late.push_back(write);
-    return;
+    return false;
   }
   const bool done = store.apply(write);
-  if (fate == Fate::kAnswerLost) return;
-  if (done) {
-    account.adopt(row, store.version);
-  } else if (store.version == 0) {
-    account.adopt_absent();
+  if (fate == Fate::kAnswerLost) return false;
+  const auto& share = store.shares[index];
+  if (share.version == 0) {
+    account.adopt_absent(index);
   } else {
-    account.adopt(store.row, store.version);
+    account.adopt(index, share.row, share.version);
   }
+  return done;
 }
 
 }  // namespace
@@ -58,16 +67,16 @@
 TEST_CASE("tokens are usable only after the grant is known to be durable", "[ledger]") {
   BudgetAccount account(1);
   REQUIRE_FALSE(account.reserve(100));
-  const auto row = account.plan_grant(100, kBudget);
+  const auto row = account.plan_grant(0, 100, kBudget);
   REQUIRE(row);
   REQUIRE_FALSE(account.reserve(100));
-  account.adopt(*row, 1);
+  account.adopt(0, *row, 1);
   REQUIRE(account.reserve(100));
 }
 
 TEST_CASE("a grant leaves tokens for others while the budget is ample", "[ledger]") {
   BudgetAccount account(1);
-  const auto row = account.plan_grant(100, 10'000);
+  const auto row = account.plan_grant(0, 100, 10'000);
   REQUIRE(row->granted.at(1) <= 5000);
   REQUIRE(row->granted.at(1) >= 100);
 }
@@ -76,14 +85,14 @@
   BudgetAccount account(1);
   wire::BudgetRow row;
   row.granted[2] = kBudget - 100;
-  account.adopt(row, 5);
-  REQUIRE(account.plan_grant(100, kBudget));
-  REQUIRE_FALSE(account.plan_grant(101, kBudget));
+  account.adopt(0, row, 5);
+  REQUIRE(account.plan_grant(0, 100, kBudget));
+  REQUIRE_FALSE(account.plan_grant(0, 101, kBudget));
 }
 
 TEST_CASE("what a turn did not use can be reserved again", "[ledger]") {
   BudgetAccount account(1);
-  account.adopt(*account.plan_grant(kBudget, kBudget), 1);
+  account.adopt(0, *account.plan_grant(0, kBudget, kBudget), 1);
   REQUIRE(account.reserve(kBudget));
   REQUIRE_FALSE(account.reserve(1));
   account.settle(kBudget, 300);
@@ -92,62 +101,114 @@
 
 TEST_CASE("tokens that are given back are out of use before the write", "[ledger]") {
   BudgetAccount account(1);
-  account.adopt(*account.plan_grant(400, kBudget), 1);
+  account.adopt(0, *account.plan_grant(0, 400, kBudget), 1);
   REQUIRE(account.reserve(100));
-  const auto row = account.begin_release();
+  const auto row = account.begin_release(0);
   REQUIRE(row->granted.at(1) == 100);
   REQUIRE_FALSE(account.reserve(1));
-  account.adopt(*row, 2);
+  account.adopt(0, *row, 2);
   account.settle(100, 100);
-  REQUIRE_FALSE(account.begin_release());
+  REQUIRE_FALSE(account.begin_release(0));
 }
 
 TEST_CASE("an entry that this object did not write counts as spent", "[ledger]") {
   BudgetAccount account(1);
   wire::BudgetRow row;
   row.granted[1] = 500;
-  account.adopt(row, 9);
+  account.adopt(0, row, 9);
   REQUIRE(account.available() <= 0);
-  REQUIRE_FALSE(account.plan_grant(401, kBudget));
+  REQUIRE_FALSE(account.plan_grant(0, 401, kBudget));
 }
 
 TEST_CASE("a retired account's tokens count as spent, and the rest is free", "[ledger]") {
   BudgetAccount account(1);
-  account.adopt(*account.plan_grant(400, kBudget), 1);
+  account.adopt(0, *account.plan_grant(0, 400, kBudget), 1);
   REQUIRE(account.reserve(100));
-  REQUIRE_FALSE(account.begin_retirement());
+  REQUIRE_FALSE(account.begin_retirement(0));
   account.settle(100, 60);
-  const auto row = account.begin_retirement();
+  const auto row = account.begin_retirement(0);
   REQUIRE(row);
   REQUIRE_FALSE(account.reserve(1));
   BudgetAccount again(1);
-  again.adopt(*row, 2);
+  again.adopt(0, *row, 2);
   REQUIRE(again.other_holders().empty());
-  REQUIRE(again.plan_grant(kBudget - 60, kBudget));
-  REQUIRE_FALSE(again.plan_grant(kBudget - 59, kBudget));
+  REQUIRE(again.plan_grant(0, kBudget - 60, kBudget));
+  REQUIRE_FALSE(again.plan_grant(0, kBudget - 59, kBudget));
 }
 
 TEST_CASE("a settlement that is told twice does not free tokens", "[ledger]") {
   BudgetAccount account(1);
-  account.adopt(*account.plan_grant(kBudget, kBudget), 1);
+  account.adopt(0, *account.plan_grant(0, kBudget, kBudget), 1);
   REQUIRE(account.reserve(100));
   account.settle(100, 50);
   account.settle(100, 50);
   REQUIRE(account.available() == kBudget - 100);
 }
 
+TEST_CASE("a turn may draw on both shares, and no more than the budget", "[ledger]") {
+  BudgetAccount account(1, 2);
+  const auto first = account.plan_grant(0, 600, kBudget);
+  REQUIRE(first->granted.at(1) == 450);
+  account.adopt(0, *first, 1);
+  REQUIRE_FALSE(account.reserve(600));
+  const auto second = account.plan_grant(1, 600, kBudget);
+  account.adopt(1, *second, 2);
+  REQUIRE(account.reserve(600));
+  REQUIRE(account.can_hold(300, kBudget));
+  REQUIRE_FALSE(account.can_hold(301, kBudget));
+  REQUIRE_FALSE(account.plan_grant(1, 301, kBudget));
+}
+
+TEST_CASE("shares of an odd budget add up to it", "[ledger]") {
+  constexpr std::int64_t kOdd = 901;
+  BudgetAccount account(1, 2);
+  account.adopt(0, *account.plan_grant(0, kOdd, kOdd), 1);
+  account.adopt(1, *account.plan_grant(1, kOdd, kOdd), 2);
+  REQUIRE(account.available() == kOdd);
+}
+
+TEST_CASE("what several shares hold idle is given back from each", "[ledger]") {
+  BudgetAccount account(1, 2);
+  account.adopt(0, *account.plan_grant(0, kBudget, kBudget), 1);
+  account.adopt(1, *account.plan_grant(1, kBudget, kBudget), 2);
+  REQUIRE(account.reserve(500));
+  REQUIRE_FALSE(account.begin_release(0));
+  const auto row = account.begin_release(1);
+  REQUIRE(row->granted.at(1) == 50);
+  REQUIRE_FALSE(account.reserve(1));
+}
+
+TEST_CASE("a retired account counts each token once over its shares", "[ledger]") {
+  BudgetAccount account(1, 2);
+  account.adopt(0, *account.plan_grant(0, kBudget, kBudget), 1);
+  account.adopt(1, *account.plan_grant(1, kBudget, kBudget), 2);
+  REQUIRE(account.reserve(600));
+  account.settle(600, 500);
+  const auto first = account.begin_retirement(0);
+  account.adopt(0, *first, 3);
+  const auto second = account.begin_retirement(1);
+  account.adopt(1, *second, 4);
+  BudgetAccount again(1, 2);
+  again.adopt(0, *first, 3);
+  again.adopt(1, *second, 4);
+  REQUIRE(again.can_hold(kBudget - 500, kBudget));
+  REQUIRE_FALSE(again.can_hold(kBudget - 499, kBudget));
+}
+
 TEST_CASE("holders together never spend more than the budget", "[ledger][fuzz]") {
   const bool held = rc::check("budget holds over lost, late and refused writes", [] {
-    Store store;
+    const auto count = *rc::gen::inRange<std::size_t>(1, 4);
+    Store store(count);
     std::vector<BudgetAccount> accounts;
     std::vector<std::deque<std::int64_t>> reservations(3);
     std::int64_t spent = 0;
     std::int64_t next_holder = 1;
     std::vector<std::int64_t> holders{1, 2, 3};
-    for (int i = 0; i < 3; ++i) accounts.emplace_back(next_holder++);
+    for (int i = 0; i < 3; ++i) accounts.emplace_back(next_holder++, count);
     const auto steps = *rc::gen::inRange(1, 120);
     for (int step = 0; step < steps; ++step) {
       const auto who = *rc::gen::inRange<std::size_t>(0, 3);
+      const auto share = *rc::gen::inRange<std::size_t>(0, count);
       auto& account = accounts[who];
       const auto fate =
           static_cast<Fate>(*rc::gen::weightedElement<int>({{6, 0}, {1, 1}, {1, 2}, {1, 3}}));
@@ -157,8 +218,8 @@
           const auto tokens = *rc::gen::inRange<std::int64_t>(1, 300);
           if (account.reserve(tokens)) {
             reservations[who].push_back(tokens);
-          } else if (const auto row = account.plan_grant(tokens, kBudget)) {
-            send(store, account, *row, fate);
+          } else if (const auto row = account.plan_grant(share, tokens, kBudget)) {
+            send(store, account, share, *row, fate);
           }
           break;
         }
@@ -172,7 +233,9 @@
           break;
         }
         case 3:
-          if (const auto row = account.begin_release()) send(store, account, *row, fate);
+          if (const auto row = account.begin_release(share)) {
+            send(store, account, share, *row, fate);
+          }
           break;
         case 4:
           if (!store.late.empty()) {
@@ -182,12 +245,12 @@
           break;
         case 6: {
           // The program is forgotten, and comes back to the same process.
-          const auto row = account.begin_retirement();
-          if (!row) break;
-          const auto before = account.version();
-          send(store, account, *row, fate);
-          if (account.version() > before && store.row == *row)
-            account = BudgetAccount(holders[who]);
+          bool retired = true;
+          for (std::size_t each = 0; each < count; ++each) {
+            const auto row = account.begin_retirement(each);
+            if (row) retired = send(store, account, each, *row, fate) && retired;
+          }
+          if (retired && account.idle()) account = BudgetAccount(holders[who], count);
           break;
         }
         case 5:
@@ -196,7 +259,7 @@
           for (const auto tokens : reservations[who]) spent += tokens;
           reservations[who].clear();
           holders[who] = next_holder;
-          account = BudgetAccount(next_holder++);
+          account = BudgetAccount(next_holder++, count);
           break;
       }
       std::int64_t open = 0;
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "store/row_parts.hpp"
 #include "support/memory_table.hpp"
 #include "support/run.hpp"
 
@@ -94,6 +95,33 @@
   REQUIRE(reserve(second, 400) == ReserveOutcome::kExhausted);
 }
 
+TEST_CASE_METHOD(Fixture, "a program begins while the part of its first row is out of service",
+                 "[ledger]") {
+  table.put_out_of_service({store::candidate_parts("program")[0]});
+  REQUIRE(reserve(first, 100) == ReserveOutcome::kReserved);
+  table.put_out_of_service({store::candidate_parts("program")[1]});
+  REQUIRE(reserve(second, 100) == ReserveOutcome::kReserved);
+  table.put_out_of_service({});
+  REQUIRE(reserve(second, 800) == ReserveOutcome::kExhausted);
+}
+
+TEST_CASE_METHOD(Fixture, "with a part out of service nobody says that a budget is exhausted",
+                 "[ledger]") {
+  table.put_out_of_service({store::candidate_parts("program")[0]});
+  REQUIRE(reserve(first, 901) == ReserveOutcome::kUnavailable);
+  table.put_out_of_service({});
+  REQUIRE(reserve(first, 901) == ReserveOutcome::kReserved);
+}
+
+TEST_CASE_METHOD(Fixture, "tokens of a grant whose answer was lost can be given back", "[ledger]") {
+  table.set_mode(MemoryTable::Mode::kLosesAnswers);
+  REQUIRE(reserve(first, 400, net::Millis(300)) == ReserveOutcome::kUnavailable);
+  table.set_mode(MemoryTable::Mode::kUp);
+  REQUIRE(reserve(second, 900) == ReserveOutcome::kExhausted);
+  REQUIRE(run(context, first.release("program", net::Clock::now() + net::Millis(200))));
+  REQUIRE(reserve(second, 900) == ReserveOutcome::kReserved);
+}
+
 TEST_CASE_METHOD(Fixture, "a finished turn is found by every node", "[ledger]") {
   const auto one = turn("1", nullptr);
   const auto two = turn("2", one);
