--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -28,6 +28,12 @@
   return std::chrono::duration_cast<net::Millis>(deadline - net::Clock::now());
 }
 
+/// Status by which a holder answers a call for its tokens.
+net::http::status status_of(const ledger::GiveBackResult& result) {
+  if (result.given) return net::http::status::ok;
+  return result.complete ? net::http::status::no_content : net::http::status::service_unavailable;
+}
+
 }  // namespace
 
 net::asio::awaitable<TurnStart> TurnKeeper::begin_here(TurnRequest request,
@@ -177,9 +183,7 @@
   } else if (request.target() == kReleasePath) {
     const auto message = wire::decode<wire::ReleaseBudget>(request.body());
     const auto deadline = net::Clock::now() + kReleaseTimeout;
-    if (!co_await ledger_.release(message.program, deadline)) {
-      response.result(net::http::status::service_unavailable);
-    }
+    response.result(status_of(co_await ledger_.release(message.program, deadline)));
   } else if (request.target() == kEndPath) {
     const auto message = wire::decode<wire::EndTurn>(request.body());
     if (message.reserved > 0) ledger_.settle(message.program, message.reserved, message.used);
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -25,7 +25,7 @@
 constexpr net::Millis kShortestRoundPause{20};
 constexpr net::Millis kLongestRoundPause{160};
 /// A budget that was found exhausted, holders asked, is not looked at again for this long.
-constexpr net::Millis kExhaustedMemory{300};
+constexpr net::Millis kExhaustedMemory{800};
 /// A part of the store that is silent for so long is taken to be out of service.
 constexpr net::Millis kSilenceOfPart{100};
 constexpr std::size_t kTurnCacheBytes = std::size_t{24} << 20U;
@@ -199,9 +199,11 @@
   program.account.adopt(share, wire::decode<wire::BudgetRow>(row.value), row.version);
 }
 
-net::asio::awaitable<bool> ProgramLedger::give_back_share(std::string id, ProgramPointer program,
-                                                          std::size_t share, GiveBack plan,
-                                                          net::TimePoint deadline) {
+net::asio::awaitable<GiveBackResult> ProgramLedger::give_back_share(std::string id,
+                                                                    ProgramPointer program,
+                                                                    std::size_t share,
+                                                                    GiveBack plan,
+                                                                    net::TimePoint deadline) {
   auto& account = program->account;
   auto pause = kShortestRoundPause;
   while (time_left(deadline)) {
@@ -209,31 +211,34 @@
         !account.uncertain(share) || co_await read_budget(id, program, share, deadline);
     if (known) {
       auto row = (account.*plan)(share);
-      if (!row) co_return true;
+      if (!row) co_return GiveBackResult{};
       const auto status = co_await write_budget(id, program, share, std::move(*row), deadline);
-      if (status == StoreStatus::kDone) co_return true;
+      if (status == StoreStatus::kDone) co_return GiveBackResult{true, true};
       if (status == StoreStatus::kConflict) continue;
     }
     co_await net::sleep_for(context_, pause);
     pause = std::min(pause * 2, kLongestRoundPause);
   }
-  co_return false;
+  co_return GiveBackResult{false, false};
 }
 
-net::asio::awaitable<bool> ProgramLedger::give_back(std::string id, ProgramPointer program,
-                                                    GiveBack plan, net::TimePoint deadline) {
+net::asio::awaitable<GiveBackResult> ProgramLedger::give_back(std::string id,
+                                                              ProgramPointer program, GiveBack plan,
+                                                              net::TimePoint deadline) {
   const auto guard = co_await program->mutex.lock();
-  bool all = true;
+  GiveBackResult result;
   for (const auto share : shares_by_health(id)) {
-    const bool done = co_await give_back_share(id, program, share, plan, deadline);
-    all = all && done;
+    const auto of_share = co_await give_back_share(id, program, share, plan, deadline);
+    result.given = result.given || of_share.given;
+    result.complete = result.complete && of_share.complete;
   }
-  co_return all;
+  co_return result;
 }
 
-net::asio::awaitable<bool> ProgramLedger::release(std::string id, net::TimePoint deadline) {
+net::asio::awaitable<GiveBackResult> ProgramLedger::release(std::string id,
+                                                            net::TimePoint deadline) {
   const auto entry = programs_.find(id);
-  if (entry == programs_.end()) co_return true;
+  if (entry == programs_.end()) co_return GiveBackResult{};
   auto held = entry->second;
   co_return co_await give_back(id, held, &BudgetAccount::begin_release, deadline);
 }
@@ -255,8 +260,8 @@
   std::size_t released = 0;
   for (const auto& id : ids) {
     if (!time_left(deadline)) break;
-    const bool done = co_await release(id, deadline);
-    released += done ? 1 : 0;
+    const auto result = co_await release(id, deadline);
+    released += result.complete ? 1 : 0;
   }
   log_.event("tokens_released").with("programs", ids.size()).with("done", released);
 }
@@ -265,11 +270,11 @@
   auto held = programs_.at(id);
   const auto last_used = held->last_used;
   const auto deadline = net::Clock::now() + kForgetTime;
-  const bool done = co_await give_back(id, held, &BudgetAccount::begin_retirement, deadline);
+  const auto result = co_await give_back(id, held, &BudgetAccount::begin_retirement, deadline);
   held->leaving = false;
   // NOTE: a turn may have come meanwhile; its account goes on with what the row says.
   const bool unused = held->last_used == last_used && held->account.idle();
-  if (done && unused) programs_.erase(id);
+  if (result.complete && unused) programs_.erase(id);
 }
 
 void ProgramLedger::forget_idle(net::TimePoint now) {
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -26,6 +26,12 @@
 
 enum class LookupOutcome { kFound, kAbsent, kUnavailable };
 
+/// How giving tokens back ended.
+struct GiveBackResult {
+  bool given = false;    ///< the store has some tokens back
+  bool complete = true;  ///< nothing that was to be given is left
+};
+
 struct Lookup {
   LookupOutcome outcome = LookupOutcome::kUnavailable;
   TurnPointer turn;
@@ -51,8 +57,8 @@
   /// Time in which the store answers a call, if it does.
   net::Millis store_patience() const { return store_.patience(); }
 
-  /// Gives back tokens of the program that no turn uses. @return whether the store has it so.
-  net::asio::awaitable<bool> release(std::string program, net::TimePoint deadline);
+  /// Gives back tokens of the program that no turn uses.
+  net::asio::awaitable<GiveBackResult> release(std::string program, net::TimePoint deadline);
   /// Gives back the unused tokens of all programs, those used last first, as far as the time goes:
   /// this process stops.
   net::asio::awaitable<void> release_all(net::TimePoint deadline);
@@ -106,9 +112,9 @@
   std::vector<std::size_t> shares_by_health(const std::string& program) const;
 
   ProgramPointer program(const std::string& id);
-  /// Writes what `plan` gives until that holds. @return whether the store has it so.
-  net::asio::awaitable<bool> give_back(std::string id, ProgramPointer program, GiveBack plan,
-                                       net::TimePoint deadline);
+  /// Writes what `plan` gives for each share until that holds.
+  net::asio::awaitable<GiveBackResult> give_back(std::string id, ProgramPointer program,
+                                                 GiveBack plan, net::TimePoint deadline);
   net::asio::awaitable<ReserveOutcome> raise_grant(std::string id, ProgramPointer program,
                                                    TokenDemand demand);
   /// Raises the grant in one share after the other until the turn is held.
@@ -124,9 +130,9 @@
                                                         net::TimePoint deadline);
   net::asio::awaitable<bool> read_budget(std::string id, ProgramPointer program, std::size_t share,
                                          net::TimePoint deadline);
-  net::asio::awaitable<bool> give_back_share(std::string id, ProgramPointer program,
-                                             std::size_t share, GiveBack plan,
-                                             net::TimePoint deadline);
+  net::asio::awaitable<GiveBackResult> give_back_share(std::string id, ProgramPointer program,
+                                                       std::size_t share, GiveBack plan,
+                                                       net::TimePoint deadline);
   void log_exhausted(const std::string& id, const BudgetAccount& account,
                      const TokenDemand& demand);
   net::asio::awaitable<void> forget(std::string id);
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -65,7 +65,7 @@
   REQUIRE(reserve(first, 900) == ReserveOutcome::kReserved);
   REQUIRE(reserve(second, 200) == ReserveOutcome::kExhausted);
   first.settle("program", 900, 100);
-  REQUIRE(run(context, first.release("program", net::Clock::now() + net::Millis(200))));
+  REQUIRE(run(context, first.release("program", net::Clock::now() + net::Millis(200))).given);
   REQUIRE(reserve(second, 200) == ReserveOutcome::kReserved);
 }
 
@@ -118,10 +118,17 @@
   REQUIRE(reserve(first, 400, net::Millis(300)) == ReserveOutcome::kUnavailable);
   table.set_mode(MemoryTable::Mode::kUp);
   REQUIRE(reserve(second, 900) == ReserveOutcome::kExhausted);
-  REQUIRE(run(context, first.release("program", net::Clock::now() + net::Millis(200))));
+  REQUIRE(run(context, first.release("program", net::Clock::now() + net::Millis(200))).given);
   REQUIRE(reserve(second, 900) == ReserveOutcome::kReserved);
 }
 
+TEST_CASE_METHOD(Fixture, "a holder without idle tokens says so", "[ledger]") {
+  REQUIRE(reserve(first, 1000) == ReserveOutcome::kReserved);
+  const auto result = run(context, first.release("program", net::Clock::now() + net::Millis(200)));
+  REQUIRE_FALSE(result.given);
+  REQUIRE(result.complete);
+}
+
 TEST_CASE_METHOD(Fixture, "a finished turn is found by every node", "[ledger]") {
   const auto one = turn("1", nullptr);
   const auto two = turn("2", one);
