Grants of a quarter of what is left, four turns at most

Ruled out: telling less than 402 (the row cannot know what a lost holder used). Offers tell whether their connection was kept.

--- a/src/ledger/budget_account.cpp
+++ b/src/ledger/budget_account.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 /// A grant takes up to this share of what is left: tokens of a holder that dies are lost.
-constexpr std::int64_t kGrantDivisor = 2;
+constexpr std::int64_t kGrantDivisor = 4;
 /// Holder of tokens that were spent by processes that have forgotten the program.
 constexpr std::int64_t kNobody = 0;
 /// A grant covers at most this many turns like the one that asked.
-constexpr std::int64_t kGrantTurns = 8;
+constexpr std::int64_t kGrantTurns = 4;
 
 }  // namespace
 
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -98,12 +98,14 @@
   return balancing::select_engine(state_.engines, query);
 }
 
-void Dispatcher::log_offer(const Call& call, const balancing::Engine& engine, const char* outcome) {
+void Dispatcher::log_offer(const Call& call, const EngineExchange& exchange, const char* outcome) {
+  const auto& engine = exchange.engine();
   state_.log.event("offer")
       .with("id", call.description.request_id)
       .with("engine", engine.record.id)
       .with("in_flight", engine.in_flight)
       .with("slots", engine.record.slots)
+      .with("kept_connection", static_cast<int>(exchange.on_kept_connection()))
       .with("outcome", outcome)
       .with("elapsed_ms", call.elapsed().count());
 }
@@ -162,24 +164,24 @@
   const auto outcome = co_await exchange.open(request, call.description.request_id);
   const bool answered = outcome == OpenOutcome::kAnswered;
   if (answered && exchange.facts().not_run) {
-    log_offer(call, *engine, "refused");
+    log_offer(call, exchange, "refused");
     co_await finish_refusal(exchange);
     result.end = OfferEnd::kRefused;
   } else if (answered && is_acceptable(exchange)) {
-    log_offer(call, *engine, "answered");
+    log_offer(call, exchange, "answered");
     result.end = OfferEnd::kAnswered;
   } else if (outcome == OpenOutcome::kNotSent) {
-    log_offer(call, *engine, "not_sent");
+    log_offer(call, exchange, "not_sent");
     note_failure(state_, *engine, "connect");
     result.end = OfferEnd::kNotSent;
   } else if (outcome == OpenOutcome::kAborted) {
     result.end = OfferEnd::kAborted;
   } else if (outcome == OpenOutcome::kTimedOut) {
-    log_offer(call, *engine, "timed_out");
+    log_offer(call, exchange, "timed_out");
     result.end = OfferEnd::kTimedOut;
   } else {
     log_broken(call, exchange, outcome);
-    log_offer(call, *engine, "broken");
+    log_offer(call, exchange, "broken");
     note_failure(state_, *engine, "broken");
     result.end = OfferEnd::kBroken;
   }
--- a/src/serving/dispatcher.hpp
+++ b/src/serving/dispatcher.hpp
@@ -54,7 +54,7 @@
                                                          const std::string& last_event_id) const;
   balancing::EnginePointer select(const Call& call);
   void note_refusal(EngineExchange& exchange);
-  void log_offer(const Call& call, const balancing::Engine& engine, const char* outcome);
+  void log_offer(const Call& call, const EngineExchange& exchange, const char* outcome);
 
   NodeState& state_;
 };
--- a/src/serving/engine_exchange.hpp
+++ b/src/serving/engine_exchange.hpp
@@ -52,6 +52,7 @@
   const net::http::response_header<>& head() const { return parser_->get().base(); }
   const AnswerFacts& facts() const { return facts_; }
   balancing::Engine& engine() { return *engine_; }
+  const balancing::Engine& engine() const { return *engine_; }
   /// What ended the last operation that failed, for the log.
   const std::string& failure() const { return failure_; }
   bool on_kept_connection() const { return connection_ != nullptr && connection_->reused; }
