The test of a lost grant fills the budget to its last token

It now takes all 600 that are left and then fails for one more: as strict on doubling, stricter on loss.

--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -81,7 +81,7 @@
   REQUIRE(reserve(first, 400, net::Millis(60)) == ReserveOutcome::kUnavailable);
   table.set_mode(MemoryTable::Mode::kUp);
   REQUIRE(reserve(first, 400) == ReserveOutcome::kReserved);
-  REQUIRE(reserve(second, 500) == ReserveOutcome::kReserved);
+  REQUIRE(reserve(second, 600) == ReserveOutcome::kReserved);
   REQUIRE(reserve(second, 1) == ReserveOutcome::kExhausted);
 }
 
