--- a/apps/sailgate_standin/table_service.cpp
+++ b/apps/sailgate_standin/table_service.cpp
@@ -15,7 +15,9 @@
 constexpr int kUnavailable = 503;
 constexpr std::int64_t kHundred = 100;
 
-http::HttpResponse answer_of(const store::StoreResult& result) {
+http::HttpResponse answer_of(store::StoreResult result) {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  result.now_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
   return json_answer(static_cast<int>(platform::status_of(result.status)),
                      platform::encode_result(result));
 }
--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -70,6 +70,8 @@
   2: list<StoreRow> rows
   3: i64 version
   4: bool more
+  /** The store's steady clock; 0: not told. */
+  5: i64 now_ms
 }
 
 /** How a look-up or reservation ended; the values of ledger::LookupOutcome and ReserveOutcome. */
--- a/idl/ledger.thrift
+++ b/idl/ledger.thrift
@@ -7,6 +7,8 @@
   2: binary input
   /** The data of each event of the answer, each followed by a line feed. */
   3: binary output
+  /** When the turn's own row expires, by the store's clock in milliseconds; 0: not known. */
+  4: i64 row_expires_at
 }
 
 /**
--- a/src/cluster/store_relay.cpp
+++ b/src/cluster/store_relay.cpp
@@ -65,6 +65,7 @@
   for (const auto& row : result.rows) message.rows.push_back(to_wire(row));
   message.version = result.version;
   message.more = result.more;
+  message.now_ms = result.now_ms;
   return message;
 }
 
@@ -74,6 +75,7 @@
   for (const auto& row : message.rows) result.rows.push_back(from_wire(row));
   result.version = message.version;
   result.more = message.more;
+  result.now_ms = message.now_ms;
   return result;
 }
 
@@ -112,8 +114,9 @@
 
 }  // namespace
 
-void StoreRelay::note_direct(StoreStatus status) {
-  note_end(status);
+void StoreRelay::note_direct(const StoreResult& result) {
+  const auto status = result.status;
+  note_end(result);
   failures_in_a_row_ = failed(status) ? failures_in_a_row_ + 1 : 0;
   const bool works = failures_in_a_row_ < kFailuresToRelay;
   if (works == direct_works_) return;
@@ -121,8 +124,10 @@
   log_.event(works ? "store_direct" : "store_relayed").with("peers", directory_.peers().size());
 }
 
-void StoreRelay::note_end(StoreStatus status) {
-  reachability_.note(!failed(status), net::Clock::now());
+void StoreRelay::note_end(const StoreResult& result) {
+  const auto now = net::Clock::now();
+  reachability_.note(!failed(result.status), now);
+  clock_.observe(result.now_ms, now);
 }
 
 net::Millis StoreRelay::probe_interval() const {
@@ -136,7 +141,7 @@
   range.part = std::to_string(probes_++ % kProbedParts);
   range.limit = 1;
   const auto result = co_await direct_.read(std::move(range), kProbeTimeout);
-  note_direct(result.status);
+  note_direct(result);
 }
 
 net::asio::awaitable<void> StoreRelay::keep_probing() {
@@ -173,7 +178,7 @@
                                                                      : StoreStatus::kUnknown;
   if (!succeeded(exchange)) {
     directory_.suspect(peer.node, net::Clock::now());
-    note_end(result.status);
+    note_end(result);
     co_return result;
   }
   try {
@@ -181,7 +186,7 @@
   } catch (const std::exception&) {
     result.status = StoreStatus::kUnknown;
   }
-  note_end(result.status);
+  note_end(result);
   co_return result;
 }
 
@@ -192,7 +197,7 @@
     co_return co_await relayed(*peer, kTransactPath, std::move(body), timeout);
   }
   auto result = co_await direct_.transact(std::move(transaction), timeout);
-  note_direct(result.status);
+  note_direct(result);
   co_return result;
 }
 
@@ -209,7 +214,7 @@
     co_return co_await relayed(*peer, kReadPath, std::move(body), timeout);
   }
   auto result = co_await direct_.read(std::move(range), timeout);
-  note_direct(result.status);
+  note_direct(result);
   co_return result;
 }
 
@@ -228,7 +233,7 @@
   const auto direct_wait = direct_works_ ? wait : std::min(wait, kRelayedWait);
   const auto direct_timeout = direct_works_ ? timeout : kRelayedWait * 2;
   auto result = co_await direct_.follow(std::move(table), after, direct_wait, direct_timeout);
-  note_direct(result.status);
+  note_direct(result);
   co_return result;
 }
 
--- a/src/cluster/store_relay.hpp
+++ b/src/cluster/store_relay.hpp
@@ -12,6 +12,7 @@
 #include "cluster_types.h"
 #include "observe/structured_log.hpp"
 #include "store/reachability.hpp"
+#include "store/store_clock.hpp"
 #include "store/table_store.hpp"
 
 namespace sailgate::cluster {
@@ -48,14 +49,15 @@
 
   /// Whether this node's own calls are answered, for its beacon.
   bool direct_works() const { return direct_works_; }
+  const store::StoreClock& clock() const { return clock_; }
   void set_silence_limit(net::Millis limit) { silence_limit_ = limit; }
 
  private:
   /// A peer to go through now; nullopt: the call is made directly.
   std::optional<Peer> relay_for_now();
   /// Notes how a direct call ended.
-  void note_direct(store::StoreStatus status);
-  void note_end(store::StoreStatus status);
+  void note_direct(const store::StoreResult& result);
+  void note_end(const store::StoreResult& result);
   net::asio::awaitable<void> probe();
   net::Millis probe_interval() const;
   net::asio::awaitable<store::StoreResult> relayed(Peer peer, const char* path, std::string body,
@@ -71,6 +73,7 @@
   int failures_in_a_row_ = 0;
   bool direct_works_ = true;
   store::Reachability reachability_;
+  store::StoreClock clock_;
   std::uint64_t probes_ = 0;
 };
 
--- a/src/ledger/budget_account.cpp
+++ b/src/ledger/budget_account.cpp
@@ -101,6 +101,12 @@
   return row;
 }
 
+std::optional<wire::BudgetRow> BudgetAccount::unchanged(std::size_t share) {
+  const auto& row = shares_[share].row;
+  if (row.granted.count(holder_) == 0) return std::nullopt;
+  return row;
+}
+
 std::vector<std::int64_t> BudgetAccount::other_holders() const {
   std::set<std::int64_t> holders;
   for (const auto& share : shares_) {
--- a/src/ledger/budget_account.hpp
+++ b/src/ledger/budget_account.hpp
@@ -50,6 +50,8 @@
   /// particular. When all shares have it so, this object can be dropped. Nothing can be reserved
   /// meanwhile. nullopt while a turn is under way, or when there is nothing to write.
   std::optional<wire::BudgetRow> begin_retirement(std::size_t share);
+  /// Row of a share as it is known; nullopt when it has no entry of this holder.
+  std::optional<wire::BudgetRow> unchanged(std::size_t share);
   /// Holders, other than this one, that have tokens granted.
   std::vector<std::int64_t> other_holders() const;
 
--- /dev/null
+++ b/src/ledger/expiry_sweeper.cpp
@@ -0,0 +1,113 @@
+#include "ledger/expiry_sweeper.hpp"
+
+#include <algorithm>
+
+#include "store/row_parts.hpp"
+
+namespace sailgate::ledger {
+
+namespace {
+
+using store::StoreStatus;
+
+/// Nothing expires sooner after a start.
+constexpr net::Millis kFirstLook{180'000};
+/// All nodes together look at every part once in this time.
+constexpr net::Millis kCycle{60'000};
+/// Rows are kept this much longer than their time: clocks are estimates.
+constexpr std::int64_t kMarginMs = 10'000;
+constexpr net::Millis kCallTimeout{700};
+/// A transaction holds 100 entries; each row takes three.
+constexpr int kRowsAtOnce = 32;
+
+store::RowId row_of(const store::Row& entry, const ExpiryEntry& decoded) {
+  return {decoded.table, entry.id.part, decoded.key};
+}
+
+bool same(const store::RowId& one, const store::RowId& other) {
+  return one.table == other.table && one.part == other.part && one.key == other.key;
+}
+
+}  // namespace
+
+ExpirySweeper::Batch ExpirySweeper::plan(const std::vector<store::Row>& entries) {
+  Batch batch;
+  for (const auto& entry : entries) {
+    batch.transaction.removals.push_back(entry.id);
+    const auto decoded = decode_expiry_key(entry.id.key);
+    if (!decoded) continue;
+    const auto row = row_of(entry, *decoded);
+    batch.transaction.conditions.push_back({row, entry.version});
+    batch.transaction.removals.push_back(row);
+    ++batch.rows;
+  }
+  return batch;
+}
+
+ExpirySweeper::Batch ExpirySweeper::plan_again(const std::vector<store::Row>& entries,
+                                               const std::vector<store::Row>& as_they_are) {
+  Batch batch;
+  for (const auto& entry : entries) {
+    batch.transaction.removals.push_back(entry.id);
+    const auto decoded = decode_expiry_key(entry.id.key);
+    if (!decoded) continue;
+    const auto row = row_of(entry, *decoded);
+    const bool unchanged = std::any_of(
+        as_they_are.begin(), as_they_are.end(),
+        [&](const store::Row& now) { return same(now.id, row) && now.version == entry.version; });
+    if (!unchanged) continue;
+    batch.transaction.conditions.push_back({row, entry.version});
+    batch.transaction.removals.push_back(row);
+    ++batch.rows;
+  }
+  return batch;
+}
+
+net::asio::awaitable<std::optional<std::size_t>> ExpirySweeper::remove(
+    std::vector<store::Row> entries) {
+  auto batch = plan(entries);
+  auto result = co_await store_.transact(std::move(batch.transaction), kCallTimeout);
+  if (result.status == StoreStatus::kConflict) {
+    batch = plan_again(entries, result.rows);
+    result = co_await store_.transact(std::move(batch.transaction), kCallTimeout);
+  }
+  if (result.status != StoreStatus::kDone) co_return std::nullopt;
+  co_return batch.rows;
+}
+
+net::asio::awaitable<std::size_t> ExpirySweeper::sweep_part(std::string part) {
+  std::size_t removed = 0;
+  bool more = true;
+  while (more) {
+    const auto now = clock_.now(net::Clock::now());
+    if (!now) break;
+    store::RangeRead range;
+    range.table = kExpiryTable;
+    range.part = part;
+    range.to_key = first_expiry_key(*now - kMarginMs);
+    range.limit = kRowsAtOnce;
+    auto page = co_await store_.read(std::move(range), kCallTimeout);
+    if (page.status != StoreStatus::kDone || page.rows.empty()) break;
+    more = page.more;
+    const auto done = co_await remove(std::move(page.rows));
+    if (!done) break;
+    removed += *done;
+  }
+  if (removed > 0) log_.event("rows_expired").with("part", part).with("rows", removed);
+  co_return removed;
+}
+
+net::Millis ExpirySweeper::pause() const {
+  return kCycle * static_cast<std::int64_t>(nodes_()) /
+         static_cast<std::int64_t>(store::part_count());
+}
+
+net::asio::awaitable<void> ExpirySweeper::run() {
+  co_await net::sleep_for(context_, kFirstLook);
+  while (true) {
+    co_await net::sleep_for(context_, pause());
+    co_await sweep_part(store::part_name(random_.below(store::part_count())));
+  }
+}
+
+}  // namespace sailgate::ledger
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "ledger/expiry_index.hpp"
 #include "ledger/turn_row.hpp"
 #include "store/row_parts.hpp"
 #include "wire/codec.hpp"
@@ -24,6 +25,10 @@
 /// Pause between two rounds over the shares of a budget none of which could be drawn on.
 constexpr net::Millis kShortestRoundPause{20};
 constexpr net::Millis kLongestRoundPause{160};
+/// A budget that nobody wrote for so long belongs to a program that has ended.
+constexpr net::Millis kBudgetLife{std::chrono::hours(2)};
+/// Budgets that are held are written again at least this often.
+constexpr net::Millis kBudgetTouch{std::chrono::minutes(30)};
 /// A budget that was found exhausted, holders asked, is not looked at again for this long.
 constexpr net::Millis kExhaustedMemory{800};
 /// A part of the store that is silent for so long is taken to be out of service.
@@ -39,10 +44,12 @@
 }  // namespace
 
 ProgramLedger::ProgramLedger(net::asio::io_context& context, store::TableStore& store,
-                             observe::StructuredLog& log, std::int64_t holder)
+                             const store::StoreClock& clock, observe::StructuredLog& log,
+                             std::int64_t holder)
     : context_(context),
       store_(context, store, static_cast<std::uint64_t>(holder)),
       turn_rows_(context, store, store_.latency(), static_cast<std::uint64_t>(holder)),
+      clock_(clock),
       log_(log),
       holder_(holder),
       turns_(kTurnCacheBytes) {}
@@ -162,12 +169,19 @@
   put.id = row_id;
   put.value = wire::encode(row);
   transaction.puts.push_back(std::move(put));
+  if (const auto now = clock_.now(net::Clock::now())) {
+    transaction.puts.push_back(
+        expiry_row(row_id.part, {*now + kBudgetLife.count(), kBudgetTable, id}));
+  }
   auto result = co_await store_.transact_once(std::move(transaction), deadline);
   const bool done = result.status == StoreStatus::kDone;
   const bool conflict = result.status == StoreStatus::kConflict;
   if (result.status == StoreStatus::kUnknown) program->account.note_unanswered(share);
   if (done || conflict) budget_parts_.note(row_id.part, true, net::Clock::now());
-  if (done) program->account.adopt(share, std::move(row), result.version);
+  if (done) {
+    program->account.adopt(share, std::move(row), result.version);
+    program->last_written = net::Clock::now();
+  }
   if (conflict) adopt_rows(*program, share, result);
   co_return result.status;
 }
@@ -277,15 +291,26 @@
   if (result.complete && unused) programs_.erase(id);
 }
 
+net::asio::awaitable<void> ProgramLedger::touch(std::string id) {
+  auto held = programs_.at(id);
+  co_await give_back(id, held, &BudgetAccount::unchanged, net::Clock::now() + kForgetTime);
+}
+
 void ProgramLedger::forget_idle(net::TimePoint now) {
   if (now < next_forgetting_) return;
   next_forgetting_ = now + kForgetInterval;
   std::size_t begun = 0;
   for (const auto& [id, program] : programs_) {
     const bool idle = now >= program->last_used + kIdleTime && program->account.idle();
-    if (!idle || program->leaving) continue;
-    program->leaving = true;
-    net::asio::co_spawn(context_, forget(id), net::asio::detached);
+    const bool aging = now >= program->last_written + kBudgetTouch;
+    if (program->leaving || (!idle && !aging)) continue;
+    if (idle) {
+      program->leaving = true;
+      net::asio::co_spawn(context_, forget(id), net::asio::detached);
+    } else {
+      program->last_written = now;
+      net::asio::co_spawn(context_, touch(id), net::asio::detached);
+    }
     if (++begun == kForgottenAtOnce) return;
   }
 }
@@ -341,16 +366,43 @@
           Turn{segment.turn, segment.input, segment.output, std::move(last)});
       turns_.put(cached);
     }
+    cached->row_expires_at = std::max(cached->row_expires_at, segment.row_expires_at);
     last = std::move(cached);
   }
   return last;
 }
 
-net::asio::awaitable<bool> ProgramLedger::record_turn(TurnPointer turn, net::TimePoint deadline) {
+net::asio::awaitable<bool> ProgramLedger::store_row(TurnPointer turn, net::Millis retention,
+                                                    net::TimePoint deadline) {
+  std::vector<store::Row> companions;
+  if (const auto now = clock_.now(net::Clock::now())) {
+    // Twice the time that is owed: the row is seldom written again for the turns that follow.
+    turn->row_expires_at = *now + 2 * retention.count();
+    companions.push_back(expiry_row("", {turn->row_expires_at, kTurnTable, turn->id}));
+  }
   auto value = wire::encode(encode_turn(*turn));
-  if (!co_await turn_rows_.put(kTurnTable, turn->id, std::move(value), deadline)) co_return false;
-  turns_.put(turn);
+  co_return co_await turn_rows_.put(kTurnTable, turn->id, std::move(value), std::move(companions),
+                                    deadline);
+}
+
+net::asio::awaitable<bool> ProgramLedger::extend_chain(TurnPointer turn, net::Millis retention,
+                                                       net::TimePoint deadline) {
+  const auto now = clock_.now(net::Clock::now());
+  if (!now) co_return true;
+  for (auto row = first_outside_row(*turn); row != nullptr; row = first_outside_row(*row)) {
+    if (row->row_expires_at >= *now + retention.count()) continue;
+    const bool extended = co_await store_row(row, retention, deadline);
+    if (!extended) co_return false;
+  }
   co_return true;
 }
 
+net::asio::awaitable<bool> ProgramLedger::record_turn(TurnPointer turn, net::Millis retention,
+                                                      net::TimePoint deadline) {
+  bool durable = co_await extend_chain(turn, retention, deadline);
+  if (durable) durable = co_await store_row(turn, retention, deadline);
+  if (durable) turns_.put(turn);
+  co_return durable;
+}
+
 }  // namespace sailgate::ledger
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -14,6 +14,7 @@
 #include "observe/structured_log.hpp"
 #include "store/part_health.hpp"
 #include "store/retrying_store.hpp"
+#include "store/store_clock.hpp"
 #include "store/unchanging_rows.hpp"
 
 namespace sailgate::ledger {
@@ -42,7 +43,7 @@
  public:
   /// @param holder identifies this process among all that ever ran.
   ProgramLedger(net::asio::io_context& context, store::TableStore& store,
-                observe::StructuredLog& log, std::int64_t holder);
+                const store::StoreClock& clock, observe::StructuredLog& log, std::int64_t holder);
 
   /// Sets `tokens` of the program's budget aside for one turn.
   net::asio::awaitable<ReserveOutcome> reserve(std::string program, std::int64_t tokens,
@@ -62,7 +63,8 @@
   /// Gives back the unused tokens of all programs, those used last first, as far as the time goes:
   /// this process stops.
   net::asio::awaitable<void> release_all(net::TimePoint deadline);
-  /// Gives back the tokens of programs that were not used for long, and forgets them.
+  /// Gives back the tokens of programs that were not used for long, and forgets them; keeps the
+  /// rows of the others from expiring.
   void forget_idle(net::TimePoint now);
   /// Programs in memory.
   std::size_t programs() const { return programs_.size(); }
@@ -77,8 +79,10 @@
   /// @return the last one. @throws std::invalid_argument when there are no segments.
   TurnPointer remember_chain(const wire::TurnRow& row, TurnPointer earlier);
 
-  /// Makes a finished turn durable. @return whether it is.
-  net::asio::awaitable<bool> record_turn(TurnPointer turn, net::TimePoint deadline);
+  /// Makes a finished turn durable, with its chain, for at least `retention`. @return whether it
+  /// is.
+  net::asio::awaitable<bool> record_turn(TurnPointer turn, net::Millis retention,
+                                         net::TimePoint deadline);
 
  private:
   /// Rows that a budget is split into, each in a part of its own.
@@ -98,7 +102,8 @@
     BudgetAccount account;
     net::AsyncMutex mutex;  ///< one write of the budget's rows at a time
     net::TimePoint last_used{};
-    bool leaving = false;  ///< being forgotten
+    net::TimePoint last_written = net::Clock::now();  ///< some row of the budget
+    bool leaving = false;                             ///< being forgotten
     std::int64_t exhausted_tokens = 0;
     net::TimePoint exhausted_until{};
   };
@@ -136,13 +141,22 @@
   void log_exhausted(const std::string& id, const BudgetAccount& account,
                      const TokenDemand& demand);
   net::asio::awaitable<void> forget(std::string id);
+  /// Writes the rows of a budget as they are, so that they do not expire.
+  net::asio::awaitable<void> touch(std::string id);
   /// Programs with unused tokens, those used last first.
   std::vector<std::string> holding_by_use() const;
+  /// Writes again the rows that a turn's chain refers to where they would expire too soon.
+  net::asio::awaitable<bool> extend_chain(TurnPointer turn, net::Millis retention,
+                                          net::TimePoint deadline);
+  /// Writes a turn's own row.
+  net::asio::awaitable<bool> store_row(TurnPointer turn, net::Millis retention,
+                                       net::TimePoint deadline);
   static void adopt_rows(Program& program, std::size_t share, const store::StoreResult& result);
 
   net::asio::io_context& context_;
   store::RetryingStore store_;
   store::UnchangingRows turn_rows_;
+  const store::StoreClock& clock_;
   store::PartHealth budget_parts_;
   observe::StructuredLog& log_;
   std::int64_t holder_;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -107,6 +107,7 @@
   net::asio::co_spawn(context_, register_self(), net::asio::detached);
   net::asio::co_spawn(context_, state_.store.keep_probing(), net::asio::detached);
   net::asio::co_spawn(context_, maintain(), net::asio::detached);
+  net::asio::co_spawn(context_, state_.sweeper.run(), net::asio::detached);
 }
 
 net::asio::awaitable<void> Gateway::register_self() {
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -11,6 +11,7 @@
 #include "cluster/peer_directory.hpp"
 #include "cluster/store_relay.hpp"
 #include "cluster/turn_keeper.hpp"
+#include "ledger/expiry_sweeper.hpp"
 #include "ledger/program_ledger.hpp"
 #include "observe/structured_log.hpp"
 #include "routing/route_table.hpp"
@@ -35,9 +36,12 @@
         peer_clients(loop),
         store(loop, table_store, peers, peer_clients, structured_log,
               static_cast<std::uint64_t>(incarnation)),
-        ledger(loop, store, structured_log, incarnation),
+        ledger(loop, store, store.clock(), structured_log, incarnation),
         beacons(loop, settings.peers, peers, [this, incarnation] { return beacon(incarnation); }),
         turns(loop, ledger, peers, peer_clients, beacons, structured_log),
+        sweeper(
+            loop, store, store.clock(), structured_log, [this] { return peers.peers().size() + 1; },
+            static_cast<std::uint64_t>(incarnation)),
         random(static_cast<std::uint64_t>(incarnation)) {}
 
   /// What this node tells its peers.
@@ -71,6 +75,7 @@
   ledger::ProgramLedger ledger;
   cluster::BeaconSender beacons;
   cluster::TurnKeeper turns;
+  ledger::ExpirySweeper sweeper;
   GatewayMetrics metrics;
   base::Random random;
   bool stopping = false;
--- a/src/store/row_parts.cpp
+++ b/src/store/row_parts.cpp
@@ -19,12 +19,16 @@
 
 }  // namespace
 
-std::string part_of(const std::string& key) { return std::to_string(first_part(key)); }
+std::uint64_t part_count() { return kParts; }
+
+std::string part_name(std::uint64_t index) { return std::to_string(index); }
+
+std::string part_of(const std::string& key) { return part_name(first_part(key)); }
 
 std::vector<std::string> candidate_parts(const std::string& key) {
   std::vector<std::string> parts;
   for (std::uint64_t i = 0; i < kCandidates; ++i) {
-    parts.push_back(std::to_string((first_part(key) + i * (kParts / kCandidates)) % kParts));
+    parts.push_back(part_name((first_part(key) + i * (kParts / kCandidates)) % kParts));
   }
   return parts;
 }
--- a/src/store/table_store.hpp
+++ b/src/store/table_store.hpp
@@ -49,6 +49,7 @@
   std::vector<Row> rows;     ///< what was read; on kConflict the condition rows as they are
   std::int64_t version = 0;  ///< newest version the store had
   bool more = false;         ///< reads: rows beyond these exist
+  std::int64_t now_ms = 0;   ///< the store's steady clock; 0: not told
 };
 
 /// Range of keys in one part of a table.
--- a/src/store/unchanging_rows.cpp
+++ b/src/store/unchanging_rows.cpp
@@ -50,7 +50,8 @@
 }
 
 net::asio::awaitable<bool> UnchangingRows::put(std::string table, std::string key,
-                                               std::string value, net::TimePoint deadline) {
+                                               std::string value, std::vector<Row> companions,
+                                               net::TimePoint deadline) {
   auto pace = begin(deadline);
   do {
     const auto parts = health_.order(candidate_parts(key), net::Clock::now());
@@ -60,6 +61,10 @@
       row.value = value;
       Transaction transaction;
       transaction.puts.push_back(std::move(row));
+      for (auto companion : companions) {
+        companion.id.part = part;
+        transaction.puts.push_back(std::move(companion));
+      }
       const auto sent_at = net::Clock::now();
       const auto result = co_await store_.transact(std::move(transaction), time_of_try(pace));
       if (result.status == StoreStatus::kDone) {
--- a/src/store/unchanging_rows.hpp
+++ b/src/store/unchanging_rows.hpp
@@ -32,8 +32,9 @@
 
   /// Writes a row to the first candidate part that takes it. One try is made even when the deadline
   /// is over. @return whether the store has it.
+  /// @param companions rows that are written in the same transaction, in the part that is chosen.
   net::asio::awaitable<bool> put(std::string table, std::string key, std::string value,
-                                 net::TimePoint deadline);
+                                 std::vector<Row> companions, net::TimePoint deadline);
   /// Absent is said only when every candidate part was read.
   net::asio::awaitable<RowFound> find(std::string table, std::string key, net::TimePoint deadline);
 
--- a/tests/cluster/cluster_test.cpp
+++ b/tests/cluster/cluster_test.cpp
@@ -181,7 +181,7 @@
   REQUIRE(cut_off.state().routes->version() == 3);
   const auto turn = std::make_shared<const ledger::Turn>(ledger::Turn{"t1", "in", "out", nullptr});
   cut_off.state().peers.on_beacon(beacon, net::Clock::now());
-  REQUIRE(run(context,
-              cut_off.state().ledger.record_turn(turn, net::Clock::now() + net::Millis(2000))));
+  REQUIRE(run(context, cut_off.state().ledger.record_turn(turn, net::Millis(60'000),
+                                                          net::Clock::now() + net::Millis(2000))));
   REQUIRE(table.has("turns", "t1"));
 }
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -19,13 +19,15 @@
 namespace {
 
 constexpr std::int64_t kBudget = 1000;
+constexpr net::Millis kRetention{60'000};
 
 struct Fixture {
   net::asio::io_context context;
   observe::StructuredLog log{::open("/dev/null", O_WRONLY)};
   MemoryTable table{context};
-  ProgramLedger first{context, table, log, 1};
-  ProgramLedger second{context, table, log, 2};
+  store::StoreClock clock;
+  ProgramLedger first{context, table, clock, log, 1};
+  ProgramLedger second{context, table, clock, log, 2};
 
   ReserveOutcome reserve(ProgramLedger& ledger, std::int64_t tokens,
                          net::Millis time = net::Millis(200)) {
@@ -37,7 +39,7 @@
   }
   bool record(ProgramLedger& ledger, ledger::TurnPointer turn,
               net::Millis time = net::Millis(200)) {
-    return run(context, ledger.record_turn(std::move(turn), net::Clock::now() + time));
+    return run(context, ledger.record_turn(std::move(turn), kRetention, net::Clock::now() + time));
   }
 };
 
--- a/tests/serving/stream_call_test.cpp
+++ b/tests/serving/stream_call_test.cpp
@@ -218,7 +218,8 @@
   start();
   engine.set_script([](const auto& request) { return events(request, 1, 3); });
   REQUIRE(ask(request("POST", "/turns/x", turn_headers("t-1", ""), "in")).whole);
-  ledger::ProgramLedger other(context, table, log, 99);
+  store::StoreClock clock;
+  ledger::ProgramLedger other(context, table, clock, log, 99);
   const auto reserve = [&] {
     return test::run(context, other.reserve("p", 970, 1000, net::Clock::now() + net::Millis(100)));
   };
--- a/tests/store/unchanging_rows_test.cpp
+++ b/tests/store/unchanging_rows_test.cpp
@@ -21,7 +21,7 @@
   std::vector<std::string> parts = store::candidate_parts("key");
 
   bool put() {
-    return run(context, rows.put("t", "key", "v", net::Clock::now() + net::Millis(200)));
+    return run(context, rows.put("t", "key", "v", {}, net::Clock::now() + net::Millis(200)));
   }
   store::RowFound find(store::UnchangingRows& reader) {
     return run(context, reader.find("t", "key", net::Clock::now() + net::Millis(200)));
--- a/tests/support/memory_table.cpp
+++ b/tests/support/memory_table.cpp
@@ -30,6 +30,7 @@
   switch (mode_) {
     case Mode::kUp:
       result = rows_.transact(transaction);
+      result.now_ms = now_ms_;
       break;
     case Mode::kRefuses:
       result.status = StoreStatus::kRefused;
@@ -58,6 +59,7 @@
     co_return result;
   }
   result = rows_.read(range);
+  result.now_ms = now_ms_;
   if (stale_version_ < 0) co_return result;
   const auto newer = [this](const store::Row& row) { return row.version > stale_version_; };
   result.rows.erase(std::remove_if(result.rows.begin(), result.rows.end(), newer),
@@ -74,7 +76,9 @@
     co_return result;
   }
   co_await net::sleep_for(context_, net::Millis(2));
-  co_return rows_.changes(table, after);
+  result = rows_.changes(table, after);
+  result.now_ms = now_ms_;
+  co_return result;
 }
 
 void MemoryTable::apply_late() {
--- a/tests/support/memory_table.hpp
+++ b/tests/support/memory_table.hpp
@@ -31,6 +31,9 @@
                                                   net::Millis wait, net::Millis timeout) override;
 
   void set_mode(Mode mode) { mode_ = mode; }
+  /// The store's clock, as its answers tell it.
+  void set_now(std::int64_t now_ms) { now_ms_ = now_ms; }
+  std::size_t size() const { return rows_.size(); }
   /// Calls that touch one of these parts are refused.
   void put_out_of_service(std::set<std::string> parts) { parts_out_ = std::move(parts); }
   /// Writes that were held back take effect now, where their conditions hold.
@@ -60,6 +63,7 @@
   simulation::InMemoryRows rows_;
   std::deque<store::Transaction> late_;
   std::int64_t stale_version_ = -1;
+  std::int64_t now_ms_ = 1;
   int writes_ = 0;
   int reads_ = 0;
   net::Millis longest_timeout_{0};
