--- a/apps/sailgate_bench/scale.cpp
+++ b/apps/sailgate_bench/scale.cpp
@@ -149,10 +149,7 @@
   beacon.incarnation = incarnation;
   beacon.reaches_store = true;
   for (std::size_t i = 0; i < engines; ++i) {
-    wire::EngineLoad load;
-    load.engine = engine_name(i);
-    load.in_flight = 1;
-    beacon.loads.push_back(load);
+    beacon.loads[cluster::engine_key(engine_name(i))] = 1;
   }
   return beacon;
 }
--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -11,16 +11,11 @@
   4: i32 port
 }
 
-/** Requests of one node at one engine. */
-struct EngineLoad {
-  1: string engine
-  2: i32 in_flight
-}
-
 /** Datagram: the sender is alive, and how it loads engines. */
 struct Beacon {
   1: i64 incarnation
-  2: list<EngineLoad> loads
+  /** Requests in flight at each engine where there are some, by the key of cluster::EngineLoads. */
+  2: map<i32, i32> loads
   /** Whether the table store answers the sender's own calls. */
   3: bool reaches_store
   /** Newest version of the table store that the sender has seen: older answers are stale. */
--- a/src/cluster/beacon_sender.cpp
+++ b/src/cluster/beacon_sender.cpp
@@ -11,7 +11,7 @@
 /// Time between two beacons to the same peer while there are few peers.
 constexpr net::Millis kShortestRound{200};
 /// With many peers a round takes this long for each of them.
-constexpr net::Millis kTimePerPeer{12};
+constexpr net::Millis kTimePerPeer{3};
 /// Lost datagrams that do not yet mean a lost peer.
 constexpr int kMissedBeacons = 4;
 
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -42,8 +42,7 @@
     peer.last_heard = now;
     peer.reaches_store = beacon.reaches_store;
     newest_store_version_ = std::max(newest_store_version_, beacon.store_version);
-    peer.loads.clear();
-    for (const auto& load : beacon.loads) peer.loads[load.engine] = load.in_flight;
+    peer.loads = beacon.loads;
     return true;
   }
   return false;
@@ -90,13 +89,10 @@
   return near.empty() ? far : near;
 }
 
-int PeerDirectory::peer_load(const std::string& engine, net::TimePoint now,
-                             net::Millis silence) const {
-  int sum = 0;
+EngineLoads PeerDirectory::loads(net::TimePoint now, net::Millis silence) const {
+  EngineLoads sum;
   for (const auto& [node, peer] : peers_) {
-    if (!is_live(peer, now, silence)) continue;
-    const auto load = peer.loads.find(engine);
-    if (load != peer.loads.end()) sum += load->second;
+    if (is_live(peer, now, silence)) sum.add(peer.loads);
   }
   return sum;
 }
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/engine_loads.hpp"
 #include "cluster_types.h"
 #include "net/asio.hpp"
 
@@ -21,9 +22,9 @@
   std::string zone;
   net::Endpoint endpoint;  ///< calls (TCP) and beacons (UDP)
   net::TimePoint last_heard{};
-  net::TimePoint suspected_until{};  ///< a call failed: not used until then
-  std::map<std::string, int> loads;  ///< engine id to requests in flight
-  bool reaches_store = false;        ///< the store answers its own calls
+  net::TimePoint suspected_until{};            ///< a call failed: not used until then
+  std::map<std::int32_t, std::int32_t> loads;  ///< as its last beacon said
+  bool reaches_store = false;                  ///< the store answers its own calls
 };
 
 /// Deterministic, not thread-safe.
@@ -57,8 +58,8 @@
   /// Newest version of the store that a beacon named; 0 before any.
   std::int64_t newest_store_version() const { return newest_store_version_; }
 
-  /// Requests of live peers in flight at an engine.
-  int peer_load(const std::string& engine, net::TimePoint now, net::Millis silence) const;
+  /// Requests of live peers in flight at engines.
+  EngineLoads loads(net::TimePoint now, net::Millis silence) const;
 
   const std::map<std::string, Peer>& peers() const { return peers_; }
 
--- a/src/serving/edge_protocol.hpp
+++ b/src/serving/edge_protocol.hpp
@@ -16,7 +16,8 @@
   std::string request_id;     ///< unique for each attempt of the caller
   std::string program;        ///< empty: not part of a program
   std::string previous_turn;  ///< request id of the turn this one goes on from; empty: none
-  std::optional<net::Millis> deadline;       ///< how long the caller will wait
+  std::optional<net::Millis> deadline;  ///< how long the caller will wait
+  std::optional<net::Millis> finish;  ///< time left until the program should be over; 0: it is late
   std::optional<std::int64_t> token_budget;  ///< of the whole program
   std::int64_t max_output_tokens = 0;
   std::string shared_prefix;  ///< first part of the prompt, shared with other requests
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -262,9 +262,9 @@
     state_.store.set_silence_limit(state_.beacons.silence_limit());
     share_store_version();
     state_.ledger.forget_idle(now);
+    const auto peer_loads = state_.peers.loads(now, state_.beacons.silence_limit());
     for (const auto& engine : state_.engines.all()) {
-      engine->peer_in_flight =
-          state_.peers.peer_load(engine->record.id, now, state_.beacons.silence_limit());
+      engine->peer_in_flight = peer_loads.at(engine->record.id);
     }
     state_.metrics.set_engines(state_.engines.size());
     state_.metrics.set_connections_opened(state_.connections.opened());
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -52,10 +52,7 @@
     message.store_version = newest_store_version;
     for (const auto& engine : engines.all()) {
       if (engine->in_flight == 0) continue;
-      wire::EngineLoad load;
-      load.engine = engine->record.id;
-      load.in_flight = engine->in_flight;
-      message.loads.push_back(std::move(load));
+      message.loads[cluster::engine_key(engine->record.id)] = engine->in_flight;
     }
     return message;
   }
--- a/tests/cluster/peer_directory_test.cpp
+++ b/tests/cluster/peer_directory_test.cpp
@@ -90,13 +90,10 @@
 
 TEST_CASE_METHOD(Fixture, "loads of lost peers do not count", "[cluster]") {
   auto message = beacon(1);
-  wire::EngineLoad load;
-  load.engine = "e";
-  load.in_flight = 3;
-  message.loads.push_back(load);
+  message.loads[cluster::engine_key("e")] = 3;
   directory.on_beacon(message, now);
-  REQUIRE(directory.peer_load("e", now, kSilence) == 3);
-  REQUIRE(directory.peer_load("e", now + kSilence * 2, kSilence) == 0);
+  REQUIRE(directory.loads(now, kSilence).at("e") == 3);
+  REQUIRE(directory.loads(now + kSilence * 2, kSilence).at("e") == 0);
 }
 
 TEST_CASE_METHOD(Fixture, "only peers that the store answers are relays, near ones first",
