Budgets and turns in ledgers of their own; one pace for all tries at the store

Change: BudgetLedger and TurnLedger, ProgramLedger holds both; store::Pace. Giving tokens back uses RetryingStore's repeats again instead of a loop of its own.

--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -40,7 +40,7 @@
                                                        net::TimePoint deadline) {
   TurnStart start;
   if (!request.previous.empty()) {
-    auto found = co_await ledger_.find_turn(request.previous, deadline);
+    auto found = co_await ledger_.turns.find(request.previous, deadline);
     start.lookup = found.outcome;
     start.previous = std::move(found.turn);
     if (start.lookup != LookupOutcome::kFound) co_return start;
@@ -54,21 +54,22 @@
 net::asio::awaitable<ReserveOutcome> TurnKeeper::reserve(const TurnRequest& request,
                                                          net::TimePoint deadline) {
   auto outcome =
-      co_await ledger_.reserve(request.program, request.tokens, request.budget, deadline);
+      co_await ledger_.budgets.reserve(request.program, request.tokens, request.budget, deadline);
   if (outcome != ReserveOutcome::kExhausted) co_return outcome;
-  if (ledger_.exhausted_lately(request.program, request.tokens)) co_return outcome;
+  if (ledger_.budgets.exhausted_lately(request.program, request.tokens)) co_return outcome;
   if (co_await gather_tokens(request.program)) {
-    outcome = co_await ledger_.reserve(request.program, request.tokens, request.budget, deadline);
+    outcome =
+        co_await ledger_.budgets.reserve(request.program, request.tokens, request.budget, deadline);
   }
   if (outcome == ReserveOutcome::kExhausted) {
-    ledger_.note_exhausted(request.program, request.tokens);
+    ledger_.budgets.note_exhausted(request.program, request.tokens);
   }
   co_return outcome;
 }
 
 net::asio::awaitable<bool> TurnKeeper::gather_tokens(std::string program) {
   bool released = false;
-  const auto holders = ledger_.other_holders(program);
+  const auto holders = ledger_.budgets.other_holders(program);
   for (const auto holder : holders) {
     const auto* peer = directory_.find(holder);
     if (peer == nullptr) continue;
@@ -92,12 +93,12 @@
                                                 net::TimePoint deadline, TurnStart& start) {
   wire::BeginTurn message;
   message.program = request.program;
-  start.previous = ledger_.cached_turn(request.previous);
+  start.previous = ledger_.turns.cached(request.previous);
   if (start.previous == nullptr) message.previous = request.previous;
   message.tokens = request.tokens;
   message.budget = request.budget;
-  const auto store_time =
-      std::clamp(ledger_.store_patience() * kHomeStoreTries, kShortestHomeTime, kLongestHomeTime);
+  const auto store_time = std::clamp(ledger_.budgets.store_patience() * kHomeStoreTries,
+                                     kShortestHomeTime, kLongestHomeTime);
   const auto timeout =
       std::max(std::min(store_time + kHomeMargin, left_until(deadline)), net::Millis(1));
   message.time_left_ms = static_cast<std::int32_t>(std::min(store_time, timeout).count());
@@ -116,7 +117,7 @@
   if (!message.previous.empty()) {
     start.lookup = static_cast<LookupOutcome>(reply.lookup);
     if (start.lookup == LookupOutcome::kFound) {
-      start.previous = ledger_.remember_chain(reply.chain, nullptr);
+      start.previous = ledger_.turns.remember_chain(reply.chain, nullptr);
     }
   }
   co_return start.lookup != LookupOutcome::kUnavailable&& start.reservation !=
@@ -137,7 +138,7 @@
 void TurnKeeper::end(const std::string& program, const TurnStart& start, std::int64_t reserved,
                      std::int64_t used, const ledger::TurnPointer& turn) {
   if (start.keeper.empty()) {
-    if (reserved > 0) ledger_.settle(program, reserved, used);
+    if (reserved > 0) ledger_.budgets.settle(program, reserved, used);
     return;
   }
   const auto peer = directory_.peers().find(start.keeper);
@@ -183,11 +184,12 @@
   } else if (request.target() == kReleasePath) {
     const auto message = wire::decode<wire::ReleaseBudget>(request.body());
     const auto deadline = net::Clock::now() + kReleaseTimeout;
-    response.result(status_of(co_await ledger_.release(message.program, deadline)));
+    response.result(status_of(co_await ledger_.budgets.release(message.program, deadline)));
   } else if (request.target() == kEndPath) {
     const auto message = wire::decode<wire::EndTurn>(request.body());
-    if (message.reserved > 0) ledger_.settle(message.program, message.reserved, message.used);
-    if (!message.chain.segments.empty()) ledger_.remember_chain(message.chain, nullptr);
+    if (message.reserved > 0)
+      ledger_.budgets.settle(message.program, message.reserved, message.used);
+    if (!message.chain.segments.empty()) ledger_.turns.remember_chain(message.chain, nullptr);
   } else {
     response.result(net::http::status::not_found);
   }
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -1,11 +1,9 @@
-#include "ledger/program_ledger.hpp"
+#include "ledger/budget_ledger.hpp"
 
 #include <algorithm>
-#include <stdexcept>
 #include <utility>
 
 #include "ledger/expiry_index.hpp"
-#include "ledger/turn_row.hpp"
 #include "store/row_parts.hpp"
 #include "wire/codec.hpp"
 
@@ -13,18 +11,15 @@
 
 namespace {
 
+using store::StoreResult;
 using store::StoreStatus;
 
 constexpr const char* kBudgetTable = "budgets";
-constexpr const char* kTurnTable = "turns";
 /// A program that was not used for so long is forgotten, a few at a time.
 constexpr net::Millis kIdleTime{120'000};
 constexpr net::Millis kForgetInterval{1000};
 constexpr net::Millis kForgetTime{500};
 constexpr std::size_t kForgottenAtOnce = 16;
-/// Pause between two rounds over the shares of a budget none of which could be drawn on.
-constexpr net::Millis kShortestRoundPause{20};
-constexpr net::Millis kLongestRoundPause{160};
 /// A budget that nobody wrote for so long belongs to a program that has ended.
 constexpr net::Millis kBudgetLife{std::chrono::hours(2)};
 /// Budgets that are held are written again at least this often.
@@ -33,7 +28,6 @@
 constexpr net::Millis kExhaustedMemory{800};
 /// A part of the store that is silent for so long is taken to be out of service.
 constexpr net::Millis kSilenceOfPart{100};
-constexpr std::size_t kTurnCacheBytes = std::size_t{24} << 20U;
 
 bool failed(StoreStatus status) {
   return status == StoreStatus::kRefused || status == StoreStatus::kUnknown;
@@ -43,27 +37,26 @@
 
 }  // namespace
 
-ProgramLedger::ProgramLedger(net::asio::io_context& context, store::TableStore& store,
-                             const store::StoreClock& clock, observe::StructuredLog& log,
-                             std::int64_t holder)
+BudgetLedger::BudgetLedger(net::asio::io_context& context, store::TableStore& store,
+                           const store::StoreClock& clock, observe::StructuredLog& log,
+                           std::int64_t holder)
     : context_(context),
       store_(context, store, static_cast<std::uint64_t>(holder)),
-      turn_rows_(context, store, store_.latency(), static_cast<std::uint64_t>(holder)),
+      random_(static_cast<std::uint64_t>(holder)),
       clock_(clock),
       log_(log),
-      holder_(holder),
-      turns_(kTurnCacheBytes) {}
+      holder_(holder) {}
 
-ProgramLedger::ProgramPointer ProgramLedger::program(const std::string& id) {
+BudgetLedger::ProgramPointer BudgetLedger::program(const std::string& id) {
   auto& entry = programs_[id];
   if (entry == nullptr) entry = std::make_shared<Program>(context_, holder_);
   entry->last_used = net::Clock::now();
   return entry;
 }
 
-net::asio::awaitable<ReserveOutcome> ProgramLedger::reserve(std::string id, std::int64_t tokens,
-                                                            std::int64_t budget,
-                                                            net::TimePoint deadline) {
+net::asio::awaitable<ReserveOutcome> BudgetLedger::reserve(std::string id, std::int64_t tokens,
+                                                           std::int64_t budget,
+                                                           net::TimePoint deadline) {
   auto entry = program(id);
   if (entry->account.reserve(tokens)) co_return ReserveOutcome::kReserved;
   if (exhausted_lately(id, tokens)) co_return ReserveOutcome::kExhausted;
@@ -76,11 +69,11 @@
   co_return ReserveOutcome::kReserved;
 }
 
-store::RowId ProgramLedger::budget_row(const std::string& program, std::size_t share) {
+store::RowId BudgetLedger::budget_row(const std::string& program, std::size_t share) {
   return {kBudgetTable, store::candidate_parts(program)[share], program};
 }
 
-std::vector<std::size_t> ProgramLedger::shares_by_health(const std::string& program) const {
+std::vector<std::size_t> BudgetLedger::shares_by_health(const std::string& program) const {
   auto parts = store::candidate_parts(program);
   parts.resize(kBudgetShares);
   // Holders begin with different shares, so that they seldom disturb each other.
@@ -96,8 +89,8 @@
   return shares;
 }
 
-void ProgramLedger::log_exhausted(const std::string& id, const BudgetAccount& account,
-                                  const TokenDemand& demand) {
+void BudgetLedger::log_exhausted(const std::string& id, const BudgetAccount& account,
+                                 const TokenDemand& demand) {
   auto line = log_.event("budget_exhausted");
   line.with("program", id)
       .with("tokens", demand.tokens)
@@ -109,12 +102,12 @@
   }
 }
 
-net::asio::awaitable<ReserveOutcome> ProgramLedger::raise_grant(std::string id,
-                                                                ProgramPointer program,
-                                                                TokenDemand demand) {
+net::asio::awaitable<ReserveOutcome> BudgetLedger::raise_grant(std::string id,
+                                                               ProgramPointer program,
+                                                               TokenDemand demand) {
   bool fresh = false;  // all rows were read after this call began
-  auto pause = kShortestRoundPause;
-  while (time_left(demand.deadline)) {
+  store::Pace pace(demand.deadline, store_.patience());
+  while (pace.time_left()) {
     const auto drawn = co_await draw_on_shares(id, program, demand);
     if (program->account.available() >= demand.tokens) co_return ReserveOutcome::kReserved;
     if (drawn == StoreStatus::kConflict || drawn == StoreStatus::kDone) continue;
@@ -123,21 +116,21 @@
       co_return ReserveOutcome::kExhausted;
     }
     if (!drawn) fresh = co_await read_shares(id, program, demand.deadline);
-    if (drawn || !fresh) {
-      co_await net::sleep_for(context_, pause);
-      pause = std::min(pause * 2, kLongestRoundPause);
-    }
+    if (!drawn && fresh) continue;
+    const auto pause = pace.next_pause(random_);
+    if (!pause) break;
+    co_await net::sleep_for(context_, *pause);
   }
   co_return ReserveOutcome::kUnavailable;
 }
 
-net::asio::awaitable<std::optional<StoreStatus>> ProgramLedger::draw_on_shares(
+net::asio::awaitable<std::optional<StoreStatus>> BudgetLedger::draw_on_shares(
     std::string id, ProgramPointer program, TokenDemand demand) {
   std::optional<StoreStatus> last;
   for (const auto share : shares_by_health(id)) {
     auto row = program->account.plan_grant(share, demand.tokens, demand.budget);
     if (!row) continue;
-    last = co_await write_budget(id, program, share, std::move(*row), demand.deadline);
+    last = co_await write_budget(id, program, share, std::move(*row), Tries::kOne, demand.deadline);
     if (program->account.available() >= demand.tokens || !time_left(demand.deadline)) break;
     const auto now = net::Clock::now();
     // Single answers get lost: the part is asked again before the other share is drawn on.
@@ -147,8 +140,8 @@
   co_return last;
 }
 
-net::asio::awaitable<bool> ProgramLedger::read_shares(std::string id, ProgramPointer program,
-                                                      net::TimePoint deadline) {
+net::asio::awaitable<bool> BudgetLedger::read_shares(std::string id, ProgramPointer program,
+                                                     net::TimePoint deadline) {
   bool all = true;
   for (std::size_t share = 0; share < kBudgetShares; ++share) {
     const bool read = co_await read_budget(id, program, share, deadline);
@@ -157,11 +150,9 @@
   co_return all;
 }
 
-net::asio::awaitable<StoreStatus> ProgramLedger::write_budget(std::string id,
-                                                              ProgramPointer program,
-                                                              std::size_t share,
-                                                              wire::BudgetRow row,
-                                                              net::TimePoint deadline) {
+net::asio::awaitable<StoreStatus> BudgetLedger::write_budget(std::string id, ProgramPointer program,
+                                                             std::size_t share, wire::BudgetRow row,
+                                                             Tries tries, net::TimePoint deadline) {
   const auto row_id = budget_row(id, share);
   store::Transaction transaction;
   transaction.conditions.push_back({row_id, program->account.version(share)});
@@ -173,7 +164,12 @@
     transaction.puts.push_back(
         expiry_row(row_id.part, {*now + kBudgetLife.count(), kBudgetTable, id}));
   }
-  auto result = co_await store_.transact_once(std::move(transaction), deadline);
+  StoreResult result;
+  if (tries == Tries::kOne) {
+    result = co_await store_.transact_once(std::move(transaction), deadline);
+  } else {
+    result = co_await store_.transact(std::move(transaction), deadline);
+  }
   const bool done = result.status == StoreStatus::kDone;
   const bool conflict = result.status == StoreStatus::kConflict;
   if (result.status == StoreStatus::kUnknown) program->account.note_unanswered(share);
@@ -186,15 +182,15 @@
   co_return result.status;
 }
 
-net::asio::awaitable<bool> ProgramLedger::read_budget(std::string id, ProgramPointer program,
-                                                      std::size_t share, net::TimePoint deadline) {
+net::asio::awaitable<bool> BudgetLedger::read_budget(std::string id, ProgramPointer program,
+                                                     std::size_t share, net::TimePoint deadline) {
   const auto row_id = budget_row(id, share);
   store::RangeRead range;
   range.table = row_id.table;
   range.part = row_id.part;
   range.from_key = id;
   range.limit = 1;
-  auto result = co_await store_.read_once(std::move(range), deadline);
+  auto result = co_await store_.read(std::move(range), deadline);
   const bool done = result.status == StoreStatus::kDone;
   budget_parts_.note(row_id.part, done, net::Clock::now());
   if (!done) co_return false;
@@ -203,8 +199,8 @@
   co_return true;
 }
 
-void ProgramLedger::adopt_rows(Program& program, std::size_t share,
-                               const store::StoreResult& result) {
+void BudgetLedger::adopt_rows(Program& program, std::size_t share,
+                              const store::StoreResult& result) {
   if (result.rows.empty() || result.rows.front().version == 0) {
     program.account.adopt_absent(share);
     return;
@@ -213,32 +209,28 @@
   program.account.adopt(share, wire::decode<wire::BudgetRow>(row.value), row.version);
 }
 
-net::asio::awaitable<GiveBackResult> ProgramLedger::give_back_share(std::string id,
-                                                                    ProgramPointer program,
-                                                                    std::size_t share,
-                                                                    GiveBack plan,
-                                                                    net::TimePoint deadline) {
+net::asio::awaitable<GiveBackResult> BudgetLedger::give_back_share(std::string id,
+                                                                   ProgramPointer program,
+                                                                   std::size_t share, GiveBack plan,
+                                                                   net::TimePoint deadline) {
   auto& account = program->account;
-  auto pause = kShortestRoundPause;
   while (time_left(deadline)) {
-    const bool known =
-        !account.uncertain(share) || co_await read_budget(id, program, share, deadline);
-    if (known) {
-      auto row = (account.*plan)(share);
-      if (!row) co_return GiveBackResult{};
-      const auto status = co_await write_budget(id, program, share, std::move(*row), deadline);
-      if (status == StoreStatus::kDone) co_return GiveBackResult{true, true};
-      if (status == StoreStatus::kConflict) continue;
+    if (account.uncertain(share)) {
+      const bool known = co_await read_budget(id, program, share, deadline);
+      if (!known) break;
     }
-    co_await net::sleep_for(context_, pause);
-    pause = std::min(pause * 2, kLongestRoundPause);
+    auto row = (account.*plan)(share);
+    if (!row) co_return GiveBackResult{};
+    const auto status =
+        co_await write_budget(id, program, share, std::move(*row), Tries::kUntilDeadline, deadline);
+    if (status == StoreStatus::kDone) co_return GiveBackResult{true, true};
   }
   co_return GiveBackResult{false, false};
 }
 
-net::asio::awaitable<GiveBackResult> ProgramLedger::give_back(std::string id,
-                                                              ProgramPointer program, GiveBack plan,
-                                                              net::TimePoint deadline) {
+net::asio::awaitable<GiveBackResult> BudgetLedger::give_back(std::string id, ProgramPointer program,
+                                                             GiveBack plan,
+                                                             net::TimePoint deadline) {
   const auto guard = co_await program->mutex.lock();
   GiveBackResult result;
   for (const auto share : shares_by_health(id)) {
@@ -249,15 +241,15 @@
   co_return result;
 }
 
-net::asio::awaitable<GiveBackResult> ProgramLedger::release(std::string id,
-                                                            net::TimePoint deadline) {
+net::asio::awaitable<GiveBackResult> BudgetLedger::release(std::string id,
+                                                           net::TimePoint deadline) {
   const auto entry = programs_.find(id);
   if (entry == programs_.end()) co_return GiveBackResult{};
   auto held = entry->second;
   co_return co_await give_back(id, held, &BudgetAccount::begin_release, deadline);
 }
 
-std::vector<std::string> ProgramLedger::holding_by_use() const {
+std::vector<std::string> BudgetLedger::holding_by_use() const {
   std::vector<std::pair<net::TimePoint, std::string>> holding;
   for (const auto& [id, program] : programs_) {
     if (program->account.available() > 0) holding.emplace_back(program->last_used, id);
@@ -269,7 +261,7 @@
   return ids;
 }
 
-net::asio::awaitable<void> ProgramLedger::release_all(net::TimePoint deadline) {
+net::asio::awaitable<void> BudgetLedger::release_all(net::TimePoint deadline) {
   const auto ids = holding_by_use();
   std::size_t released = 0;
   for (const auto& id : ids) {
@@ -280,7 +272,7 @@
   log_.event("tokens_released").with("programs", ids.size()).with("done", released);
 }
 
-net::asio::awaitable<void> ProgramLedger::forget(std::string id) {
+net::asio::awaitable<void> BudgetLedger::forget(std::string id) {
   auto held = programs_.at(id);
   const auto last_used = held->last_used;
   const auto deadline = net::Clock::now() + kForgetTime;
@@ -291,12 +283,12 @@
   if (result.complete && unused) programs_.erase(id);
 }
 
-net::asio::awaitable<void> ProgramLedger::touch(std::string id) {
+net::asio::awaitable<void> BudgetLedger::touch(std::string id) {
   auto held = programs_.at(id);
   co_await give_back(id, held, &BudgetAccount::unchanged, net::Clock::now() + kForgetTime);
 }
 
-void ProgramLedger::forget_idle(net::TimePoint now) {
+void BudgetLedger::forget_idle(net::TimePoint now) {
   if (now < next_forgetting_) return;
   next_forgetting_ = now + kForgetInterval;
   std::size_t begun = 0;
@@ -315,94 +307,24 @@
   }
 }
 
-std::vector<std::int64_t> ProgramLedger::other_holders(const std::string& id) {
+std::vector<std::int64_t> BudgetLedger::other_holders(const std::string& id) {
   return program(id)->account.other_holders();
 }
 
-void ProgramLedger::note_exhausted(const std::string& id, std::int64_t tokens) {
+void BudgetLedger::note_exhausted(const std::string& id, std::int64_t tokens) {
   auto entry = program(id);
   entry->exhausted_tokens = tokens;
   entry->exhausted_until = net::Clock::now() + kExhaustedMemory;
 }
 
-bool ProgramLedger::exhausted_lately(const std::string& id, std::int64_t tokens) const {
+bool BudgetLedger::exhausted_lately(const std::string& id, std::int64_t tokens) const {
   const auto entry = programs_.find(id);
   return entry != programs_.end() && tokens >= entry->second->exhausted_tokens &&
          net::Clock::now() < entry->second->exhausted_until;
 }
 
-void ProgramLedger::settle(const std::string& id, std::int64_t reserved, std::int64_t used) {
+void BudgetLedger::settle(const std::string& id, std::int64_t reserved, std::int64_t used) {
   program(id)->account.settle(reserved, used);
 }
 
-net::asio::awaitable<Lookup> ProgramLedger::find_turn(std::string id, net::TimePoint deadline) {
-  std::vector<wire::TurnRow> rows;  // newest first
-  TurnPointer known = turns_.find(id);
-  std::string wanted = id;
-  while (known == nullptr && !wanted.empty()) {
-    const auto found = co_await turn_rows_.find(kTurnTable, wanted, deadline);
-    if (found.lookup == store::RowLookup::kUnavailable) {
-      co_return Lookup{LookupOutcome::kUnavailable, nullptr};
-    }
-    if (found.lookup == store::RowLookup::kAbsent) {
-      log_.event("turn_absent").with("turn", wanted).with("store_version", found.version);
-      co_return Lookup{LookupOutcome::kAbsent, nullptr};
-    }
-    rows.push_back(wire::decode<wire::TurnRow>(found.value));
-    wanted = rows.back().earlier;
-    if (!wanted.empty()) known = turns_.find(wanted);
-  }
-  for (auto row = rows.rbegin(); row != rows.rend(); ++row) known = remember_chain(*row, known);
-  co_return Lookup{LookupOutcome::kFound, known};
-}
-
-TurnPointer ProgramLedger::remember_chain(const wire::TurnRow& row, TurnPointer earlier) {
-  if (row.segments.empty()) throw std::invalid_argument("a turn's row has no segments");
-  TurnPointer last = std::move(earlier);
-  for (const auto& segment : row.segments) {
-    auto cached = turns_.find(segment.turn);
-    if (cached == nullptr) {
-      cached = std::make_shared<const Turn>(
-          Turn{segment.turn, segment.input, segment.output, std::move(last)});
-      turns_.put(cached);
-    }
-    cached->row_expires_at = std::max(cached->row_expires_at, segment.row_expires_at);
-    last = std::move(cached);
-  }
-  return last;
-}
-
-net::asio::awaitable<bool> ProgramLedger::store_row(TurnPointer turn, net::Millis retention,
-                                                    net::TimePoint deadline) {
-  std::vector<store::Row> companions;
-  if (const auto now = clock_.now(net::Clock::now())) {
-    // Twice the time that is owed: the row is seldom written again for the turns that follow.
-    turn->row_expires_at = *now + 2 * retention.count();
-    companions.push_back(expiry_row("", {turn->row_expires_at, kTurnTable, turn->id}));
-  }
-  auto value = wire::encode(encode_turn(*turn));
-  co_return co_await turn_rows_.put(kTurnTable, turn->id, std::move(value), std::move(companions),
-                                    deadline);
-}
-
-net::asio::awaitable<bool> ProgramLedger::extend_chain(TurnPointer turn, net::Millis retention,
-                                                       net::TimePoint deadline) {
-  const auto now = clock_.now(net::Clock::now());
-  if (!now) co_return true;
-  for (auto row = first_outside_row(*turn); row != nullptr; row = first_outside_row(*row)) {
-    if (row->row_expires_at >= *now + retention.count()) continue;
-    const bool extended = co_await store_row(row, retention, deadline);
-    if (!extended) co_return false;
-  }
-  co_return true;
-}
-
-net::asio::awaitable<bool> ProgramLedger::record_turn(TurnPointer turn, net::Millis retention,
-                                                      net::TimePoint deadline) {
-  bool durable = co_await extend_chain(turn, retention, deadline);
-  if (durable) durable = co_await store_row(turn, retention, deadline);
-  if (durable) turns_.put(turn);
-  co_return durable;
-}
-
 }  // namespace sailgate::ledger
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -1,168 +1,21 @@
-/// @file Budgets and histories of programs, kept in the table store.
+/// @file What the table store keeps of programs: budgets and histories.
 #pragma once
 
-#include <cstdint>
-#include <memory>
-#include <optional>
-#include <string>
-#include <unordered_map>
-#include <vector>
-
-#include "ledger/budget_account.hpp"
-#include "ledger/turn_cache.hpp"
-#include "net/async_mutex.hpp"
-#include "observe/structured_log.hpp"
-#include "store/part_health.hpp"
-#include "store/retrying_store.hpp"
-#include "store/store_clock.hpp"
-#include "store/unchanging_rows.hpp"
+#include "ledger/budget_ledger.hpp"
+#include "ledger/turn_ledger.hpp"
 
 namespace sailgate::ledger {
 
-enum class ReserveOutcome {
-  kReserved,
-  kExhausted,    ///< the budget cannot hold the turn
-  kUnavailable,  ///< nobody can tell now
-};
-
-enum class LookupOutcome { kFound, kAbsent, kUnavailable };
-
-/// How giving tokens back ended.
-struct GiveBackResult {
-  bool given = false;    ///< the store has some tokens back
-  bool complete = true;  ///< nothing that was to be given is left
-};
-
-struct Lookup {
-  LookupOutcome outcome = LookupOutcome::kUnavailable;
-  TurnPointer turn;
-};
-
-/// Not thread-safe: belongs to the event loop. All waits end before the given deadline.
-class ProgramLedger {
- public:
+/// Both share what is known of the store's answer times.
+struct ProgramLedger {
   /// @param holder identifies this process among all that ever ran.
   ProgramLedger(net::asio::io_context& context, store::TableStore& store,
-                const store::StoreClock& clock, observe::StructuredLog& log, std::int64_t holder);
-
-  /// Sets `tokens` of the program's budget aside for one turn.
-  net::asio::awaitable<ReserveOutcome> reserve(std::string program, std::int64_t tokens,
-                                               std::int64_t budget, net::TimePoint deadline);
-  /// The budget cannot hold a turn of so many tokens, and no holder gives any back: said again from
-  /// memory for a short time, as programs without end ask again and again.
-  void note_exhausted(const std::string& program, std::int64_t tokens);
-  bool exhausted_lately(const std::string& program, std::int64_t tokens) const;
-  /// Ends a reservation. @param used tokens that were handed to the caller.
-  void settle(const std::string& program, std::int64_t reserved, std::int64_t used);
-
-  /// Time in which the store answers a call, if it does.
-  net::Millis store_patience() const { return store_.patience(); }
-
-  /// Gives back tokens of the program that no turn uses.
-  net::asio::awaitable<GiveBackResult> release(std::string program, net::TimePoint deadline);
-  /// Gives back the unused tokens of all programs, those used last first, as far as the time goes:
-  /// this process stops.
-  net::asio::awaitable<void> release_all(net::TimePoint deadline);
-  /// Gives back the tokens of programs that were not used for long, and forgets them; keeps the
-  /// rows of the others from expiring.
-  void forget_idle(net::TimePoint now);
-  /// Programs in memory.
-  std::size_t programs() const { return programs_.size(); }
-  /// Other processes that hold tokens of the program, as far as this one knows.
-  std::vector<std::int64_t> other_holders(const std::string& program);
-
-  /// A finished turn with its whole chain.
-  net::asio::awaitable<Lookup> find_turn(std::string id, net::TimePoint deadline);
-  /// A turn that needs no read; nullptr when there is none.
-  TurnPointer cached_turn(const std::string& id) const { return turns_.find(id); }
-  /// Takes turns that another node knows to be durable. Cached ones are shared, not copied.
-  /// @return the last one. @throws std::invalid_argument when there are no segments.
-  TurnPointer remember_chain(const wire::TurnRow& row, TurnPointer earlier);
-
-  /// Makes a finished turn durable, with its chain, for at least `retention`. @return whether it
-  /// is.
-  net::asio::awaitable<bool> record_turn(TurnPointer turn, net::Millis retention,
-                                         net::TimePoint deadline);
-
- private:
-  /// Rows that a budget is split into, each in a part of its own.
-  static constexpr std::size_t kBudgetShares = 3;
-
-  /// What a turn needs of its program's budget.
-  struct TokenDemand {
-    std::int64_t tokens = 0;
-    std::int64_t budget = 0;
-    net::TimePoint asked_at;
-    net::TimePoint deadline;
-  };
-
-  struct Program {
-    Program(net::asio::io_context& context, std::int64_t holder)
-        : account(holder, kBudgetShares), mutex(context) {}
-    BudgetAccount account;
-    net::AsyncMutex mutex;  ///< one write of the budget's rows at a time
-    net::TimePoint last_used{};
-    net::TimePoint last_written = net::Clock::now();  ///< some row of the budget
-    bool leaving = false;                             ///< being forgotten
-    std::int64_t exhausted_tokens = 0;
-    net::TimePoint exhausted_until{};
-  };
-  using ProgramPointer = std::shared_ptr<Program>;
-
-  using GiveBack = std::optional<wire::BudgetRow> (BudgetAccount::*)(std::size_t);
-
-  /// Where a share of a program's budget is kept.
-  static store::RowId budget_row(const std::string& program, std::size_t share);
-  /// Shares whose parts failed lately come last.
-  std::vector<std::size_t> shares_by_health(const std::string& program) const;
-
-  ProgramPointer program(const std::string& id);
-  /// Writes what `plan` gives for each share until that holds.
-  net::asio::awaitable<GiveBackResult> give_back(std::string id, ProgramPointer program,
-                                                 GiveBack plan, net::TimePoint deadline);
-  net::asio::awaitable<ReserveOutcome> raise_grant(std::string id, ProgramPointer program,
-                                                   TokenDemand demand);
-  /// Raises the grant in one share after the other until the turn is held.
-  /// @return how the last write ended; nullopt: no share has anything to give, as far as known.
-  net::asio::awaitable<std::optional<store::StoreStatus>> draw_on_shares(std::string id,
-                                                                         ProgramPointer program,
-                                                                         TokenDemand demand);
-  /// Reads all shares anew. @return whether all were read.
-  net::asio::awaitable<bool> read_shares(std::string id, ProgramPointer program,
-                                         net::TimePoint deadline);
-  net::asio::awaitable<store::StoreStatus> write_budget(std::string id, ProgramPointer program,
-                                                        std::size_t share, wire::BudgetRow row,
-                                                        net::TimePoint deadline);
-  net::asio::awaitable<bool> read_budget(std::string id, ProgramPointer program, std::size_t share,
-                                         net::TimePoint deadline);
-  net::asio::awaitable<GiveBackResult> give_back_share(std::string id, ProgramPointer program,
-                                                       std::size_t share, GiveBack plan,
-                                                       net::TimePoint deadline);
-  void log_exhausted(const std::string& id, const BudgetAccount& account,
-                     const TokenDemand& demand);
-  net::asio::awaitable<void> forget(std::string id);
-  /// Writes the rows of a budget as they are, so that they do not expire.
-  net::asio::awaitable<void> touch(std::string id);
-  /// Programs with unused tokens, those used last first.
-  std::vector<std::string> holding_by_use() const;
-  /// Writes again the rows that a turn's chain refers to where they would expire too soon.
-  net::asio::awaitable<bool> extend_chain(TurnPointer turn, net::Millis retention,
-                                          net::TimePoint deadline);
-  /// Writes a turn's own row.
-  net::asio::awaitable<bool> store_row(TurnPointer turn, net::Millis retention,
-                                       net::TimePoint deadline);
-  static void adopt_rows(Program& program, std::size_t share, const store::StoreResult& result);
+                const store::StoreClock& clock, observe::StructuredLog& log, std::int64_t holder)
+      : budgets(context, store, clock, log, holder),
+        turns(context, store, clock, budgets.latency(), log, static_cast<std::uint64_t>(holder)) {}
 
-  net::asio::io_context& context_;
-  store::RetryingStore store_;
-  store::UnchangingRows turn_rows_;
-  const store::StoreClock& clock_;
-  store::PartHealth budget_parts_;
-  observe::StructuredLog& log_;
-  std::int64_t holder_;
-  std::unordered_map<std::string, ProgramPointer> programs_;
-  TurnCache turns_;
-  net::TimePoint next_forgetting_{};
+  BudgetLedger budgets;
+  TurnLedger turns;
 };
 
 }  // namespace sailgate::ledger
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -261,7 +261,7 @@
     state_.connections.expire(now);
     state_.store.set_silence_limit(state_.beacons.silence_limit());
     share_store_version();
-    state_.ledger.forget_idle(now);
+    state_.ledger.budgets.forget_idle(now);
     const auto peer_loads = state_.peers.loads(now, state_.beacons.silence_limit());
     for (const auto& engine : state_.engines.all()) {
       engine->peer_in_flight = peer_loads.at(engine->record.id);
@@ -293,7 +293,7 @@
 
 net::asio::awaitable<void> Gateway::release_tokens() {
   co_await net::sleep_for(context_, kHomesNotice);
-  co_await state_.ledger.release_all(net::Clock::now() + kReleaseTime);
+  co_await state_.ledger.budgets.release_all(net::Clock::now() + kReleaseTime);
 }
 
 net::asio::awaitable<void> Gateway::finish_stop() {
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -182,7 +182,7 @@
     turn = std::make_shared<const ledger::Turn>(
         ledger::Turn{call_.description.request_id, call_.request.body(), output_, start_.previous});
     const auto deadline = std::min(call_.deadline, net::Clock::now() + kRecordTime);
-    if (!co_await state_.ledger.record_turn(turn, call_.route->retention, deadline)) {
+    if (!co_await state_.ledger.turns.record(turn, call_.route->retention, deadline)) {
       co_return CallEnd{"turn_not_durable", false};
     }
   }
--- a/src/store/retrying_store.hpp
+++ b/src/store/retrying_store.hpp
@@ -5,6 +5,7 @@
 
 #include "base/random.hpp"
 #include "store/latency_estimate.hpp"
+#include "store/pace.hpp"
 #include "store/table_store.hpp"
 
 namespace sailgate::store {
@@ -24,27 +25,15 @@
 
   /// One try, within the store's patience: for callers that have another way to go on.
   net::asio::awaitable<StoreResult> transact_once(Transaction transaction, net::TimePoint deadline);
-  net::asio::awaitable<StoreResult> read_once(RangeRead range, net::TimePoint deadline);
 
   /// Time in which the store answers a call, if it does.
   net::Millis patience() const { return latency_.patience(); }
   LatencyEstimate& latency() { return latency_; }
 
  private:
-  /// Progress of one call.
-  struct Tries {
-    net::TimePoint deadline;
-    net::Millis patience;  ///< of the next try
-    net::Millis pause;     ///< after the next refusal
-
-    /// How long the next try is waited for: not beyond the deadline.
-    net::Millis time_of_try() const;
-  };
-
-  Tries begin(net::TimePoint deadline) const;
   /// Notes how a try ended. @return how long to wait before the next one; nullopt: that was the
   /// last.
-  std::optional<net::Millis> next(Tries& tries, const StoreResult& result, net::TimePoint sent_at);
+  std::optional<net::Millis> next(Pace& pace, const StoreResult& result, net::TimePoint sent_at);
 
   net::asio::io_context& context_;
   TableStore& store_;
--- a/src/store/unchanging_rows.hpp
+++ b/src/store/unchanging_rows.hpp
@@ -7,6 +7,7 @@
 
 #include "base/random.hpp"
 #include "store/latency_estimate.hpp"
+#include "store/pace.hpp"
 #include "store/part_health.hpp"
 #include "store/table_store.hpp"
 
@@ -39,15 +40,6 @@
   net::asio::awaitable<RowFound> find(std::string table, std::string key, net::TimePoint deadline);
 
  private:
-  /// Patience and pauses of one operation.
-  struct Pace {
-    net::TimePoint deadline;
-    net::Millis patience;
-    net::Millis pause;
-  };
-
-  Pace begin(net::TimePoint deadline) const;
-  static net::Millis time_of_try(const Pace& pace);
   /// Notes how a try at a part ended. @return whether time for another one is left.
   bool note(const Pace& pace, const std::string& part, StoreStatus status, net::TimePoint sent_at);
   /// Waits between two rounds over the parts. @return false when the deadline is over.
--- a/tests/cluster/cluster_test.cpp
+++ b/tests/cluster/cluster_test.cpp
@@ -76,7 +76,7 @@
   const auto program = program_at_second();
   const auto turn =
       std::make_shared<const ledger::Turn>(ledger::Turn{"t1", "in", "out\n", nullptr});
-  second.state().ledger.remember_chain(ledger::encode_whole_chain(*turn), nullptr);
+  second.state().ledger.turns.remember_chain(ledger::encode_whole_chain(*turn), nullptr);
   const int reads = table.reads();
   const auto start = begin(first, program, 0, "t1");
   REQUIRE(start.lookup == LookupOutcome::kFound);
@@ -101,10 +101,10 @@
   first.state().turns.end(program, start, 600, 100, nullptr);
   run_until(context, [&] {
     // The home has settled when it can reserve again what was not used.
-    return run(context, second.state().ledger.reserve(program, 450, 1000, soon())) ==
+    return run(context, second.state().ledger.budgets.reserve(program, 450, 1000, soon())) ==
            ReserveOutcome::kReserved;
   });
-  second.state().ledger.settle(program, 450, 0);
+  second.state().ledger.budgets.settle(program, 450, 0);
   first.state().peers.suspect("second", net::Clock::now() + net::Millis(60'000));
   REQUIRE(begin(first, program, 900).reservation == ReserveOutcome::kReserved);
 }
@@ -181,7 +181,7 @@
   REQUIRE(cut_off.state().routes->version() == 3);
   const auto turn = std::make_shared<const ledger::Turn>(ledger::Turn{"t1", "in", "out", nullptr});
   cut_off.state().peers.on_beacon(beacon, net::Clock::now());
-  REQUIRE(run(context, cut_off.state().ledger.record_turn(turn, net::Millis(60'000),
-                                                          net::Clock::now() + net::Millis(2000))));
+  REQUIRE(run(context, cut_off.state().ledger.turns.record(turn, net::Millis(60'000),
+                                                           net::Clock::now() + net::Millis(2000))));
   REQUIRE(table.has("turns", "t1"));
 }
--- a/tests/ledger/expiry_sweeper_test.cpp
+++ b/tests/ledger/expiry_sweeper_test.cpp
@@ -40,12 +40,12 @@
   }
   void record(const ledger::TurnPointer& turn) {
     const auto deadline = net::Clock::now() + net::Millis(300);
-    REQUIRE(run(context, writer.record_turn(turn, kRetention, deadline)));
+    REQUIRE(run(context, writer.turns.record(turn, kRetention, deadline)));
   }
   /// A node that has nothing in memory looks a turn up.
   LookupOutcome find(const std::string& id) {
     ProgramLedger reader(context, table, clock, log, 2);
-    return run(context, reader.find_turn(id, net::Clock::now() + net::Millis(300))).outcome;
+    return run(context, reader.turns.find(id, net::Clock::now() + net::Millis(300))).outcome;
   }
   std::size_t sweep() {
     std::size_t removed = 0;
@@ -130,7 +130,7 @@
 
 TEST_CASE_METHOD(Fixture, "budgets of ended programs are removed", "[ledger]") {
   const auto deadline = net::Clock::now() + net::Millis(300);
-  REQUIRE(run(context, writer.reserve("program", 100, 1000, deadline)) ==
+  REQUIRE(run(context, writer.budgets.reserve("program", 100, 1000, deadline)) ==
           ledger::ReserveOutcome::kReserved);
   set_time(kStart + kTwoHours);
   REQUIRE(sweep() == 0);
@@ -141,10 +141,10 @@
 
 TEST_CASE_METHOD(Fixture, "the budget of a program that a node still serves is kept", "[ledger]") {
   const auto deadline = net::Clock::now() + net::Millis(300);
-  REQUIRE(run(context, writer.reserve("program", 100, 1000, deadline)) ==
+  REQUIRE(run(context, writer.budgets.reserve("program", 100, 1000, deadline)) ==
           ledger::ReserveOutcome::kReserved);
   set_time(kStart + kTwoHours / 2);
-  writer.forget_idle(net::Clock::now() + std::chrono::hours(1));
+  writer.budgets.forget_idle(net::Clock::now() + std::chrono::hours(1));
   test::run_until(context, [&] { return context.poll() == 0; });
   set_time(kStart + kTwoHours + kGone);
   REQUIRE(sweep() == 0);
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -31,15 +31,16 @@
 
   ReserveOutcome reserve(ProgramLedger& ledger, std::int64_t tokens,
                          net::Millis time = net::Millis(200)) {
-    return run(context, ledger.reserve("program", tokens, kBudget, net::Clock::now() + time));
+    return run(context,
+               ledger.budgets.reserve("program", tokens, kBudget, net::Clock::now() + time));
   }
   ledger::Lookup find(ProgramLedger& ledger, const std::string& id,
                       net::Millis time = net::Millis(200)) {
-    return run(context, ledger.find_turn(id, net::Clock::now() + time));
+    return run(context, ledger.turns.find(id, net::Clock::now() + time));
   }
   bool record(ProgramLedger& ledger, ledger::TurnPointer turn,
               net::Millis time = net::Millis(200)) {
-    return run(context, ledger.record_turn(std::move(turn), kRetention, net::Clock::now() + time));
+    return run(context, ledger.turns.record(std::move(turn), kRetention, net::Clock::now() + time));
   }
 };
 
@@ -66,8 +67,9 @@
 TEST_CASE_METHOD(Fixture, "exhausted is said from a fresh row only", "[ledger]") {
   REQUIRE(reserve(first, 900) == ReserveOutcome::kReserved);
   REQUIRE(reserve(second, 200) == ReserveOutcome::kExhausted);
-  first.settle("program", 900, 100);
-  REQUIRE(run(context, first.release("program", net::Clock::now() + net::Millis(200))).given);
+  first.budgets.settle("program", 900, 100);
+  REQUIRE(
+      run(context, first.budgets.release("program", net::Clock::now() + net::Millis(200))).given);
   REQUIRE(reserve(second, 200) == ReserveOutcome::kReserved);
 }
 
@@ -120,13 +122,15 @@
   REQUIRE(reserve(first, 400, net::Millis(300)) == ReserveOutcome::kUnavailable);
   table.set_mode(MemoryTable::Mode::kUp);
   REQUIRE(reserve(second, 900) == ReserveOutcome::kExhausted);
-  REQUIRE(run(context, first.release("program", net::Clock::now() + net::Millis(200))).given);
+  REQUIRE(
+      run(context, first.budgets.release("program", net::Clock::now() + net::Millis(200))).given);
   REQUIRE(reserve(second, 900) == ReserveOutcome::kReserved);
 }
 
 TEST_CASE_METHOD(Fixture, "a holder without idle tokens says so", "[ledger]") {
   REQUIRE(reserve(first, 1000) == ReserveOutcome::kReserved);
-  const auto result = run(context, first.release("program", net::Clock::now() + net::Millis(200)));
+  const auto result =
+      run(context, first.budgets.release("program", net::Clock::now() + net::Millis(200)));
   REQUIRE_FALSE(result.given);
   REQUIRE(result.complete);
 }
@@ -169,12 +173,12 @@
 TEST_CASE_METHOD(Fixture, "an idle program is forgotten and its tokens are given back",
                  "[ledger]") {
   REQUIRE(reserve(first, 600) == ReserveOutcome::kReserved);
-  first.forget_idle(net::Clock::now() + std::chrono::hours(1));
+  first.budgets.forget_idle(net::Clock::now() + std::chrono::hours(1));
   test::run_until(context, [&] { return context.poll() == 0; });
-  REQUIRE(first.programs() == 1);  // a turn is under way
-  first.settle("program", 600, 100);
-  first.forget_idle(net::Clock::now() + std::chrono::hours(2));
-  test::run_until(context, [&] { return first.programs() == 0; });
+  REQUIRE(first.budgets.programs() == 1);  // a turn is under way
+  first.budgets.settle("program", 600, 100);
+  first.budgets.forget_idle(net::Clock::now() + std::chrono::hours(2));
+  test::run_until(context, [&] { return first.budgets.programs() == 0; });
   REQUIRE(reserve(second, 900) == ReserveOutcome::kReserved);
   REQUIRE(reserve(second, 1) == ReserveOutcome::kExhausted);
   // What it had spent counts on.
@@ -183,13 +187,13 @@
 
 TEST_CASE_METHOD(Fixture, "without the store an idle program is kept", "[ledger]") {
   REQUIRE(reserve(first, 600) == ReserveOutcome::kReserved);
-  first.settle("program", 600, 100);
+  first.budgets.settle("program", 600, 100);
   table.set_mode(MemoryTable::Mode::kRefuses);
-  first.forget_idle(net::Clock::now() + std::chrono::hours(1));
+  first.budgets.forget_idle(net::Clock::now() + std::chrono::hours(1));
   const auto wait = [this]() -> net::asio::awaitable<bool> {
     co_await net::sleep_for(context, net::Millis(700));
     co_return true;
   };
   REQUIRE(run(context, wait()));
-  REQUIRE(first.programs() == 1);
+  REQUIRE(first.budgets.programs() == 1);
 }
--- a/tests/serving/stream_call_test.cpp
+++ b/tests/serving/stream_call_test.cpp
@@ -181,8 +181,8 @@
   engine.set_script([](const auto& request) { return events(request, 1, 9); });
   ask(request("POST", "/stream/x", turn_headers("t1", "", "300", "300"), "in"));
   serving::NodeState restarted(context, make_settings(), protocol, table, log, 8);
-  const auto outcome = test::run(
-      context, restarted.ledger.reserve("p", 100, 300, net::Clock::now() + net::Millis(200)));
+  const auto outcome = test::run(context, restarted.ledger.budgets.reserve(
+                                              "p", 100, 300, net::Clock::now() + net::Millis(200)));
   REQUIRE(outcome == ledger::ReserveOutcome::kExhausted);
 }
 
@@ -221,7 +221,8 @@
   store::StoreClock clock;
   ledger::ProgramLedger other(context, table, clock, log, 99);
   const auto reserve = [&] {
-    return test::run(context, other.reserve("p", 970, 1000, net::Clock::now() + net::Millis(100)));
+    return test::run(context,
+                     other.budgets.reserve("p", 970, 1000, net::Clock::now() + net::Millis(100)));
   };
   REQUIRE(reserve() == ledger::ReserveOutcome::kExhausted);
   gateway->stop();
