--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -51,6 +51,22 @@
 
 }  // namespace
 
+DispatchFailure failure_of(ReadOutcome outcome) {
+  if (outcome == ReadOutcome::kTimedOut) return DispatchFailure::kTimedOut;
+  if (outcome == ReadOutcome::kAborted) return DispatchFailure::kCallerGone;
+  return DispatchFailure::kOutcomeUnknown;
+}
+
+void log_answer_broken(NodeState& state, const Call& call, const EngineExchange& exchange,
+                       std::size_t bytes) {
+  state.log.event("answer_broken")
+      .with("id", call.description.request_id)
+      .with("engine", exchange.engine().record.id)
+      .with("status", exchange.head().result_int())
+      .with("bytes", bytes)
+      .with("why", exchange.failure());
+}
+
 void note_failure(NodeState& state, balancing::Engine& engine, const char* what) {
   engine.consecutive_failures = std::min(engine.consecutive_failures + 1, kMostCountedFailures);
   engine.avoid_until = net::Clock::now() + kFailurePause * engine.consecutive_failures;
--- a/src/serving/dispatcher.hpp
+++ b/src/serving/dispatcher.hpp
@@ -59,6 +59,13 @@
   NodeState& state_;
 };
 
+/// What it means for a call that its answer could not be read to the end.
+DispatchFailure failure_of(ReadOutcome outcome);
+
+/// An answer broke off after its head. @param bytes of its body that had come.
+void log_answer_broken(NodeState& state, const Call& call, const EngineExchange& exchange,
+                       std::size_t bytes);
+
 /// Marks a failure of an engine: others come first for a while.
 void note_failure(NodeState& state, balancing::Engine& engine, const char* what);
 
--- a/src/serving/plain_call.cpp
+++ b/src/serving/plain_call.cpp
@@ -7,12 +7,6 @@
 /// Most times a repeatable request is sent again after its answer broke off.
 constexpr int kMostRepeats = 2;
 
-DispatchFailure failure_of(ReadOutcome outcome) {
-  if (outcome == ReadOutcome::kTimedOut) return DispatchFailure::kTimedOut;
-  if (outcome == ReadOutcome::kAborted) return DispatchFailure::kCallerGone;
-  return DispatchFailure::kOutcomeUnknown;
-}
-
 }  // namespace
 
 net::asio::awaitable<CallEnd> PlainCall::run() {
@@ -39,12 +33,7 @@
       co_return CallEnd{taken ? "answered" : "caller_gone", taken};
     }
     failure = failure_of(outcome);
-    state_.log.event("answer_broken")
-        .with("id", call_.description.request_id)
-        .with("engine", exchange.engine().record.id)
-        .with("status", exchange.head().result_int())
-        .with("bytes", body.size())
-        .with("why", exchange.failure());
+    log_answer_broken(state_, call_, exchange, body.size());
     if (outcome == ReadOutcome::kBroken) note_failure(state_, exchange.engine(), "answer broken");
     if (failure != DispatchFailure::kOutcomeUnknown || !repeatable) break;
   }
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -22,12 +22,6 @@
 constexpr net::Millis kShortestReturn{50};
 constexpr net::Millis kLongestReturn{1000};
 
-DispatchFailure failure_of(ReadOutcome outcome) {
-  if (outcome == ReadOutcome::kTimedOut) return DispatchFailure::kTimedOut;
-  if (outcome == ReadOutcome::kAborted) return DispatchFailure::kCallerGone;
-  return DispatchFailure::kOutcomeUnknown;
-}
-
 }  // namespace
 
 net::asio::awaitable<CallEnd> StreamCall::run() {
@@ -124,12 +118,7 @@
   while (outcome == ReadOutcome::kData) outcome = co_await exchange.read_some(body);
   call_.exchange = nullptr;
   if (outcome != ReadOutcome::kEnd || begun_) {
-    state_.log.event("answer_broken")
-        .with("id", call_.description.request_id)
-        .with("engine", exchange.engine().record.id)
-        .with("status", exchange.head().result_int())
-        .with("bytes", body.size())
-        .with("why", exchange.failure());
+    log_answer_broken(state_, call_, exchange, body.size());
     co_return co_await fail(failure_of(outcome));
   }
   auto head = exchange.head();
