The metrics' port can be given on the command line; without metrics a node serves all the same

Cause: the deploy file names the metrics' port and path, the gateway listened on the first free port of the settings only.

--- a/apps/sailgate_gateway/main.cpp
+++ b/apps/sailgate_gateway/main.cpp
@@ -48,8 +48,20 @@
   return std::filesystem::last_write_time(path).time_since_epoch().count();
 }
 
-int serve(const std::string& path) {
-  const auto settings = platform::read_node_settings(path);
+/// Where settings are read from and what the command line says over them.
+struct SettingsSource {
+  std::string path;
+  std::optional<std::uint16_t> metrics_port;
+
+  serving::NodeSettings read() const {
+    auto settings = platform::read_node_settings(path);
+    if (metrics_port) settings.metrics = net::Endpoint(settings.callers.address(), *metrics_port);
+    return settings;
+  }
+};
+
+int serve(const SettingsSource& from) {
+  const auto settings = from.read();
   observe::StructuredLog log(STDOUT_FILENO);
   net::asio::io_context context(1);
   const platform::EdgeHeaders protocol;
@@ -59,8 +71,8 @@
   serving::Gateway gateway(context, settings, protocol, records, store, log, incarnation);
   net::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
   serving::SettingsReloader::Source source;
-  source.read = [&] { return platform::read_node_settings(path); };
-  source.modified_at = [&] { return modified_at(path); };
+  source.read = [&] { return from.read(); };
+  source.modified_at = [&] { return modified_at(from.path); };
   const auto apply = [&](const serving::NodeSettings& changed) {
     store.set_server(changed.store);
     gateway.apply(changed);
@@ -91,6 +103,8 @@
                                                                 "print the version and exit")(
       "settings", options::value<std::string>(),
       "settings file (TOML) instead of the one the environment names")(
+      "metrics-port", options::value<std::uint16_t>(),
+      "port of the metrics instead of the first free one that the settings name")(
       "check", "check the settings and exit");
   options::variables_map values;
   options::store(options::parse_command_line(argc, argv, description), values);
@@ -102,12 +116,15 @@
     std::cout << "sailgate-gateway " << SAILGATE_VERSION << '\n';
     return cli::kSuccess;
   }
-  const auto path = settings_path(values);
+  SettingsSource source{settings_path(values), std::nullopt};
+  if (values.count("metrics-port") > 0) {
+    source.metrics_port = values["metrics-port"].as<std::uint16_t>();
+  }
   if (values.count("check") > 0) {
-    platform::read_node_settings(path);
+    source.read();
     return cli::kSuccess;
   }
-  return serve(path);
+  return serve(source);
 }
 
 }  // namespace
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "net/endpoint.hpp"
 #include "net/socket_state.hpp"
 #include "wire/codec.hpp"
 
@@ -50,12 +51,20 @@
     state_.connections.drop(engine.record.id);
     state_.log.event("engine_leaving").with("engine", engine.record.id);
   });
-  if (state_.settings.metrics) {
-    metrics_ = std::make_unique<net::TextServer>(
-        context, *state_.settings.metrics,
-        [this](net::TextRequest) -> net::asio::awaitable<net::TextResponse> {
-          co_return answer_metrics();
-        });
+  if (state_.settings.metrics) open_metrics(*state_.settings.metrics);
+}
+
+void Gateway::open_metrics(const net::Endpoint& endpoint) {
+  const auto answer = [this](net::TextRequest) -> net::asio::awaitable<net::TextResponse> {
+    co_return answer_metrics();
+  };
+  try {
+    metrics_ = std::make_unique<net::TextServer>(context_, endpoint, answer);
+  } catch (const std::exception& error) {
+    // A node without metrics serves callers all the same.
+    state_.log.event("metrics_unavailable")
+        .with("address", net::format_endpoint(endpoint))
+        .with("why", error.what());
   }
 }
 
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -34,6 +34,7 @@
   NodeState& state() { return state_; }
 
  private:
+  void open_metrics(const net::Endpoint& endpoint);
   net::asio::awaitable<void> accept();
   net::asio::awaitable<void> serve(std::shared_ptr<CallerSession> session);
   net::asio::awaitable<void> maintain();
--- a/tests/serving/gateway_test.cpp
+++ b/tests/serving/gateway_test.cpp
@@ -330,3 +330,12 @@
   REQUIRE(test::run(context, late()));
   REQUIRE(engine.requests().size() == seen);
 }
+
+TEST_CASE_METHOD(GatewayFixture, "a node whose metrics address is taken serves all the same",
+                 "[serving]") {
+  net::asio::ip::tcp::acceptor taken(context, test::own_endpoint());
+  settings.metrics = taken.local_endpoint();
+  start();
+  REQUIRE(gateway->ready());
+  REQUIRE(logged({"metrics_unavailable"}) == 1);
+}
