--- a/src/serving/call_handler.cpp
+++ b/src/serving/call_handler.cpp
@@ -97,6 +97,7 @@
       .with("outcome", end.outcome)
       .with("may_have_run", static_cast<int>(call.may_have_run))
       .with("time_given_ms", call.time_given().count())
+      .with("home", call.home)
       .with("finish_ms", call.description.finish.value_or(net::Millis(0)).count())
       .with("token_budget", call.description.token_budget.value_or(0))
       .with("tokens_out", call.tokens_out)
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -120,6 +120,7 @@
       .with("id", call.description.request_id)
       .with("engine", engine.record.id)
       .with("in_flight", engine.in_flight)
+      .with("peer_in_flight", engine.peer_in_flight)
       .with("slots", engine.record.slots)
       .with("kept_connection", static_cast<int>(exchange.on_kept_connection()))
       .with("outcome", outcome)
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -58,6 +58,7 @@
     co_return co_await refuse_for_now();
   }
   start_ = co_await state_.turns.begin(request, deadline);
+  call_.home = start_.keeper;
   if (start_.lookup == ledger::LookupOutcome::kAbsent) {
     co_return co_await refuse(call_, Kind::kUnknownTurn);
   }
