--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -26,6 +26,9 @@
 constexpr net::Millis kBudgetTouch{std::chrono::minutes(30)};
 /// A budget that was found exhausted, holders asked, is not looked at again for this long.
 constexpr net::Millis kExhaustedMemory{800};
+/// A planned stop gives back the tokens of so many programs side by side.
+constexpr int kReleasesAtOnce = 8;
+constexpr net::Millis kReleasePoll{10};
 /// A part of the store that is silent for so long is taken to be out of service.
 constexpr net::Millis kSilenceOfPart{100};
 
@@ -261,15 +264,29 @@
   return ids;
 }
 
+net::asio::awaitable<void> BudgetLedger::release_next(std::shared_ptr<Releases> releases) {
+  while (releases->next < releases->programs.size() && time_left(releases->deadline)) {
+    const auto id = releases->programs[releases->next++];
+    const auto result = co_await release(id, releases->deadline);
+    releases->done += result.complete ? 1 : 0;
+  }
+  --releases->workers;
+}
+
 net::asio::awaitable<void> BudgetLedger::release_all(net::TimePoint deadline) {
-  const auto ids = holding_by_use();
-  std::size_t released = 0;
-  for (const auto& id : ids) {
-    if (!time_left(deadline)) break;
-    const auto result = co_await release(id, deadline);
-    released += result.complete ? 1 : 0;
+  auto releases = std::make_shared<Releases>();
+  releases->programs = holding_by_use();
+  releases->deadline = deadline;
+  releases->workers = kReleasesAtOnce;
+  for (int worker = 0; worker < kReleasesAtOnce; ++worker) {
+    net::asio::co_spawn(context_, release_next(releases), net::asio::detached);
+  }
+  while (releases->workers > 0 && time_left(deadline)) {
+    co_await net::sleep_for(context_, kReleasePoll);
   }
-  log_.event("tokens_released").with("programs", ids.size()).with("done", released);
+  log_.event("tokens_released")
+      .with("programs", releases->programs.size())
+      .with("done", releases->done);
 }
 
 net::asio::awaitable<void> BudgetLedger::forget(std::string id) {
--- a/src/ledger/budget_ledger.hpp
+++ b/src/ledger/budget_ledger.hpp
@@ -86,6 +86,15 @@
     std::int64_t exhausted_tokens = 0;
     net::TimePoint exhausted_until{};
   };
+  /// Tokens that are given back at a planned stop.
+  struct Releases {
+    std::vector<std::string> programs;
+    std::size_t next = 0;
+    std::size_t done = 0;
+    int workers = 0;
+    net::TimePoint deadline;
+  };
+
   using ProgramPointer = std::shared_ptr<Program>;
 
   using GiveBack = std::optional<wire::BudgetRow> (BudgetAccount::*)(std::size_t);
@@ -121,6 +130,8 @@
                                                        net::TimePoint deadline);
   void log_exhausted(const std::string& id, const BudgetAccount& account,
                      const TokenDemand& demand);
+  /// Gives back the tokens of one program after the other until none is left.
+  net::asio::awaitable<void> release_next(std::shared_ptr<Releases> releases);
   net::asio::awaitable<void> forget(std::string id);
   /// Writes the rows of a budget as they are, so that they do not expire.
   net::asio::awaitable<void> touch(std::string id);
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -135,6 +135,31 @@
   REQUIRE(result.complete);
 }
 
+TEST_CASE_METHOD(Fixture, "a node that stops gives the tokens of many programs back at once",
+                 "[ledger]") {
+  constexpr int kPrograms = 40;
+  const auto deadline = net::Clock::now() + net::Millis(60'000);
+  for (int i = 0; i < kPrograms; ++i) {
+    const auto program = "program-" + std::to_string(i);
+    REQUIRE(run(context, first.budgets.reserve(program, 100, kBudget, deadline)) ==
+            ReserveOutcome::kReserved);
+    first.budgets.settle(program, 100, 10);
+  }
+  table.set_write_time(net::Millis(2));
+  const auto release = [&]() -> net::asio::awaitable<bool> {
+    co_await first.budgets.release_all(deadline);
+    co_return true;
+  };
+  REQUIRE(run(context, release()));
+  REQUIRE(table.most_writes_at_once() >= 4);
+  for (int i = 0; i < kPrograms; ++i) {
+    CAPTURE(i);
+    const auto program = "program-" + std::to_string(i);
+    REQUIRE(run(context, second.budgets.reserve(program, kBudget - 10, kBudget, deadline)) ==
+            ReserveOutcome::kReserved);
+  }
+}
+
 TEST_CASE_METHOD(Fixture, "a finished turn is found by every node", "[ledger]") {
   const auto one = turn("1", nullptr);
   const auto two = turn("2", one);
--- a/tests/support/memory_table.cpp
+++ b/tests/support/memory_table.cpp
@@ -22,6 +22,11 @@
                                                         net::Millis timeout) {
   ++writes_;
   longest_timeout_ = std::max(longest_timeout_, timeout);
+  if (write_time_.count() > 0) {
+    most_writes_at_once_ = std::max(most_writes_at_once_, ++writes_under_way_);
+    co_await net::sleep_for(context_, write_time_);
+    --writes_under_way_;
+  }
   StoreResult result;
   if (out_of_service(transaction)) {
     result.status = StoreStatus::kRefused;
--- a/tests/support/memory_table.hpp
+++ b/tests/support/memory_table.hpp
@@ -43,6 +43,11 @@
   /// The next whole reads show the table as it was at `version`.
   void serve_stale_reads(std::int64_t version) { stale_version_ = version; }
 
+  /// Each write takes this long.
+  void set_write_time(net::Millis time) { write_time_ = time; }
+  /// Most writes that were under way at once.
+  int most_writes_at_once() const { return most_writes_at_once_; }
+
   /// Writes one row without conditions.
   void put(const std::string& table, const std::string& part, const std::string& key,
            const std::string& value);
@@ -64,6 +69,9 @@
   std::deque<store::Transaction> late_;
   std::int64_t stale_version_ = -1;
   std::int64_t now_ms_ = 1;
+  net::Millis write_time_{0};
+  int writes_under_way_ = 0;
+  int most_writes_at_once_ = 0;
   int writes_ = 0;
   int reads_ = 0;
   net::Millis longest_timeout_{0};
