--- a/src/ledger/expiry_sweeper.cpp
+++ b/src/ledger/expiry_sweeper.cpp
@@ -30,34 +30,17 @@
 
 }  // namespace
 
-ExpirySweeper::Batch ExpirySweeper::plan(const std::vector<store::Row>& entries) {
+ExpirySweeper::Batch ExpirySweeper::plan(const std::vector<store::Row>& entries,
+                                         const StillTheirs& still_theirs) {
   Batch batch;
   for (const auto& entry : entries) {
     batch.transaction.removals.push_back(entry.id);
     const auto decoded = decode_expiry_key(entry.id.key);
     if (!decoded) continue;
-    const auto row = row_of(entry, *decoded);
-    batch.transaction.conditions.push_back({row, entry.version});
-    batch.transaction.removals.push_back(row);
-    ++batch.rows;
-  }
-  return batch;
-}
-
-ExpirySweeper::Batch ExpirySweeper::plan_again(const std::vector<store::Row>& entries,
-                                               const std::vector<store::Row>& as_they_are) {
-  Batch batch;
-  for (const auto& entry : entries) {
-    batch.transaction.removals.push_back(entry.id);
-    const auto decoded = decode_expiry_key(entry.id.key);
-    if (!decoded) continue;
-    const auto row = row_of(entry, *decoded);
-    const bool unchanged = std::any_of(
-        as_they_are.begin(), as_they_are.end(),
-        [&](const store::Row& now) { return same(now.id, row) && now.version == entry.version; });
-    if (!unchanged) continue;
-    batch.transaction.conditions.push_back({row, entry.version});
-    batch.transaction.removals.push_back(row);
+    const store::RowCondition condition{row_of(entry, *decoded), entry.version};
+    if (!still_theirs(condition)) continue;
+    batch.transaction.conditions.push_back(condition);
+    batch.transaction.removals.push_back(condition.id);
     ++batch.rows;
   }
   return batch;
@@ -65,10 +48,15 @@
 
 net::asio::awaitable<std::optional<std::size_t>> ExpirySweeper::remove(
     std::vector<store::Row> entries) {
-  auto batch = plan(entries);
+  auto batch = plan(entries, [](const store::RowCondition&) { return true; });
   auto result = co_await store_.transact(std::move(batch.transaction), kCallTimeout);
   if (result.status == StoreStatus::kConflict) {
-    batch = plan_again(entries, result.rows);
+    const auto holds = [&rows = result.rows](const store::RowCondition& condition) {
+      return std::any_of(rows.begin(), rows.end(), [&](const store::Row& row) {
+        return same(row.id, condition.id) && row.version == condition.version;
+      });
+    };
+    batch = plan(entries, holds);
     result = co_await store_.transact(std::move(batch.transaction), kCallTimeout);
   }
   if (result.status != StoreStatus::kDone) co_return std::nullopt;
--- a/src/ledger/expiry_sweeper.hpp
+++ b/src/ledger/expiry_sweeper.hpp
@@ -40,10 +40,11 @@
     std::size_t rows = 0;
   };
 
-  static Batch plan(const std::vector<store::Row>& entries);
-  /// The same without rows that were written again since; their entries go alone.
-  static Batch plan_again(const std::vector<store::Row>& entries,
-                          const std::vector<store::Row>& as_they_are);
+  /// Whether a row has the version that its entry names, as far as known.
+  using StillTheirs = std::function<bool(const store::RowCondition&)>;
+
+  /// Entries of rows that were written again since go alone.
+  static Batch plan(const std::vector<store::Row>& entries, const StillTheirs& still_theirs);
   /// @return rows removed; nullopt when the store did not take it.
   net::asio::awaitable<std::optional<std::size_t>> remove(std::vector<store::Row> entries);
   net::Millis pause() const;
