A slow store is not taken for one whose part is out

Change: patience grows from try to try of a draw, and another share is drawn on only while the store answers other calls of this node.

--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -109,9 +109,9 @@
                                                                ProgramPointer program,
                                                                TokenDemand demand) {
   bool fresh = false;  // all rows were read after this call began
-  store::Pace pace(demand.deadline, store_.patience());
+  auto pace = store_.begin(demand.deadline);
   while (pace.time_left()) {
-    const auto drawn = co_await draw_on_shares(id, program, demand);
+    const auto drawn = co_await draw_on_shares(id, program, demand, pace);
     if (program->account.available() >= demand.tokens) co_return ReserveOutcome::kReserved;
     if (drawn == StoreStatus::kConflict || drawn == StoreStatus::kDone) continue;
     if (!drawn && fresh) {
@@ -128,16 +128,18 @@
 }
 
 net::asio::awaitable<std::optional<StoreStatus>> BudgetLedger::draw_on_shares(
-    std::string id, ProgramPointer program, TokenDemand demand) {
+    std::string id, ProgramPointer program, TokenDemand demand, store::Pace& pace) {
   std::optional<StoreStatus> last;
   for (const auto share : shares_by_health(id)) {
     auto row = program->account.plan_grant(share, demand.tokens, demand.budget);
     if (!row) continue;
-    last = co_await write_budget(id, program, share, std::move(*row), Tries::kOne, demand.deadline);
+    last = co_await write_budget(id, program, share, std::move(*row), &pace, demand.deadline);
     if (program->account.available() >= demand.tokens || !time_left(demand.deadline)) break;
     const auto now = net::Clock::now();
-    // Single answers get lost: the part is asked again before the other share is drawn on.
-    if (last == StoreStatus::kUnknown && now < demand.asked_at + kSilenceOfPart) break;
+    // Single answers get lost, and all are late while the store is slow: the part is asked again
+    // before another share is drawn on.
+    const bool part_alone = now >= demand.asked_at + kSilenceOfPart && !store_.latency().silent();
+    if (last == StoreStatus::kUnknown && !part_alone) break;
     if (failed(*last)) budget_parts_.note(budget_row(id, share).part, false, now);
   }
   co_return last;
@@ -155,7 +157,8 @@
 
 net::asio::awaitable<StoreStatus> BudgetLedger::write_budget(std::string id, ProgramPointer program,
                                                              std::size_t share, wire::BudgetRow row,
-                                                             Tries tries, net::TimePoint deadline) {
+                                                             store::Pace* one_try,
+                                                             net::TimePoint deadline) {
   const auto row_id = budget_row(id, share);
   store::Transaction transaction;
   transaction.conditions.push_back({row_id, program->account.version(share)});
@@ -168,8 +171,8 @@
         expiry_row(row_id.part, {*now + kBudgetLife.count(), kBudgetTable, id}));
   }
   StoreResult result;
-  if (tries == Tries::kOne) {
-    result = co_await store_.transact_once(std::move(transaction), deadline);
+  if (one_try != nullptr) {
+    result = co_await store_.transact_once(std::move(transaction), *one_try);
   } else {
     result = co_await store_.transact(std::move(transaction), deadline);
   }
@@ -225,7 +228,7 @@
     auto row = (account.*plan)(share);
     if (!row) co_return GiveBackResult{};
     const auto status =
-        co_await write_budget(id, program, share, std::move(*row), Tries::kUntilDeadline, deadline);
+        co_await write_budget(id, program, share, std::move(*row), nullptr, deadline);
     if (status == StoreStatus::kDone) co_return GiveBackResult{true, true};
   }
   co_return GiveBackResult{false, false};
--- a/src/ledger/budget_ledger.hpp
+++ b/src/ledger/budget_ledger.hpp
@@ -114,15 +114,16 @@
   /// @return how the last write ended; nullopt: no share has anything to give, as far as known.
   net::asio::awaitable<std::optional<store::StoreStatus>> draw_on_shares(std::string id,
                                                                          ProgramPointer program,
-                                                                         TokenDemand demand);
+                                                                         TokenDemand demand,
+                                                                         store::Pace& pace);
   /// Reads all shares anew. @return whether all were read.
   net::asio::awaitable<bool> read_shares(std::string id, ProgramPointer program,
                                          net::TimePoint deadline);
-  /// How long a write is tried.
-  enum class Tries { kOne, kUntilDeadline };
+  /// @param one_try pace of a single try; nullptr: it is tried until the deadline.
   net::asio::awaitable<store::StoreStatus> write_budget(std::string id, ProgramPointer program,
                                                         std::size_t share, wire::BudgetRow row,
-                                                        Tries tries, net::TimePoint deadline);
+                                                        store::Pace* one_try,
+                                                        net::TimePoint deadline);
   net::asio::awaitable<bool> read_budget(std::string id, ProgramPointer program, std::size_t share,
                                          net::TimePoint deadline);
   net::asio::awaitable<GiveBackResult> give_back_share(std::string id, ProgramPointer program,
--- a/src/store/latency_estimate.cpp
+++ b/src/store/latency_estimate.cpp
@@ -30,6 +30,8 @@
   deviation_ms_ = std::max(deviation_ms_, least / kDeviations);
 }
 
+bool LatencyEstimate::silent() const { return silences_in_a_row_ >= kSilencesOfSlowness; }
+
 net::Millis LatencyEstimate::patience() const {
   const auto bound = std::llround(mean_ms_ + kDeviations * deviation_ms_);
   return std::clamp(net::Millis(bound), kShortest, kLongest);
--- a/src/store/latency_estimate.hpp
+++ b/src/store/latency_estimate.hpp
@@ -12,6 +12,8 @@
   /// A try was given up after `waited`. Single answers get lost, which says nothing of the speed;
   /// several in a row say that the store takes longer.
   void note_silence(net::Millis waited);
+  /// Whether the last tries had no answer: the store as a whole is slow or silent.
+  bool silent() const;
   /// Time after which an answer is more likely lost than late.
   net::Millis patience() const;
 
--- a/src/store/retrying_store.cpp
+++ b/src/store/retrying_store.cpp
@@ -30,7 +30,7 @@
 
 net::asio::awaitable<StoreResult> RetryingStore::transact(Transaction transaction,
                                                           net::TimePoint deadline) {
-  Pace pace(deadline, latency_.patience());
+  auto pace = begin(deadline);
   while (true) {
     const auto sent_at = net::Clock::now();
     auto copy = transaction;
@@ -42,7 +42,7 @@
 }
 
 net::asio::awaitable<StoreResult> RetryingStore::read(RangeRead range, net::TimePoint deadline) {
-  Pace pace(deadline, latency_.patience());
+  auto pace = begin(deadline);
   while (true) {
     const auto sent_at = net::Clock::now();
     auto copy = range;
@@ -54,11 +54,14 @@
 }
 
 net::asio::awaitable<StoreResult> RetryingStore::transact_once(Transaction transaction,
-                                                               net::TimePoint deadline) {
-  Pace pace(deadline, latency_.patience());
+                                                               Pace& pace) {
   const auto sent_at = net::Clock::now();
   auto result = co_await store_.transact(std::move(transaction), pace.time_of_try());
-  next(pace, result, sent_at);
+  if (is_final(result.status)) latency_.observe(since(sent_at));
+  if (result.status == StoreStatus::kUnknown) {
+    latency_.note_silence(since(sent_at));
+    pace.grow_patience();
+  }
   co_return result;
 }
 
--- a/src/store/retrying_store.hpp
+++ b/src/store/retrying_store.hpp
@@ -23,8 +23,10 @@
   net::asio::awaitable<StoreResult> transact(Transaction transaction, net::TimePoint deadline);
   net::asio::awaitable<StoreResult> read(RangeRead range, net::TimePoint deadline);
 
-  /// One try, within the store's patience: for callers that have another way to go on.
-  net::asio::awaitable<StoreResult> transact_once(Transaction transaction, net::TimePoint deadline);
+  /// One try at the caller's pace, which becomes more patient when there is no answer: for callers
+  /// that have another way to go on.
+  net::asio::awaitable<StoreResult> transact_once(Transaction transaction, Pace& pace);
+  Pace begin(net::TimePoint deadline) const { return Pace(deadline, latency_.patience()); }
 
   /// Time in which the store answers a call, if it does.
   net::Millis patience() const { return latency_.patience(); }
