--- a/src/cluster/store_relay.cpp
+++ b/src/cluster/store_relay.cpp
@@ -103,10 +103,6 @@
   return transaction;
 }
 
-bool failed(StoreStatus status) {
-  return status == StoreStatus::kRefused || status == StoreStatus::kUnknown;
-}
-
 net::Millis bounded(std::int32_t timeout_ms) {
   constexpr net::Millis kLongest{3000};
   return std::clamp(net::Millis(timeout_ms), net::Millis(1), kLongest);
--- a/src/ledger/budget_account.cpp
+++ b/src/ledger/budget_account.cpp
@@ -49,19 +49,21 @@
   return std::max<std::int64_t>(whole - granted_to_others(entry) - entry.granted, 0);
 }
 
+std::int64_t BudgetAccount::left(std::int64_t budget) const {
+  std::int64_t sum = available();
+  for (std::size_t share = 0; share < shares_.size(); ++share) sum += room(share, budget);
+  return sum;
+}
+
 bool BudgetAccount::can_hold(std::int64_t tokens, std::int64_t budget) const {
-  std::int64_t left = available();
-  for (std::size_t share = 0; share < shares_.size(); ++share) left += room(share, budget);
-  return left >= tokens;
+  return left(budget) >= tokens;
 }
 
 std::optional<wire::BudgetRow> BudgetAccount::plan_grant(std::size_t share, std::int64_t tokens,
                                                          std::int64_t budget) {
   auto& entry = shares_[share];
   if (!can_hold(tokens, budget)) return std::nullopt;
-  std::int64_t left = available();
-  for (std::size_t other = 0; other < shares_.size(); ++other) left += room(other, budget);
-  const std::int64_t ample = std::min(left / kGrantDivisor, tokens * kGrantTurns);
+  const std::int64_t ample = std::min(left(budget) / kGrantDivisor, tokens * kGrantTurns);
   const std::int64_t wanted = std::max(tokens, ample) - available();
   const std::int64_t added = std::min(wanted, room(share, budget));
   if (added <= 0) return std::nullopt;
--- a/src/ledger/budget_account.hpp
+++ b/src/ledger/budget_account.hpp
@@ -77,6 +77,8 @@
 
   std::int64_t granted() const;
   std::int64_t granted_to_others(const Share& share) const;
+  /// Tokens of the budget that this holder has or could be granted.
+  std::int64_t left(std::int64_t budget) const;
   /// Tokens of a share that are granted to nobody.
   std::int64_t room(std::size_t share, std::int64_t budget) const;
   /// Part of `tokens` that falls on a share when the shares' grants are filled in order.
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -32,10 +32,6 @@
 /// A part of the store that is silent for so long is taken to be out of service.
 constexpr net::Millis kSilenceOfPart{100};
 
-bool failed(StoreStatus status) {
-  return status == StoreStatus::kRefused || status == StoreStatus::kUnknown;
-}
-
 bool time_left(net::TimePoint deadline) { return net::Clock::now() < deadline; }
 
 }  // namespace
@@ -133,14 +129,16 @@
   for (const auto share : shares_by_health(id)) {
     auto row = program->account.plan_grant(share, demand.tokens, demand.budget);
     if (!row) continue;
-    last = co_await write_budget(id, program, share, std::move(*row), &pace, demand.deadline);
+    auto write = budget_write(id, *program, share, *row);
+    const auto result = co_await store_.transact_once(std::move(write), pace);
+    last = take_written(id, *program, share, std::move(*row), result);
     if (program->account.available() >= demand.tokens || !time_left(demand.deadline)) break;
     const auto now = net::Clock::now();
     // Single answers get lost, and all are late while the store is slow: the part is asked again
     // before another share is drawn on.
     const bool part_alone = now >= demand.asked_at + kSilenceOfPart && !store_.latency().silent();
     if (last == StoreStatus::kUnknown && !part_alone) break;
-    if (failed(*last)) budget_parts_.note(budget_row(id, share).part, false, now);
+    if (store::failed(*last)) budget_parts_.note(budget_row(id, share).part, false, now);
   }
   co_return last;
 }
@@ -155,13 +153,11 @@
   co_return all;
 }
 
-net::asio::awaitable<StoreStatus> BudgetLedger::write_budget(std::string id, ProgramPointer program,
-                                                             std::size_t share, wire::BudgetRow row,
-                                                             store::Pace* one_try,
-                                                             net::TimePoint deadline) {
+store::Transaction BudgetLedger::budget_write(const std::string& id, const Program& program,
+                                              std::size_t share, const wire::BudgetRow& row) const {
   const auto row_id = budget_row(id, share);
   store::Transaction transaction;
-  transaction.conditions.push_back({row_id, program->account.version(share)});
+  transaction.conditions.push_back({row_id, program.account.version(share)});
   store::Row put;
   put.id = row_id;
   put.value = wire::encode(row);
@@ -170,22 +166,20 @@
     transaction.puts.push_back(
         expiry_row(row_id.part, {*now + kBudgetLife.count(), kBudgetTable, id}));
   }
-  StoreResult result;
-  if (one_try != nullptr) {
-    result = co_await store_.transact_once(std::move(transaction), *one_try);
-  } else {
-    result = co_await store_.transact(std::move(transaction), deadline);
-  }
-  const bool done = result.status == StoreStatus::kDone;
-  const bool conflict = result.status == StoreStatus::kConflict;
-  if (result.status == StoreStatus::kUnknown) program->account.note_unanswered(share);
-  if (done || conflict) budget_parts_.note(row_id.part, true, net::Clock::now());
-  if (done) {
-    program->account.adopt(share, std::move(row), result.version);
-    program->last_written = net::Clock::now();
+  return transaction;
+}
+
+StoreStatus BudgetLedger::take_written(const std::string& id, Program& program, std::size_t share,
+                                       wire::BudgetRow row, const StoreResult& result) {
+  const auto now = net::Clock::now();
+  if (store::answered(result.status)) budget_parts_.note(budget_row(id, share).part, true, now);
+  if (result.status == StoreStatus::kUnknown) program.account.note_unanswered(share);
+  if (result.status == StoreStatus::kConflict) adopt_rows(program, share, result);
+  if (result.status == StoreStatus::kDone) {
+    program.account.adopt(share, std::move(row), result.version);
+    program.last_written = now;
   }
-  if (conflict) adopt_rows(*program, share, result);
-  co_return result.status;
+  return result.status;
 }
 
 net::asio::awaitable<bool> BudgetLedger::read_budget(std::string id, ProgramPointer program,
@@ -227,8 +221,9 @@
     }
     auto row = (account.*plan)(share);
     if (!row) co_return GiveBackResult{};
-    const auto status =
-        co_await write_budget(id, program, share, std::move(*row), nullptr, deadline);
+    auto write = budget_write(id, *program, share, *row);
+    const auto result = co_await store_.transact(std::move(write), deadline);
+    const auto status = take_written(id, *program, share, std::move(*row), result);
     if (status == StoreStatus::kDone) co_return GiveBackResult{true, true};
   }
   co_return GiveBackResult{false, false};
--- a/src/ledger/budget_ledger.hpp
+++ b/src/ledger/budget_ledger.hpp
@@ -119,11 +119,12 @@
   /// Reads all shares anew. @return whether all were read.
   net::asio::awaitable<bool> read_shares(std::string id, ProgramPointer program,
                                          net::TimePoint deadline);
-  /// @param one_try pace of a single try; nullptr: it is tried until the deadline.
-  net::asio::awaitable<store::StoreStatus> write_budget(std::string id, ProgramPointer program,
-                                                        std::size_t share, wire::BudgetRow row,
-                                                        store::Pace* one_try,
-                                                        net::TimePoint deadline);
+  /// The conditional write of a share's row, with its entry of the expiry index.
+  store::Transaction budget_write(const std::string& id, const Program& program, std::size_t share,
+                                  const wire::BudgetRow& row) const;
+  /// Takes over how the write of a share's row ended.
+  store::StoreStatus take_written(const std::string& id, Program& program, std::size_t share,
+                                  wire::BudgetRow row, const store::StoreResult& result);
   net::asio::awaitable<bool> read_budget(std::string id, ProgramPointer program, std::size_t share,
                                          net::TimePoint deadline);
   net::asio::awaitable<GiveBackResult> give_back_share(std::string id, ProgramPointer program,
--- a/src/serving/settings_reloader.cpp
+++ b/src/serving/settings_reloader.cpp
@@ -1,6 +1,7 @@
 #include "serving/settings_reloader.hpp"
 
 #include <exception>
+#include <utility>
 
 namespace sailgate::serving {
 
@@ -39,10 +40,15 @@
       source_(std::move(source)),
       current_(std::move(current)),
       apply_(std::move(apply)) {
+  written_since();
+}
+
+bool SettingsReloader::written_since() {
   try {
-    modified_at_ = source_.modified_at();
-  } catch (const std::exception& error) {
-    note_unreadable("start", error);
+    const auto before = std::exchange(modified_at_, source_.modified_at());
+    return modified_at_ != before;
+  } catch (const std::exception&) {
+    return false;  // being replaced: the next look finds it
   }
 }
 
@@ -51,6 +57,7 @@
 }
 
 void SettingsReloader::reload(const char* cause) {
+  written_since();  // what is read now need not be read again for having been written
   try {
     auto settings = source_.read();
     const auto change = compare_settings(current_, settings);
@@ -66,15 +73,7 @@
 }
 
 void SettingsReloader::reload_if_written() {
-  std::int64_t modified_at = 0;
-  try {
-    modified_at = source_.modified_at();
-  } catch (const std::exception&) {
-    return;  // being replaced: the next look finds it
-  }
-  if (modified_at == modified_at_) return;
-  modified_at_ = modified_at;
-  reload("written");
+  if (written_since()) reload("written");
 }
 
 net::asio::awaitable<void> SettingsReloader::watch() {
--- a/src/serving/settings_reloader.hpp
+++ b/src/serving/settings_reloader.hpp
@@ -18,6 +18,7 @@
   std::vector<std::string> need_restart;  ///< identity and own addresses: hold for a process's life
 };
 
+/// Names in which `after` differs from `before`.
 SettingsChange compare_settings(const NodeSettings& before, const NodeSettings& after);
 
 /// Reads the settings file again when told to, and when it was written since. Settings that cannot
@@ -43,6 +44,8 @@
   void reload_if_written();
 
  private:
+  /// Whether the file was written since the last look.
+  bool written_since();
   void note_unreadable(const char* cause, const std::exception& error);
 
   net::asio::io_context& context_;
--- a/src/store/latency_estimate.cpp
+++ b/src/store/latency_estimate.cpp
@@ -16,6 +16,11 @@
 
 }  // namespace
 
+void LatencyEstimate::note(StoreStatus status, net::Millis took) {
+  if (answered(status)) observe(took);
+  if (status == StoreStatus::kUnknown) note_silence(took);
+}
+
 void LatencyEstimate::observe(net::Millis latency) {
   silences_in_a_row_ = 0;
   const auto sample = static_cast<double>(latency.count());
--- a/src/store/latency_estimate.hpp
+++ b/src/store/latency_estimate.hpp
@@ -2,12 +2,15 @@
 #pragma once
 
 #include "net/asio.hpp"
+#include "store/table_store.hpp"
 
 namespace sailgate::store {
 
 /// Smoothed mean and deviation of answer times. Deterministic, not thread-safe.
 class LatencyEstimate {
  public:
+  /// Takes in how a call ended; a refusal says nothing of the speed.
+  void note(StoreStatus status, net::Millis took);
   void observe(net::Millis latency);
   /// A try was given up after `waited`. Single answers get lost, which says nothing of the speed;
   /// several in a row say that the store takes longer.
--- a/src/store/retrying_store.cpp
+++ b/src/store/retrying_store.cpp
@@ -8,21 +8,13 @@
   return std::chrono::duration_cast<net::Millis>(net::Clock::now() - start);
 }
 
-bool is_final(StoreStatus status) {
-  return status == StoreStatus::kDone || status == StoreStatus::kConflict;
-}
-
 }  // namespace
 
 std::optional<net::Millis> RetryingStore::next(Pace& pace, const StoreResult& result,
                                                net::TimePoint sent_at) {
-  const auto took = since(sent_at);
-  if (is_final(result.status)) {
-    latency_.observe(took);
-    return std::nullopt;
-  }
+  latency_.note(result.status, since(sent_at));
+  if (answered(result.status)) return std::nullopt;
   if (result.status != StoreStatus::kUnknown) return pace.next_pause(random_);
-  latency_.note_silence(took);
   pace.grow_patience();
   if (!pace.time_left()) return std::nullopt;
   return net::Millis(0);
@@ -57,11 +49,8 @@
                                                                Pace& pace) {
   const auto sent_at = net::Clock::now();
   auto result = co_await store_.transact(std::move(transaction), pace.time_of_try());
-  if (is_final(result.status)) latency_.observe(since(sent_at));
-  if (result.status == StoreStatus::kUnknown) {
-    latency_.note_silence(since(sent_at));
-    pace.grow_patience();
-  }
+  latency_.note(result.status, since(sent_at));
+  if (result.status == StoreStatus::kUnknown) pace.grow_patience();
   co_return result;
 }
 
--- a/src/store/table_store.hpp
+++ b/src/store/table_store.hpp
@@ -44,6 +44,16 @@
   kHistoryLost,  ///< feeds only: read the table whole
 };
 
+/// The store took the call and said what it did.
+inline bool answered(StoreStatus status) {
+  return status == StoreStatus::kDone || status == StoreStatus::kConflict;
+}
+
+/// The call may be made again.
+inline bool failed(StoreStatus status) {
+  return status == StoreStatus::kRefused || status == StoreStatus::kUnknown;
+}
+
 struct StoreResult {
   StoreStatus status = StoreStatus::kUnknown;
   std::vector<Row> rows;     ///< what was read; on kConflict the condition rows as they are
--- a/src/store/unchanging_rows.cpp
+++ b/src/store/unchanging_rows.cpp
@@ -6,20 +6,11 @@
 
 namespace sailgate::store {
 
-namespace {
-
-bool answered(StoreStatus status) {
-  return status == StoreStatus::kDone || status == StoreStatus::kConflict;
-}
-
-}  // namespace
-
 bool UnchangingRows::note(const Pace& pace, const std::string& part, StoreStatus status,
                           net::TimePoint sent_at) {
   const auto now = net::Clock::now();
   const auto took = std::chrono::duration_cast<net::Millis>(now - sent_at);
-  if (answered(status)) latency_.observe(took);
-  if (status == StoreStatus::kUnknown) latency_.note_silence(took);
+  latency_.note(status, took);
   health_.note(part, answered(status), now);
   return pace.time_left();
 }
--- a/tests/serving/settings_reloader_test.cpp
+++ b/tests/serving/settings_reloader_test.cpp
@@ -49,6 +49,15 @@
   REQUIRE(applied.front().stop_grace == net::Millis(1234));
 }
 
+TEST_CASE_METHOD(Fixture, "a file that a signal had read is not read again for having been written",
+                 "[settings]") {
+  written.stop_grace = net::Millis(1234);
+  modified_at = 2;
+  reloader.reload("signal");
+  reloader.reload_if_written();
+  REQUIRE(logged({"settings_reloaded"}) == 1);
+}
+
 TEST_CASE_METHOD(Fixture, "a file that cannot be read changes nothing", "[settings]") {
   broken = true;
   reloader.reload("signal");
