Owners of shards spend an escrow of each budget without the store

Change: programs fall into 128 shards, each owned by one process by a conditional write. The owner spends up to half of the budget and one turn from memory; the rows grant the other half. Both add up to the budget and one turn, which is what may be exceeded. A stop hands on what was spent; a lost owner leaves no escrow until its programs have ended. The owner is the program's home, for all zones.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -20,6 +20,10 @@
   3: bool reaches_store
   /** Newest version of the table store that the sender has seen: older answers are stale. */
   4: i64 store_version
+  /** Shards of programs that the sender owns, with their escrow. */
+  5: list<i16> escrow_shards
+  /** Shards that the sender owns while their escrow may not be spent. */
+  6: list<i16> bare_shards
 }
 
 /** Calls of the table store that a peer makes for the sender; see store/table_store.hpp. */
--- a/idl/ledger.thrift
+++ b/idl/ledger.thrift
@@ -29,3 +29,22 @@
 struct BudgetRow {
   1: map<i64, i64> granted
 }
+
+/**
+ * Who may spend the escrow of one shard of programs, that is the part of their budgets that no
+ * budget row knows.
+ */
+struct EscrowRow {
+  /** Process that answers for the shard; 0: nobody. */
+  1: i64 owner
+  /** Whether the owner may spend the escrow. */
+  2: bool spendable
+  /** When the owner wrote this last, by the store's clock in milliseconds. */
+  3: i64 claimed_at
+  /** Earliest time at which an escrow that a lost owner may have spent is whole again. */
+  4: i64 spendable_from
+  /** Tokens that earlier owners spent, by the digest of the program. */
+  5: map<i64, i64> spent
+  /** When `spent` may be forgotten: its programs have ended. */
+  6: i64 spent_until
+}
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -43,6 +43,8 @@
     peer.reaches_store = beacon.reaches_store;
     newest_store_version_ = std::max(newest_store_version_, beacon.store_version);
     peer.loads = beacon.loads;
+    peer.escrow_shards = {beacon.escrow_shards.begin(), beacon.escrow_shards.end()};
+    peer.bare_shards = {beacon.bare_shards.begin(), beacon.bare_shards.end()};
     return true;
   }
   return false;
@@ -72,6 +74,46 @@
   return *best;
 }
 
+std::optional<Peer> PeerDirectory::shard_owner(int shard, net::TimePoint now,
+                                               net::Millis silence) const {
+  const Peer* bare = nullptr;
+  for (const auto& [node, peer] : peers_) {
+    if (!is_live(peer, now, silence)) continue;
+    if (peer.escrow_shards.count(shard) > 0) return peer;
+    if (peer.bare_shards.count(shard) > 0) bare = &peer;
+  }
+  if (bare == nullptr) return std::nullopt;
+  return *bare;
+}
+
+std::vector<int> PeerDirectory::shards_to_claim(const std::set<int>& own, int shards,
+                                                net::TimePoint now, net::Millis silence) const {
+  std::set<int> owned = own;
+  std::vector<const std::string*> nodes;
+  for (const auto& [node, peer] : peers_) {
+    if (now >= peer.last_heard + silence) continue;
+    nodes.push_back(&node);
+    owned.insert(peer.escrow_shards.begin(), peer.escrow_shards.end());
+    owned.insert(peer.bare_shards.begin(), peer.bare_shards.end());
+  }
+  std::vector<int> mine;
+  for (int shard = 0; shard < shards; ++shard) {
+    if (owned.count(shard) > 0) continue;
+    const auto key = std::to_string(shard);
+    const auto weight = rendezvous_weight(key, self_);
+    const bool first = std::all_of(nodes.begin(), nodes.end(), [&](const std::string* node) {
+      return rendezvous_weight(key, *node) <= weight;
+    });
+    if (first) mine.push_back(shard);
+  }
+  return mine;
+}
+
+bool PeerDirectory::heard(std::int64_t incarnation, net::TimePoint now, net::Millis silence) const {
+  const auto* peer = find(incarnation);
+  return peer != nullptr && now < peer->last_heard + silence;
+}
+
 const Peer* PeerDirectory::find(std::int64_t incarnation) const {
   for (const auto& [node, peer] : peers_) {
     if (peer.incarnation == incarnation) return &peer;
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   net::TimePoint suspected_until{};            ///< a call failed: not used until then
   std::map<std::int32_t, std::int32_t> loads;  ///< as its last beacon said
   bool reaches_store = false;                  ///< the store answers its own calls
+  std::set<int> escrow_shards;                 ///< owned, with an escrow to spend
+  std::set<int> bare_shards;                   ///< owned, without
 };
 
 /// Deterministic, not thread-safe.
@@ -49,6 +52,15 @@
   /// among this node and its live peers. nullopt: this node itself.
   std::optional<Peer> home(const std::string& key, net::TimePoint now, net::Millis silence) const;
 
+  /// Live peer that owns a shard of programs; one with an escrow to spend comes first.
+  std::optional<Peer> shard_owner(int shard, net::TimePoint now, net::Millis silence) const;
+  /// Of the shards that are neither in `own` nor any peer's, those that this node is to claim: the
+  /// first of a shard's rendezvous order among this node and the peers heard of within `silence`.
+  std::vector<int> shards_to_claim(const std::set<int>& own, int shards, net::TimePoint now,
+                                   net::Millis silence) const;
+  /// Whether a process was heard of within `silence`.
+  bool heard(std::int64_t incarnation, net::TimePoint now, net::Millis silence) const;
+
   /// @return the peer with this incarnation, live or not; nullptr when it is unknown.
   const Peer* find(std::int64_t incarnation) const;
 
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -53,10 +53,16 @@
 
 net::asio::awaitable<ReserveOutcome> TurnKeeper::reserve(const TurnRequest& request,
                                                          net::TimePoint deadline) {
+  // An escrow that this node does not know of may hold the turn: only the owner of the shard can say
+  // that a budget is exhausted.
+  const auto said = [&](ReserveOutcome found) {
+    const bool may_say = !ledger_.escrow.enabled() || ledger_.escrow.owns(request.program);
+    return found == ReserveOutcome::kExhausted && !may_say ? ReserveOutcome::kUnavailable : found;
+  };
   auto outcome =
       co_await ledger_.budgets.reserve(request.program, request.tokens, request.budget, deadline);
   if (outcome != ReserveOutcome::kExhausted) co_return outcome;
-  if (ledger_.budgets.exhausted_lately(request.program, request.tokens)) co_return outcome;
+  if (ledger_.budgets.exhausted_lately(request.program, request.tokens)) co_return said(outcome);
   if (co_await gather_tokens(request.program)) {
     outcome =
         co_await ledger_.budgets.reserve(request.program, request.tokens, request.budget, deadline);
@@ -64,7 +70,7 @@
   if (outcome == ReserveOutcome::kExhausted) {
     ledger_.budgets.note_exhausted(request.program, request.tokens);
   }
-  co_return outcome;
+  co_return said(outcome);
 }
 
 net::asio::awaitable<bool> TurnKeeper::gather_tokens(std::string program) {
@@ -124,10 +130,24 @@
       ReserveOutcome::kUnavailable;
 }
 
+std::optional<Peer> TurnKeeper::home_of(const std::string& program) const {
+  const auto now = net::Clock::now();
+  const auto silence = beacons_.silence_limit();
+  const bool own = ledger_.escrow.owns(program);
+  if (own && ledger_.escrow.may_spend(program)) return std::nullopt;
+  const auto shard = ledger::escrow_shard_of(program);
+  if (const auto owner = directory_.shard_owner(shard, now, silence)) {
+    const bool better = !own || owner->escrow_shards.count(shard) > 0;
+    return better ? owner : std::nullopt;
+  }
+  if (own) return std::nullopt;
+  return directory_.home(program, now, silence);
+}
+
 net::asio::awaitable<TurnStart> TurnKeeper::begin(TurnRequest request, net::TimePoint deadline) {
   const bool needs_home = request.tokens > 0 || !request.previous.empty();
   if (!needs_home) co_return TurnStart{};
-  const auto home = directory_.home(request.program, net::Clock::now(), beacons_.silence_limit());
+  const auto home = home_of(request.program);
   if (home) {
     TurnStart start;
     if (co_await begin_at(*home, request, deadline, start)) co_return start;
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -1,8 +1,9 @@
 /// @file Budgets and histories of programs, through the program's home.
 ///
-/// The home of a program is one node of the zone, by rendezvous over the live ones. It holds the
-/// program's tokens and its last turns in memory, so that most turns need no call to the store at
-/// their start. The home is a hint: when it does not answer, this node does the same by itself from
+/// The home of a program is the owner of its shard (ledger/escrow_shard.hpp), or, while there is
+/// none, one node of the zone, by rendezvous over the live ones. It holds the program's tokens and
+/// its last turns in memory, so that most turns need no call to the store at their start. The home
+/// is a hint: when it does not answer, this node does the same by itself from
 /// the store, where only the rows decide.
 #pragma once
 
@@ -56,6 +57,8 @@
   net::asio::awaitable<net::TextResponse> serve(net::TextRequest request);
 
  private:
+  /// Node that keeps the program's tokens; nullopt: this one.
+  std::optional<Peer> home_of(const std::string& program) const;
   net::asio::awaitable<TurnStart> begin_here(TurnRequest request, net::TimePoint deadline);
   /// Reserves tokens, those included that other holders do not use.
   net::asio::awaitable<ledger::ReserveOutcome> reserve(const TurnRequest& request,
--- a/src/ledger/budget_account.cpp
+++ b/src/ledger/budget_account.cpp
@@ -16,6 +16,15 @@
 
 }  // namespace
 
+void BudgetAccount::set_escrow(std::int64_t tokens) {
+  escrow_ = tokens;
+  largest_escrow_ = std::max(largest_escrow_, tokens);
+}
+
+std::int64_t BudgetAccount::spent_of_escrow() const {
+  return std::min(largest_escrow_, used_ + reserved_);
+}
+
 bool BudgetAccount::reserve(std::int64_t tokens) {
   if (available() < tokens) return false;
   reserved_ += tokens;
@@ -74,6 +83,7 @@
 }
 
 std::int64_t BudgetAccount::portion(std::size_t share, std::int64_t tokens) const {
+  tokens -= escrow_;
   for (std::size_t earlier = 0; earlier < share; ++earlier) tokens -= shares_[earlier].granted;
   return std::clamp<std::int64_t>(tokens, 0, shares_[share].granted);
 }
--- a/src/ledger/budget_account.hpp
+++ b/src/ledger/budget_account.hpp
@@ -28,11 +28,16 @@
   explicit BudgetAccount(std::int64_t holder, std::size_t shares = 1)
       : holder_(holder), shares_(shares) {}
 
+  /// Tokens that this holder may use without any row, besides what is granted to it; see
+  /// ledger/escrow_shard.hpp.
+  void set_escrow(std::int64_t tokens);
+  /// Most of the escrow that can have been used since this object began, reservations included.
+  std::int64_t spent_of_escrow() const;
   /// Takes tokens from what is granted. @return false when there are too few.
   bool reserve(std::int64_t tokens);
   /// Ends a reservation; what was not used can be reserved again.
   void settle(std::int64_t reserved, std::int64_t used);
-  std::int64_t available() const { return granted() - used_ - reserved_; }
+  std::int64_t available() const { return escrow_ + granted() - used_ - reserved_; }
   bool idle() const { return reserved_ == 0; }
   std::size_t shares() const { return shares_.size(); }
 
@@ -81,12 +86,15 @@
   std::int64_t left(std::int64_t budget) const;
   /// Tokens of a share that are granted to nobody.
   std::int64_t room(std::size_t share, std::int64_t budget) const;
-  /// Part of `tokens` that falls on a share when the shares' grants are filled in order.
+  /// Part of `tokens` that falls on a share when the escrow and the shares' grants are filled in
+  /// this order.
   std::int64_t portion(std::size_t share, std::int64_t tokens) const;
 
   std::int64_t holder_;
   std::int64_t used_ = 0;
   std::int64_t reserved_ = 0;
+  std::int64_t escrow_ = 0;
+  std::int64_t largest_escrow_ = 0;
   std::vector<Share> shares_;
 };
 
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -37,12 +37,13 @@
 }  // namespace
 
 BudgetLedger::BudgetLedger(net::asio::io_context& context, store::TableStore& store,
-                           const store::StoreClock& clock, observe::StructuredLog& log,
-                           std::int64_t holder)
+                           const store::StoreClock& clock, EscrowClaims& escrow,
+                           observe::StructuredLog& log, std::int64_t holder)
     : context_(context),
       store_(context, store, static_cast<std::uint64_t>(holder)),
       random_(static_cast<std::uint64_t>(holder)),
       clock_(clock),
+      escrow_(escrow),
       log_(log),
       holder_(holder) {}
 
@@ -57,15 +58,24 @@
                                                            std::int64_t budget,
                                                            net::TimePoint deadline) {
   auto entry = program(id);
+  update_escrow(id, *entry, tokens, budget);
   if (entry->account.reserve(tokens)) co_return ReserveOutcome::kReserved;
   if (exhausted_lately(id, tokens)) co_return ReserveOutcome::kExhausted;
   const auto guard = co_await entry->mutex.lock();
-  const TokenDemand demand{tokens, budget, net::Clock::now(), deadline};
-  while (!entry->account.reserve(tokens)) {
+  TokenDemand demand{tokens, budget, net::Clock::now(), deadline};
+  while (true) {
+    demand.from_rows = update_escrow(id, *entry, tokens, budget);
+    if (entry->account.reserve(tokens)) co_return ReserveOutcome::kReserved;
     const auto outcome = co_await raise_grant(id, entry, demand);
     if (outcome != ReserveOutcome::kReserved) co_return outcome;
   }
-  co_return ReserveOutcome::kReserved;
+}
+
+std::int64_t BudgetLedger::update_escrow(const std::string& id, Program& program,
+                                         std::int64_t tokens, std::int64_t budget) {
+  const auto division = escrow_.division(id, budget, tokens);
+  program.account.set_escrow(division.escrow);
+  return division.from_rows;
 }
 
 store::RowId BudgetLedger::budget_row(const std::string& program, std::size_t share) {
@@ -93,7 +103,7 @@
   auto line = log_.event("budget_exhausted");
   line.with("program", id)
       .with("tokens", demand.tokens)
-      .with("budget", demand.budget)
+      .with("from_rows", demand.from_rows)
       .with("available", account.available())
       .with("holders", account.other_holders().size());
   for (std::size_t share = 0; share < account.shares(); ++share) {
@@ -127,7 +137,7 @@
     std::string id, ProgramPointer program, TokenDemand demand, store::Pace& pace) {
   std::optional<StoreStatus> last;
   for (const auto share : shares_by_health(id)) {
-    auto row = program->account.plan_grant(share, demand.tokens, demand.budget);
+    auto row = program->account.plan_grant(share, demand.tokens, demand.from_rows);
     if (!row) continue;
     auto write = budget_write(id, *program, share, *row);
     const auto result = co_await store_.transact_once(std::move(write), pace);
@@ -295,7 +305,18 @@
   held->leaving = false;
   // NOTE: a turn may have come meanwhile; its account goes on with what the row says.
   const bool unused = held->last_used == last_used && held->account.idle();
-  if (result.complete && unused) programs_.erase(id);
+  if (!result.complete || !unused) co_return;
+  escrow_.remember_spent(id, held->account.spent_of_escrow());
+  programs_.erase(id);
+}
+
+std::map<std::string, std::int64_t> BudgetLedger::spent_of_escrow() const {
+  std::map<std::string, std::int64_t> spent;
+  for (const auto& [id, program] : programs_) {
+    const auto tokens = program->account.spent_of_escrow();
+    if (tokens > 0) spent[id] = tokens;
+  }
+  return spent;
 }
 
 net::asio::awaitable<void> BudgetLedger::touch(std::string id) {
--- a/src/ledger/budget_ledger.hpp
+++ b/src/ledger/budget_ledger.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "ledger/budget_account.hpp"
+#include "ledger/escrow_claims.hpp"
 #include "net/async_mutex.hpp"
 #include "observe/structured_log.hpp"
 #include "store/part_health.hpp"
@@ -34,7 +36,8 @@
  public:
   /// @param holder identifies this process among all that ever ran.
   BudgetLedger(net::asio::io_context& context, store::TableStore& store,
-               const store::StoreClock& clock, observe::StructuredLog& log, std::int64_t holder);
+               const store::StoreClock& clock, EscrowClaims& escrow, observe::StructuredLog& log,
+               std::int64_t holder);
 
   /// Sets `tokens` of the program's budget aside for one turn.
   net::asio::awaitable<ReserveOutcome> reserve(std::string program, std::int64_t tokens,
@@ -55,6 +58,8 @@
   /// Gives back the unused tokens of all programs, those used last first, as far as the time goes:
   /// this process stops.
   net::asio::awaitable<void> release_all(net::TimePoint deadline);
+  /// Tokens of their escrow that programs in memory spent, by program.
+  std::map<std::string, std::int64_t> spent_of_escrow() const;
   /// Gives back the tokens of programs that were not used for long, and forgets them; keeps the
   /// rows of the others from expiring.
   void forget_idle(net::TimePoint now);
@@ -70,7 +75,7 @@
   /// What a turn needs of its program's budget.
   struct TokenDemand {
     std::int64_t tokens = 0;
-    std::int64_t budget = 0;
+    std::int64_t from_rows = 0;  ///< tokens that the budget's rows may grant in all
     net::TimePoint asked_at;
     net::TimePoint deadline;
   };
@@ -99,6 +104,10 @@
 
   using GiveBack = std::optional<wire::BudgetRow> (BudgetAccount::*)(std::size_t);
 
+  /// Takes the escrow that this node may spend now over into the account.
+  /// @return tokens that the rows of the budget may grant in all.
+  std::int64_t update_escrow(const std::string& id, Program& program, std::int64_t tokens,
+                             std::int64_t budget);
   /// Where a share of a program's budget is kept.
   static store::RowId budget_row(const std::string& program, std::size_t share);
   /// Shares whose parts failed lately come last.
@@ -145,6 +154,7 @@
   store::RetryingStore store_;
   base::Random random_;
   const store::StoreClock& clock_;
+  EscrowClaims& escrow_;
   store::PartHealth budget_parts_;
   observe::StructuredLog& log_;
   std::int64_t holder_;
--- /dev/null
+++ b/src/ledger/escrow_claims.cpp
@@ -0,0 +1,245 @@
+#include "ledger/escrow_claims.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/codec.hpp"
+
+namespace sailgate::ledger {
+
+namespace {
+
+using store::StoreStatus;
+
+constexpr const char* kEscrowTable = "escrow";
+/// One part for all rows: one read brings them, and they are seldom written.
+constexpr const char* kEscrowPart = "escrow";
+/// A node looks for shards without an owner this often; it asks the store only if there are some.
+constexpr net::Millis kClaimInterval{250};
+/// A node that just started first hears which others there are: some rounds of their beacons.
+constexpr net::Millis kSettleTime{1500};
+/// Longest wait for one answer of the store: there is always a next round.
+constexpr net::Millis kStoreTimeout{700};
+/// Rows of one transaction; the store takes 100 at most.
+constexpr std::size_t kRowsAtOnce = 50;
+/// What programs of the past spent is looked through this often.
+constexpr net::Millis kForgetInterval{std::chrono::seconds(10)};
+/// Programs of one shard whose spending a row lists: 12 bytes each, and a row holds 64 KiB.
+constexpr std::size_t kMostSpentListed = 4000;
+
+std::string shard_key(int shard) { return std::to_string(shard); }
+
+store::RowId shard_row(int shard) { return {kEscrowTable, kEscrowPart, shard_key(shard)}; }
+
+}  // namespace
+
+void EscrowClaims::enable(EscrowPeers peers) { peers_ = std::move(peers); }
+
+bool EscrowClaims::spendable(const Claim& claim) const {
+  return claim.row.spendable && net::Clock::now() < claim.written_at + kClaimLife;
+}
+
+std::vector<std::int16_t> EscrowClaims::shards(bool wanted) const {
+  std::vector<std::int16_t> listed;
+  for (const auto& [shard, claim] : claims_) {
+    if (spendable(claim) == wanted) listed.push_back(static_cast<std::int16_t>(shard));
+  }
+  return listed;
+}
+
+bool EscrowClaims::owns(const std::string& program) const {
+  return claims_.count(escrow_shard_of(program)) > 0;
+}
+
+bool EscrowClaims::may_spend(const std::string& program) const {
+  const auto claim = claims_.find(escrow_shard_of(program));
+  return claim != claims_.end() && spendable(claim->second);
+}
+
+BudgetDivision EscrowClaims::division(const std::string& program, std::int64_t budget,
+                                      std::int64_t turn_tokens) const {
+  if (!enabled()) return {0, budget};
+  if (!may_spend(program)) return division_of_others(budget, turn_tokens);
+  auto division = division_of_owner(budget, turn_tokens);
+  division.escrow = std::max<std::int64_t>(division.escrow - spent_before(program), 0);
+  return division;
+}
+
+std::int64_t EscrowClaims::spent_before(const std::string& program) const {
+  const auto digest = escrow_digest_of(program);
+  std::int64_t tokens = 0;
+  const auto own = spent_.find(digest);
+  if (own != spent_.end()) tokens += own->second.tokens;
+  const auto claim = claims_.find(escrow_shard_of(program));
+  if (claim == claims_.end()) return tokens;
+  const auto earlier = claim->second.row.spent.find(digest);
+  if (earlier != claim->second.row.spent.end()) tokens += earlier->second;
+  return tokens;
+}
+
+void EscrowClaims::remember_spent(const std::string& program, std::int64_t spent) {
+  if (!enabled() || spent <= 0) return;
+  auto& entry = spent_[escrow_digest_of(program)];
+  entry.tokens += spent;
+  entry.last_used = net::Clock::now();
+}
+
+void EscrowClaims::forget_ended(net::TimePoint now) {
+  if (now < next_forgetting_) return;
+  next_forgetting_ = now + kForgetInterval;
+  for (auto entry = spent_.begin(); entry != spent_.end();) {
+    const bool ended = now >= entry->second.last_used + kLongestProgram;
+    entry = ended ? spent_.erase(entry) : std::next(entry);
+  }
+}
+
+net::asio::awaitable<void> EscrowClaims::run() {
+  co_await net::sleep_for(context_, kSettleTime);
+  while (!stopping_) {
+    co_await claim_and_renew();
+    co_await net::sleep_for(context_, kClaimInterval);
+  }
+}
+
+net::asio::awaitable<void> EscrowClaims::claim_and_renew() {
+  co_await claim_unowned();
+  co_await renew();
+  forget_ended(net::Clock::now());
+}
+
+std::vector<EscrowClaims::Write> EscrowClaims::plan_claims(const std::vector<int>& wanted,
+                                                           const std::vector<store::Row>& rows,
+                                                           std::int64_t now_ms) const {
+  std::map<std::string, const store::Row*> by_key;
+  for (const auto& row : rows) by_key[row.id.key] = &row;
+  std::vector<Write> writes;
+  for (const auto shard : wanted) {
+    Write write;
+    write.shard = shard;
+    const auto found = by_key.find(shard_key(shard));
+    if (found == by_key.end()) {
+      write.row = plan_claim(nullptr, holder_, now_ms);
+      writes.push_back(std::move(write));
+      continue;
+    }
+    const auto current = wire::decode<wire::EscrowRow>(found->second->value);
+    // NOTE: an owner that lives and was not heard naming the shard yet has just claimed it.
+    if (current.owner != 0 && current.owner != holder_ && peers_->lives(current.owner)) continue;
+    write.row = plan_claim(&current, holder_, now_ms);
+    write.version = found->second->version;
+    writes.push_back(std::move(write));
+  }
+  return writes;
+}
+
+net::asio::awaitable<void> EscrowClaims::claim_unowned() {
+  const auto wanted = peers_->unowned();
+  if (wanted.empty()) co_return;
+  store::RangeRead range;
+  range.table = kEscrowTable;
+  range.part = kEscrowPart;
+  const auto read = co_await store_.read(std::move(range), kStoreTimeout);
+  const auto now_ms = clock_.now(net::Clock::now());
+  if (read.status != StoreStatus::kDone || !now_ms || stopping_) co_return;
+  auto writes = plan_claims(wanted, read.rows, *now_ms);
+  co_await write(std::move(writes), kStoreTimeout);
+}
+
+net::asio::awaitable<void> EscrowClaims::renew() {
+  const auto now = net::Clock::now();
+  const auto now_ms = clock_.now(now);
+  std::vector<Write> writes;
+  for (const auto& [shard, claim] : claims_) {
+    if (!now_ms || now < claim.written_at + kClaimRenewal) continue;
+    writes.push_back({shard, plan_claim(&claim.row, holder_, *now_ms), claim.version});
+  }
+  if (writes.empty()) co_return;
+  const auto renewed = writes;
+  const auto end = co_await write(std::move(writes), kStoreTimeout);
+  if (end != WriteEnd::kConflict) co_return;
+  // A renewal whose answer was lost took effect, or somebody else took the shard: the rows tell.
+  for (const auto& write : renewed) claims_.erase(write.shard);
+}
+
+net::asio::awaitable<EscrowClaims::WriteEnd> EscrowClaims::write(std::vector<Write> writes,
+                                                                 net::Millis timeout) {
+  auto end = WriteEnd::kDone;
+  for (std::size_t first = 0; first < writes.size(); first += kRowsAtOnce) {
+    const auto last = std::min(first + kRowsAtOnce, writes.size());
+    const std::vector<Write> batch(writes.begin() + static_cast<std::ptrdiff_t>(first),
+                                   writes.begin() + static_cast<std::ptrdiff_t>(last));
+    end = std::max(end, co_await write_batch(batch, timeout));
+  }
+  co_return end;
+}
+
+net::asio::awaitable<EscrowClaims::WriteEnd> EscrowClaims::write_batch(
+    const std::vector<Write>& batch, net::Millis timeout) {
+  store::Transaction transaction;
+  for (const auto& write : batch) {
+    const auto id = shard_row(write.shard);
+    transaction.conditions.push_back({id, write.version});
+    store::Row put;
+    put.id = id;
+    put.value = wire::encode(write.row);
+    transaction.puts.push_back(std::move(put));
+  }
+  const auto sent_at = net::Clock::now();
+  const auto result = co_await store_.transact(std::move(transaction), timeout);
+  const bool done = result.status == StoreStatus::kDone;
+  log_.event("escrow_written")
+      .with("shards", batch.size())
+      .with("first_shard", batch.front().shard)
+      .with("owner", batch.front().row.owner)
+      .with("spendable", static_cast<int>(batch.front().row.spendable))
+      .with("status", static_cast<int>(result.status))
+      .with("row_version", result.version);
+  if (!done) co_return result.status == StoreStatus::kConflict ? WriteEnd::kConflict
+                                                               : WriteEnd::kNoAnswer;
+  for (const auto& write : batch) {
+    if (write.row.owner != holder_ || stopping_) continue;
+    claims_[write.shard] = Claim{write.row, result.version, sent_at};
+  }
+  co_return WriteEnd::kDone;
+}
+
+std::vector<EscrowClaims::Write> EscrowClaims::plan_handovers(const std::map<int, Claim>& claims,
+                                                              std::int64_t now_ms) const {
+  std::map<int, std::map<std::int64_t, std::int64_t>> spent_by_shard;
+  for (const auto& [digest, spent] : spent_) {
+    spent_by_shard[escrow_shard_of(digest)][digest] = spent.tokens;
+  }
+  std::vector<Write> writes;
+  for (const auto& [shard, claim] : claims) {
+    auto& spent = spent_by_shard[shard];
+    for (auto& [digest, tokens] : spent) {
+      const auto earlier = claim.row.spent.find(digest);
+      if (earlier != claim.row.spent.end()) tokens += earlier->second;
+    }
+    auto row = plan_handover(claim.row, spent, now_ms);
+    // A row that would not fit is left as it is: its whole escrow counts as spent.
+    if (row.spent.size() > kMostSpentListed) continue;
+    writes.push_back({shard, std::move(row), claim.version});
+  }
+  return writes;
+}
+
+net::asio::awaitable<void> EscrowClaims::hand_over(std::map<std::string, std::int64_t> accounts,
+                                                   net::TimePoint deadline) {
+  // NOTE: the shards are given up before anything is written, so that nothing more is spent.
+  stopping_ = true;
+  const auto claims = std::exchange(claims_, {});
+  for (const auto& [program, tokens] : accounts) remember_spent(program, tokens);
+  const auto now_ms = clock_.now(net::Clock::now());
+  if (!enabled() || claims.empty() || !now_ms) co_return;
+  const auto writes = plan_handovers(claims, *now_ms);
+  auto end = WriteEnd::kNoAnswer;
+  while (end == WriteEnd::kNoAnswer && net::Clock::now() < deadline) {
+    end = co_await write(writes, kStoreTimeout);
+  }
+  log_.event("escrow_handed_over")
+      .with("shards", writes.size())
+      .with("done", static_cast<int>(end == WriteEnd::kDone));
+}
+
+}  // namespace sailgate::ledger
--- /dev/null
+++ b/src/ledger/escrow_shard.cpp
@@ -0,0 +1,81 @@
+#include "ledger/escrow_shard.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace sailgate::ledger {
+
+namespace {
+
+/// Keeps the digest of a program independent of its parts in the store.
+constexpr std::uint64_t kDigestSeed = 0x657363726f77;
+
+/// The larger half of the budget and one turn: what either side may spend unseen by the other.
+std::int64_t half_with_one_turn(std::int64_t budget, std::int64_t turn_tokens) {
+  const std::int64_t half = (budget + turn_tokens) / 2;
+  return std::min(half, budget);
+}
+
+bool may_forget_spent(const wire::EscrowRow& row, std::int64_t now_ms) {
+  return now_ms >= row.spent_until;
+}
+
+}  // namespace
+
+std::int64_t escrow_digest_of(const std::string& program) {
+  return static_cast<std::int64_t>(XXH64(program.data(), program.size(), kDigestSeed));
+}
+
+int escrow_shard_of(std::int64_t digest) {
+  return static_cast<int>(static_cast<std::uint64_t>(digest) % kEscrowShards);
+}
+
+int escrow_shard_of(const std::string& program) {
+  return escrow_shard_of(escrow_digest_of(program));
+}
+
+BudgetDivision division_of_owner(std::int64_t budget, std::int64_t turn_tokens) {
+  const auto escrow = half_with_one_turn(budget, turn_tokens);
+  return {escrow, budget - escrow};
+}
+
+BudgetDivision division_of_others(std::int64_t budget, std::int64_t turn_tokens) {
+  return {0, half_with_one_turn(budget, turn_tokens)};
+}
+
+wire::EscrowRow plan_claim(const wire::EscrowRow* row, std::int64_t claimant,
+                           std::int64_t now_ms) {
+  wire::EscrowRow claimed;
+  if (row != nullptr) claimed = *row;
+  const bool lost_owner = row != nullptr && row->owner != 0 && row->owner != claimant;
+  if (row == nullptr) claimed.spendable = true;
+  if (lost_owner && row->spendable) {
+    // The lost owner may be alive, and spends until its claim runs out.
+    const auto last_spent = std::max(now_ms, row->claimed_at + kClaimLife.count());
+    claimed.spendable = false;
+    claimed.spendable_from = last_spent + kLongestProgram.count();
+  }
+  if (!claimed.spendable && now_ms >= claimed.spendable_from) {
+    claimed.spendable = true;
+    claimed.spent.clear();
+  }
+  if (may_forget_spent(claimed, now_ms)) claimed.spent.clear();
+  claimed.owner = claimant;
+  claimed.claimed_at = now_ms;
+  return claimed;
+}
+
+wire::EscrowRow plan_handover(const wire::EscrowRow& row,
+                              const std::map<std::int64_t, std::int64_t>& spent,
+                              std::int64_t now_ms) {
+  wire::EscrowRow handed_over = row;
+  if (may_forget_spent(row, now_ms)) handed_over.spent.clear();
+  for (const auto& [program, tokens] : spent) handed_over.spent[program] = tokens;
+  handed_over.owner = 0;
+  handed_over.claimed_at = now_ms;
+  handed_over.spent_until = now_ms + kLongestProgram.count();
+  return handed_over;
+}
+
+}  // namespace sailgate::ledger
--- a/src/ledger/program_ledger.hpp
+++ b/src/ledger/program_ledger.hpp
@@ -11,9 +11,11 @@
   /// @param holder identifies this process among all that ever ran.
   ProgramLedger(net::asio::io_context& context, store::TableStore& store,
                 const store::StoreClock& clock, observe::StructuredLog& log, std::int64_t holder)
-      : budgets(context, store, clock, log, holder),
+      : escrow(context, store, clock, log, holder),
+        budgets(context, store, clock, escrow, log, holder),
         turns(context, store, clock, budgets.latency(), log, static_cast<std::uint64_t>(holder)) {}
 
+  EscrowClaims escrow;
   BudgetLedger budgets;
   TurnLedger turns;
 };
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -26,6 +26,9 @@
 /// Longest that tokens are given back at once.
 constexpr net::Millis kReleaseTime{800};
 constexpr net::Millis kAcceptPause{20};
+/// An owner of programs that was not heard of for so long is taken to be lost: its escrow with it,
+/// so a pause of its process should not be enough.
+constexpr net::Millis kOwnerSilence{2000};
 
 }  // namespace
 
@@ -117,6 +120,10 @@
   net::asio::co_spawn(context_, state_.store.keep_probing(), net::asio::detached);
   net::asio::co_spawn(context_, maintain(), net::asio::detached);
   net::asio::co_spawn(context_, state_.sweeper.run(), net::asio::detached);
+  if (state_.settings.escrow) {
+    state_.ledger.escrow.enable(escrow_peers());
+    net::asio::co_spawn(context_, state_.ledger.escrow.run(), net::asio::detached);
+  }
 }
 
 net::asio::awaitable<void> Gateway::register_self() {
@@ -300,7 +307,24 @@
   net::asio::co_spawn(context_, finish_stop(), net::asio::detached);
 }
 
+ledger::EscrowPeers Gateway::escrow_peers() {
+  const auto silence = [this] { return std::max(kOwnerSilence, state_.beacons.silence_limit()); };
+  ledger::EscrowPeers peers;
+  peers.unowned = [this, silence] {
+    std::set<int> own;
+    for (const auto shard : state_.ledger.escrow.spendable_shards()) own.insert(shard);
+    for (const auto shard : state_.ledger.escrow.bare_shards()) own.insert(shard);
+    return state_.peers.shards_to_claim(own, ledger::kEscrowShards, net::Clock::now(), silence());
+  };
+  peers.lives = [this, silence](std::int64_t incarnation) {
+    return state_.peers.heard(incarnation, net::Clock::now(), silence());
+  };
+  return peers;
+}
+
 net::asio::awaitable<void> Gateway::release_tokens() {
+  co_await state_.ledger.escrow.hand_over(state_.ledger.budgets.spent_of_escrow(),
+                                          net::Clock::now() + kReleaseTime);
   co_await net::sleep_for(context_, kHomesNotice);
   co_await state_.ledger.budgets.release_all(net::Clock::now() + kReleaseTime);
 }
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -41,6 +41,8 @@
   net::asio::awaitable<void> finish_stop();
   /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
   net::asio::awaitable<void> release_tokens();
+  /// What the claims on shards of programs depend on.
+  ledger::EscrowPeers escrow_peers();
   void take_configuration(const store::Row& row);
   void take_engine(const store::Row& row);
   void note_contact(bool reached);
--- a/src/serving/node_settings.hpp
+++ b/src/serving/node_settings.hpp
@@ -18,6 +18,9 @@
   std::optional<net::Endpoint> metrics;
   net::Endpoint store;
   net::Millis stop_grace{8000};  ///< a stop is forced after this time
+  /// Whether a part of each budget is spent from memory (ledger/escrow_shard.hpp). All nodes that
+  /// share a store must have the same, from its first use on.
+  bool escrow = true;
 };
 
 }  // namespace sailgate::serving
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -50,6 +50,8 @@
     message.incarnation = incarnation;
     message.reaches_store = store.direct_works();
     message.store_version = newest_store_version;
+    message.escrow_shards = ledger.escrow.spendable_shards();
+    message.bare_shards = ledger.escrow.bare_shards();
     for (const auto& engine : engines.all()) {
       if (engine->in_flight == 0) continue;
       message.loads[cluster::engine_key(engine->record.id)] = engine->in_flight;
--- a/tests/cluster/cluster_test.cpp
+++ b/tests/cluster/cluster_test.cpp
@@ -16,9 +16,10 @@
 /// A node whose way to the store can fail by itself.
 struct Node {
   Node(net::asio::io_context& context, test::GatewayFixture& shared, const std::string& name,
-       std::int64_t incarnation, MemoryTable& own_table)
+       std::int64_t incarnation, MemoryTable& own_table, bool escrow = false)
       : settings(shared.make_settings()) {
     settings.node = name;
+    settings.escrow = escrow;
     gateway = std::make_unique<serving::Gateway>(context, settings, shared.protocol, shared.records,
                                                  own_table, shared.log, incarnation);
     gateway->start();
@@ -185,3 +186,89 @@
                                                            net::Clock::now() + net::Millis(2000))));
   REQUIRE(table.has("turns", "t1"));
 }
+
+namespace {
+
+/// Two nodes that have shared the shards of programs out.
+struct EscrowFixture : test::GatewayFixture {
+  std::unique_ptr<Node> first;
+  std::unique_ptr<Node> second;
+
+  EscrowFixture() {
+    first = std::make_unique<Node>(context, *this, "first", 101, table, true);
+    second = std::make_unique<Node>(context, *this, "second", 102, table, true);
+    run_until(context, [this] { return owned_by(*first) + owned_by(*second) == kShards; });
+    // Each has heard what the other one owns.
+    run_until(context, [this] { return heard(*first, *second) && heard(*second, *first); });
+  }
+  static constexpr std::size_t kShards = ledger::kEscrowShards;
+
+  static std::size_t owned_by(Node& node) {
+    return node.state().ledger.escrow.spendable_shards().size();
+  }
+  static bool heard(Node& listener, Node& owner) {
+    const auto& peers = listener.state().peers.peers();
+    const auto peer = peers.find(owner.settings.node);
+    return peer != peers.end() && peer->second.escrow_shards.size() == owned_by(owner);
+  }
+  std::string program_of(Node& owner) {
+    for (int i = 0;; ++i) {
+      const auto program = "program-" + std::to_string(i);
+      if (owner.state().ledger.escrow.owns(program)) return program;
+    }
+  }
+  cluster::TurnStart begin(Node& node, const std::string& program, std::int64_t tokens) {
+    cluster::TurnRequest request;
+    request.program = program;
+    request.tokens = tokens;
+    request.budget = 900;
+    const auto deadline = net::Clock::now() + net::Millis(400);
+    return run(context, node.state().turns.begin(std::move(request), deadline));
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(EscrowFixture, "nodes share the shards out, and each program has one home",
+                 "[cluster][escrow]") {
+  REQUIRE(owned_by(*first) > kShards / 4);
+  REQUIRE(owned_by(*second) > kShards / 4);
+  const auto program = program_of(*second);
+  REQUIRE(begin(*first, program, 100).keeper == "second");
+  REQUIRE(begin(*second, program, 100).keeper.empty());
+}
+
+TEST_CASE_METHOD(EscrowFixture, "any node begins programs while the store is away",
+                 "[cluster][escrow]") {
+  table.set_mode(MemoryTable::Mode::kRefuses);
+  for (auto* owner : {first.get(), second.get()}) {
+    const auto program = program_of(*owner);
+    REQUIRE(begin(*first, program, 300).reservation == ReserveOutcome::kReserved);
+    REQUIRE(begin(*second, program, 300).reservation == ReserveOutcome::kReserved);
+    REQUIRE(begin(*first, program, 300).reservation == ReserveOutcome::kUnavailable);
+  }
+}
+
+TEST_CASE_METHOD(EscrowFixture, "only the owner says that a budget is exhausted",
+                 "[cluster][escrow]") {
+  const auto program = program_of(*second);
+  for (int turn = 0; turn < 3; ++turn) {
+    REQUIRE(begin(*first, program, 300).reservation == ReserveOutcome::kReserved);
+  }
+  REQUIRE(begin(*first, program, 300).reservation == ReserveOutcome::kExhausted);
+  first->state().peers.suspect("second", net::Clock::now() + net::Millis(60'000));
+  // One turn more than the budget is allowed while the owner cannot be asked, and no second one.
+  REQUIRE(begin(*first, program, 300).reservation == ReserveOutcome::kReserved);
+  REQUIRE(begin(*first, program, 300).reservation == ReserveOutcome::kUnavailable);
+}
+
+TEST_CASE_METHOD(EscrowFixture, "a stop hands the shards over", "[cluster][escrow]") {
+  const auto program = program_of(*second);
+  REQUIRE(begin(*second, program, 300).reservation == ReserveOutcome::kReserved);
+  second->gateway->stop();
+  run_until(context, [this] { return owned_by(*first) == kShards; });
+  table.set_mode(MemoryTable::Mode::kRefuses);
+  // 600 tokens are the escrow, of which 300 are spent.
+  REQUIRE(begin(*first, program, 300).reservation == ReserveOutcome::kReserved);
+  REQUIRE(begin(*first, program, 1).reservation == ReserveOutcome::kUnavailable);
+}
--- a/tests/cluster/peer_directory_test.cpp
+++ b/tests/cluster/peer_directory_test.cpp
@@ -126,3 +126,37 @@
   directory.on_beacon(stranger, now);
   REQUIRE(directory.newest_store_version() == 40);
 }
+
+TEST_CASE_METHOD(Fixture, "a shard's owner with an escrow comes before one without",
+                 "[cluster][escrow]") {
+  auto bare = beacon(1);
+  bare.bare_shards = {5};
+  auto rich = beacon(2);
+  rich.escrow_shards = {5};
+  REQUIRE_FALSE(directory.shard_owner(5, now, kSilence));
+  directory.on_beacon(bare, now);
+  REQUIRE(directory.shard_owner(5, now, kSilence)->node == "near");
+  directory.on_beacon(rich, now);
+  REQUIRE(directory.shard_owner(5, now, kSilence)->node == "far");
+  directory.suspect("far", now);
+  REQUIRE(directory.shard_owner(5, now, kSilence)->node == "near");
+  REQUIRE_FALSE(directory.shard_owner(6, now, kSilence));
+}
+
+TEST_CASE_METHOD(Fixture, "shards without an owner are shared out among those heard of",
+                 "[cluster][escrow]") {
+  constexpr int kShards = 60;
+  const auto mine = directory.shards_to_claim({}, kShards, now, kSilence);
+  REQUIRE(mine.size() > kShards / 6);
+  REQUIRE(mine.size() < kShards / 2);
+  // A suspected peer still counts; one that is silent does not.
+  directory.suspect("far", now);
+  REQUIRE(directory.shards_to_claim({}, kShards, now, kSilence) == mine);
+  const auto later = now + kSilence;
+  REQUIRE(directory.shards_to_claim({}, kShards, later, kSilence).size() == kShards);
+  auto owner = beacon(1);
+  owner.escrow_shards = {static_cast<std::int16_t>(mine.front())};
+  directory.on_beacon(owner, now);
+  const auto rest = directory.shards_to_claim({mine.back()}, kShards, now, kSilence);
+  REQUIRE(rest.size() == mine.size() - 2);
+}
