A line of turns stays at the engine of its last turn

The engine followed from the program's name, the node's zone and a bound on loads, and lines come by way of other zones. Each moved turn reads its whole prompt anew, which costs as much as several turns.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -86,6 +86,8 @@
   3: i64 tokens
   4: i64 budget
   5: i32 time_left_ms
+  /** Line of turns that this one belongs to; empty: the program has one only. */
+  6: string line
 }
 
 struct BeginTurnReply {
@@ -93,6 +95,8 @@
   /** The whole chain, when one was asked for and found. */
   2: ledger.TurnRow chain
   3: TurnReservation reservation
+  /** Engine that ran the line's last turn; empty: not known. */
+  4: string engine
 }
 
 /** To a holder of tokens: give back what no turn uses. */
@@ -107,4 +111,7 @@
   3: i64 used
   /** The finished turn with its chain, for the home's cache; no segments when there is none. */
   4: ledger.TurnRow chain
+  5: string line
+  /** Engine that ran the turn whole; empty: none. */
+  6: string engine
 }
--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -20,6 +20,11 @@
 constexpr double kSaturation = 0.85;
 constexpr double kSaturationOverMean = 1.25;
 
+/// A line stays at its engine up to these two bounds: all slots taken, and a multiple of the mean
+/// load. Beyond them a turn waits longer than its prompt takes to be read elsewhere.
+constexpr double kStayLoad = 1.0;
+constexpr double kStayOverMean = 1.5;
+
 /// Uniform in [0, 1) for a pair of key and engine.
 double rendezvous_draw(const std::string& key, const std::string& engine_id) {
   const auto seed = XXH64(engine_id.data(), engine_id.size(), 0);
@@ -68,17 +73,34 @@
   return {query.now < engine.avoid_until, load >= saturation, preference + zone, tie};
 }
 
+bool excluded(const SelectionQuery& query, const Engine& engine) {
+  return std::find(query.excluded.begin(), query.excluded.end(), engine.record.id) !=
+         query.excluded.end();
+}
+
+/// Engine of the line's last turn, if the line should stay there.
+EnginePointer engine_to_stay_at(const EngineRegistry& registry, const SelectionQuery& query,
+                                double mean) {
+  if (query.line_engine.empty()) return nullptr;
+  auto engine = registry.find(query.line_engine);
+  if (engine == nullptr || engine->record.service != query.service) return nullptr;
+  if (!engine->usable() || query.now < engine->avoid_until) return nullptr;
+  if (excluded(query, *engine)) return nullptr;
+  const double bound = std::max(kStayLoad, kStayOverMean * mean);
+  return load_of(*engine) < bound ? engine : nullptr;
+}
+
 }  // namespace
 
 EnginePointer select_engine(const EngineRegistry& registry, const SelectionQuery& query) {
+  const auto& engines = registry.of_service(query.service);
+  const double mean = mean_load(engines);
+  if (auto stay = engine_to_stay_at(registry, query, mean)) return stay;
   EnginePointer best;
   Rank best_rank{};
-  const auto& engines = registry.of_service(query.service);
-  const double saturation = std::max(kSaturation, kSaturationOverMean * mean_load(engines));
+  const double saturation = std::max(kSaturation, kSaturationOverMean * mean);
   for (const auto& engine : engines) {
-    if (!engine->usable()) continue;
-    const auto& excluded = query.excluded;
-    if (std::find(excluded.begin(), excluded.end(), engine->record.id) != excluded.end()) continue;
+    if (!engine->usable() || excluded(query, *engine)) continue;
     const auto candidate = rank(*engine, query, saturation);
     if (best == nullptr || candidate < best_rank) {
       best = engine;
--- a/src/balancing/engine_selector.hpp
+++ b/src/balancing/engine_selector.hpp
@@ -11,6 +11,7 @@
 /// What the choice depends on.
 struct SelectionQuery {
   std::string service;
+  std::string line_engine;   ///< has the whole prompt cached but for the new input; empty: none
   std::string affinity_key;  ///< requests with the same key share cached prompts; empty: none
   std::string zone;          ///< of this node
   net::TimePoint now;
@@ -20,10 +21,11 @@
 
 /// Pure decision over the registry's state: no clock, no randomness of its own.
 ///
-/// Engines are ranked by, in order: not avoided, load below saturation, then cost. Cost sums the
-/// share of slots this node keeps busy, a charge for another zone, and with an affinity key the
-/// distance from the top of the key's rendezvous order, so that all nodes agree on a key's engine
-/// without talking to each other.
+/// The engine of the line's last turn is kept as long as it is usable, not avoided and not much
+/// busier than the others. Else engines are ranked by, in order: not avoided, load below
+/// saturation, then cost. Cost sums the share of slots this node keeps busy, a charge for another
+/// zone, and with an affinity key the distance from the top of the key's rendezvous order, so that
+/// all nodes agree on a key's engine without talking to each other.
 ///
 /// @return nullptr when no usable engine is left.
 EnginePointer select_engine(const EngineRegistry& registry, const SelectionQuery& query);
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -39,6 +39,7 @@
 net::asio::awaitable<TurnStart> TurnKeeper::begin_here(TurnRequest request,
                                                        net::TimePoint deadline) {
   TurnStart start;
+  start.engine = placements_.find(request.program, request.line);
   if (!request.previous.empty()) {
     auto found = co_await ledger_.turns.find(request.previous, deadline);
     start.lookup = found.outcome;
@@ -53,8 +54,8 @@
 
 net::asio::awaitable<ReserveOutcome> TurnKeeper::reserve(const TurnRequest& request,
                                                          net::TimePoint deadline) {
-  // An escrow that this node does not know of may hold the turn: only the owner of the shard can say
-  // that a budget is exhausted.
+  // An escrow that this node does not know of may hold the turn: only the owner of the shard can
+  // say that a budget is exhausted.
   const auto said = [&](ReserveOutcome found) {
     const bool may_say = !ledger_.escrow.enabled() || ledger_.escrow.owns(request.program);
     return found == ReserveOutcome::kExhausted && !may_say ? ReserveOutcome::kUnavailable : found;
@@ -99,6 +100,7 @@
                                                 net::TimePoint deadline, TurnStart& start) {
   wire::BeginTurn message;
   message.program = request.program;
+  message.line = request.line;
   start.previous = ledger_.turns.cached(request.previous);
   if (start.previous == nullptr) message.previous = request.previous;
   message.tokens = request.tokens;
@@ -120,6 +122,7 @@
   start.keeper = home.node;
   start.keeper_incarnation = home.incarnation;
   start.reservation = static_cast<ReserveOutcome>(reply.reservation);
+  start.engine = reply.engine;
   if (!message.previous.empty()) {
     start.lookup = static_cast<LookupOutcome>(reply.lookup);
     if (start.lookup == LookupOutcome::kFound) {
@@ -155,10 +158,10 @@
   co_return co_await begin_here(std::move(request), deadline);
 }
 
-void TurnKeeper::end(const std::string& program, const TurnStart& start, std::int64_t reserved,
-                     std::int64_t used, const ledger::TurnPointer& turn) {
+void TurnKeeper::end(const TurnEnd& end, const TurnStart& start) {
   if (start.keeper.empty()) {
-    if (reserved > 0) ledger_.budgets.settle(program, reserved, used);
+    if (end.reserved > 0) ledger_.budgets.settle(end.program, end.reserved, end.used);
+    if (!end.engine.empty()) placements_.note(end.program, end.line, end.engine);
     return;
   }
   const auto peer = directory_.peers().find(start.keeper);
@@ -166,10 +169,12 @@
       peer != directory_.peers().end() && peer->second.incarnation == start.keeper_incarnation;
   if (!same) return;  // what was reserved there counts as used
   wire::EndTurn message;
-  message.program = program;
-  message.reserved = reserved;
-  message.used = used;
-  if (turn != nullptr) message.chain = ledger::encode_whole_chain(*turn);
+  message.program = end.program;
+  message.line = end.line;
+  message.reserved = end.reserved;
+  message.used = end.used;
+  message.engine = end.engine;
+  if (end.turn != nullptr) message.chain = ledger::encode_whole_chain(*end.turn);
   net::asio::co_spawn(context_, end_at(peer->second, std::move(message)), net::asio::detached);
 }
 
@@ -186,6 +191,7 @@
   const auto time = std::clamp(net::Millis(message.time_left_ms), net::Millis(0), kLongestHomeTime);
   TurnRequest turn;
   turn.program = message.program;
+  turn.line = message.line;
   turn.previous = message.previous;
   turn.tokens = message.tokens;
   turn.budget = message.budget;
@@ -193,6 +199,7 @@
   wire::BeginTurnReply reply;
   reply.lookup = static_cast<wire::TurnLookup::type>(start.lookup);
   reply.reservation = static_cast<wire::TurnReservation::type>(start.reservation);
+  reply.engine = start.engine;
   if (start.previous != nullptr) reply.chain = ledger::encode_whole_chain(*start.previous);
   response.body() = wire::encode(reply);
 }
@@ -209,6 +216,7 @@
     const auto message = wire::decode<wire::EndTurn>(request.body());
     if (message.reserved > 0)
       ledger_.budgets.settle(message.program, message.reserved, message.used);
+    if (!message.engine.empty()) placements_.note(message.program, message.line, message.engine);
     if (!message.chain.segments.empty()) ledger_.turns.remember_chain(message.chain, nullptr);
   } else {
     response.result(net::http::status::not_found);
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "balancing/line_placements.hpp"
 #include "cluster/beacon_sender.hpp"
 #include "cluster/peer_clients.hpp"
 #include "cluster/peer_directory.hpp"
@@ -22,6 +23,7 @@
 /// What a turn needs before it starts.
 struct TurnRequest {
   std::string program;
+  std::string line;         ///< line of turns within the program
   std::string previous;     ///< empty: the turn goes on from none
   std::int64_t tokens = 0;  ///< to reserve; 0: none
   std::int64_t budget = 0;
@@ -31,10 +33,21 @@
   ledger::LookupOutcome lookup = ledger::LookupOutcome::kFound;
   ledger::TurnPointer previous;
   ledger::ReserveOutcome reservation = ledger::ReserveOutcome::kReserved;
+  std::string engine;  ///< ran the line's last turn; empty: not known
   std::string keeper;  ///< node that keeps the reservation; empty: this one
   std::int64_t keeper_incarnation = 0;
 };
 
+/// What is known of a turn when it has ended.
+struct TurnEnd {
+  std::string program;
+  std::string line;
+  std::int64_t reserved = 0;  ///< tokens
+  std::int64_t used = 0;      ///< tokens
+  ledger::TurnPointer turn;   ///< the finished turn, for the home's cache; nullptr: none
+  std::string engine;         ///< ran the turn whole; empty: none
+};
+
 /// Not thread-safe: belongs to the event loop.
 class TurnKeeper {
  public:
@@ -49,9 +62,7 @@
         log_(log) {}
 
   net::asio::awaitable<TurnStart> begin(TurnRequest request, net::TimePoint deadline);
-  /// The turn ended. @param turn the finished turn, for the home's cache; nullptr: none.
-  void end(const std::string& program, const TurnStart& start, std::int64_t reserved,
-           std::int64_t used, const ledger::TurnPointer& turn);
+  void end(const TurnEnd& end, const TurnStart& start);
 
   /// Calls of other nodes. @throws std::exception when a message cannot be read.
   net::asio::awaitable<net::TextResponse> serve(net::TextRequest request);
@@ -77,6 +88,9 @@
   PeerClients& clients_;
   const BeaconSender& beacons_;
   observe::StructuredLog& log_;
+  /// Programs whose engines are remembered: about 200 bytes each.
+  static constexpr std::size_t kMostPlacements = 20'000;
+  balancing::LinePlacements placements_{kMostPlacements};  ///< of programs whose home this node is
 };
 
 }  // namespace sailgate::cluster
--- a/src/ledger/escrow_claims.cpp
+++ b/src/ledger/escrow_claims.cpp
@@ -194,8 +194,8 @@
       .with("spendable", static_cast<int>(batch.front().row.spendable))
       .with("status", static_cast<int>(result.status))
       .with("row_version", result.version);
-  if (!done) co_return result.status == StoreStatus::kConflict ? WriteEnd::kConflict
-                                                               : WriteEnd::kNoAnswer;
+  if (!done)
+    co_return result.status == StoreStatus::kConflict ? WriteEnd::kConflict : WriteEnd::kNoAnswer;
   for (const auto& write : batch) {
     if (write.row.owner != holder_ || stopping_) continue;
     claims_[write.shard] = Claim{write.row, result.version, sent_at};
--- a/src/ledger/escrow_shard.cpp
+++ b/src/ledger/escrow_shard.cpp
@@ -50,8 +50,7 @@
   return {0, std::min(budget, budget + turn_tokens - unseen)};
 }
 
-wire::EscrowRow plan_claim(const wire::EscrowRow* row, std::int64_t claimant,
-                           std::int64_t now_ms) {
+wire::EscrowRow plan_claim(const wire::EscrowRow* row, std::int64_t claimant, std::int64_t now_ms) {
   wire::EscrowRow claimed;
   if (row != nullptr) claimed = *row;
   const bool lost_owner = row != nullptr && row->owner != 0 && row->owner != claimant;
--- a/src/serving/call.hpp
+++ b/src/serving/call.hpp
@@ -27,6 +27,7 @@
   net::TimePoint received_at;
   net::TimePoint deadline;  ///< the earlier of the caller's and the route's
 
+  std::string line_engine;             ///< ran the last turn of this one's line; empty: not known
   std::string home;                    ///< node that keeps the program's tokens; empty: this one
   std::vector<std::string> offered;    ///< engines the request was offered to
   std::int64_t tokens_out = 0;         ///< generated and handed to the caller
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -106,6 +106,7 @@
   query.service = call.service;
   if (call.route->kind == routing::RouteKind::kStream) {
     query.affinity_key = call.description.program;
+    query.line_engine = call.line_engine;
   }
   query.zone = state_.settings.zone;
   query.now = net::Clock::now();
--- a/src/serving/edge_protocol.hpp
+++ b/src/serving/edge_protocol.hpp
@@ -15,12 +15,15 @@
 struct CallDescription {
   std::string request_id;     ///< unique for each attempt of the caller
   std::string program;        ///< empty: not part of a program
+  std::string line;           ///< line of turns within the program; sub-agents have their own
   std::string previous_turn;  ///< request id of the turn this one goes on from; empty: none
   std::optional<net::Millis> deadline;  ///< how long the caller will wait
   std::optional<net::Millis> finish;  ///< time left until the program should be over; 0: it is late
   std::optional<std::int64_t> token_budget;  ///< of the whole program
   std::int64_t max_output_tokens = 0;
   std::string shared_prefix;  ///< first part of the prompt, shared with other requests
+  std::int64_t shared_prefix_tokens = 0;
+  std::int64_t prompt_tokens = 0;
   std::string last_event_id;  ///< the caller's stream goes on after this event
 };
 
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -27,7 +27,7 @@
 net::asio::awaitable<CallEnd> StreamCall::run() {
   if (const auto refused = co_await prepare()) co_return *refused;
   auto end = co_await serve();
-  end_turn(nullptr);
+  end_turn(nullptr, "");
   co_return end;
 }
 
@@ -35,6 +35,7 @@
   const auto& description = call_.description;
   cluster::TurnRequest request;
   request.program = description.program;
+  request.line = description.line;
   if (call_.route->retained) request.previous = description.previous_turn;
   const bool bounded =
       !description.program.empty() && description.token_budget && description.max_output_tokens > 0;
@@ -59,6 +60,7 @@
   }
   start_ = co_await state_.turns.begin(request, deadline);
   call_.home = start_.keeper;
+  call_.line_engine = start_.engine;
   if (start_.lookup == ledger::LookupOutcome::kAbsent) {
     co_return co_await refuse(call_, Kind::kUnknownTurn);
   }
@@ -75,14 +77,20 @@
   co_return std::nullopt;
 }
 
-void StreamCall::end_turn(const ledger::TurnPointer& turn) {
+void StreamCall::end_turn(const ledger::TurnPointer& turn, const std::string& engine) {
   if (ended_) return;
   ended_ = true;
   const auto* service = call_.routes->service(call_.service);
   const std::int64_t per_event = service == nullptr ? 1 : std::max(1, service->tokens_per_event);
   call_.tokens_out = events_ * per_event;
-  const auto used = std::min(call_.tokens_out, reserved_);
-  state_.turns.end(call_.description.program, start_, reserved_, used, turn);
+  cluster::TurnEnd end;
+  end.program = call_.description.program;
+  end.line = call_.description.line;
+  end.reserved = reserved_;
+  end.used = std::min(call_.tokens_out, reserved_);
+  end.turn = turn;
+  end.engine = engine;
+  state_.turns.end(end, start_);
 }
 
 net::asio::awaitable<CallEnd> StreamCall::serve() {
@@ -176,7 +184,7 @@
       co_return CallEnd{"turn_not_durable", false};
     }
   }
-  end_turn(turn);
+  end_turn(turn, call_.offered.back());
   const bool taken = co_await call_.channel.end_chunked();
   co_return CallEnd{taken ? "answered" : "caller_gone", taken};
 }
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -34,7 +34,9 @@
   net::asio::awaitable<bool> pass_on(std::vector<StreamEvent> events, EngineExchange& exchange);
   net::asio::awaitable<CallEnd> complete();
   net::asio::awaitable<CallEnd> fail(DispatchFailure failure);
-  void end_turn(const ledger::TurnPointer& turn);
+  /// Tells the turn's home how it ended. @param turn the finished turn; nullptr: none is kept.
+  /// @param engine that ran it whole; empty: none.
+  void end_turn(const ledger::TurnPointer& turn, const std::string& engine);
 
   NodeState& state_;
   Call& call_;
--- a/tests/balancing/engine_selector_test.cpp
+++ b/tests/balancing/engine_selector_test.cpp
@@ -127,3 +127,52 @@
     REQUIRE(balancing::select_engine(engines, asked)->record.id == "b");
   }
 }
+
+TEST_CASE("a line stays at its engine, whatever its key and zone say", "[balancing]") {
+  const auto engines = registry();
+  for (const auto* id : {"a", "b", "c", "d"}) {
+    auto asked = query("program");
+    asked.line_engine = id;
+    REQUIRE(balancing::select_engine(engines, asked)->record.id == id);
+  }
+}
+
+TEST_CASE("a line stays while its engine is not much busier than the others", "[balancing]") {
+  const auto engines = registry();
+  auto asked = query("program");
+  asked.line_engine = "d";
+  engines.find("d")->in_flight = 3;
+  REQUIRE(balancing::select_engine(engines, asked)->record.id == "d");
+  // All slots taken, and the others idle.
+  engines.find("d")->in_flight = 4;
+  REQUIRE(balancing::select_engine(engines, asked)->record.id != "d");
+  // All are that busy: moving would only add work.
+  for (const auto* id : {"a", "b", "c"}) engines.find(id)->peer_in_flight = 4;
+  REQUIRE(balancing::select_engine(engines, asked)->record.id == "d");
+}
+
+TEST_CASE("a line leaves an engine that fails, ends or was asked already", "[balancing]") {
+  auto engines = registry();
+  auto asked = query("program");
+  asked.line_engine = "d";
+  engines.find("d")->avoid_until = asked.now + net::Millis(100);
+  REQUIRE(balancing::select_engine(engines, asked)->record.id != "d");
+  engines.find("d")->avoid_until = {};
+  asked.excluded = {"d"};
+  REQUIRE(balancing::select_engine(engines, asked)->record.id != "d");
+  asked.excluded.clear();
+  engines.put(record("d", "far", true));
+  REQUIRE(balancing::select_engine(engines, asked)->record.id != "d");
+  engines.remove("d");
+  REQUIRE(balancing::select_engine(engines, asked)->record.id != "d");
+}
+
+TEST_CASE("an engine of another service is no place for a line", "[balancing]") {
+  auto engines = registry();
+  auto foreign = record("x", "near");
+  foreign.service = "other";
+  engines.put(foreign);
+  auto asked = query("program");
+  asked.line_engine = "x";
+  REQUIRE(balancing::select_engine(engines, asked)->record.service == "llm");
+}
--- a/tests/cluster/cluster_test.cpp
+++ b/tests/cluster/cluster_test.cpp
@@ -99,7 +99,7 @@
   const auto program = program_at_second();
   const auto start = begin(first, program, 600);
   REQUIRE(start.keeper == "second");
-  first.state().turns.end(program, start, 600, 100, nullptr);
+  first.state().turns.end({program, "", 600, 100, nullptr, ""}, start);
   run_until(context, [&] {
     // The home has settled when it can reserve again what was not used.
     return run(context, second.state().ledger.budgets.reserve(program, 450, 1000, soon())) ==
--- a/tests/ledger/escrow_claims_test.cpp
+++ b/tests/ledger/escrow_claims_test.cpp
@@ -61,8 +61,7 @@
   }
   ReserveOutcome reserve(Process& process, std::int64_t tokens) {
     const auto deadline = net::Clock::now() + net::Millis(60);
-    return test::run(context,
-                     process.ledger.budgets.reserve(program, tokens, kBudget, deadline));
+    return test::run(context, process.ledger.budgets.reserve(program, tokens, kBudget, deadline));
   }
   void stop(Process& process) {
     finish(process.ledger.escrow.hand_over(process.ledger.budgets.spent_of_escrow(),
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -104,10 +104,14 @@
   fields.set("Sailgate-Request-Id", "id");
   fields.set("Sailgate-Tokens", "1840,288");
   fields.set("Sailgate-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410");
+  fields.set("Sailgate-Session", "77d20b");
   fields.set("Sailgate-Deadline-Ms", "x");
   const auto call = platform::EdgeHeaders().describe(fields);
   REQUIRE(call.max_output_tokens == 288);
+  REQUIRE(call.prompt_tokens == 1840);
   REQUIRE(call.shared_prefix == "5c1e07a2");
+  REQUIRE(call.shared_prefix_tokens == 800);
+  REQUIRE(call.line == "77d20b");
   REQUIRE_FALSE(call.deadline);
   REQUIRE_FALSE(call.token_budget);
 }
--- a/tests/serving/stream_call_test.cpp
+++ b/tests/serving/stream_call_test.cpp
@@ -229,3 +229,40 @@
   test::run_until(context, [&] { return logged({"tokens_released"}) > 0; });
   REQUIRE(reserve() == ledger::ReserveOutcome::kReserved);
 }
+
+TEST_CASE_METHOD(GatewayFixture, "a turn goes to the engine that ran the one before",
+                 "[serving][balancing]") {
+  start(true);
+  const auto refuse = [](const auto&) { return EngineReply{test::not_run_answer(), true, false}; };
+  const auto answer = [](const auto& request) { return events(request, 1, 1); };
+  // The first turn lands where the rendezvous order does not say: the first choice refuses.
+  engine.set_script(refuse);
+  other.set_script(answer);
+  const std::string line = "Sailgate-Session: line\r\n";
+  REQUIRE(ask(request("POST", "/stream/x", turn_headers("r-1", "") + line, "one")).whole);
+  engine.set_script(answer);
+  const auto before = other.requests().size();
+  for (const auto* id : {"r-2", "r-3", "r-4"}) {
+    // A refusal is remembered for a moment; it must not be what decides.
+    for (const auto& known : gateway->state().engines.all()) known->avoid_until = {};
+    REQUIRE(ask(request("POST", "/stream/x", turn_headers(id, "") + line, "more")).whole);
+  }
+  REQUIRE(other.requests().size() == before + 3);
+}
+
+TEST_CASE_METHOD(GatewayFixture, "the line of turns does not depend on which engine comes first",
+                 "[serving][balancing]") {
+  start(true);
+  const auto refuse = [](const auto&) { return EngineReply{test::not_run_answer(), true, false}; };
+  const auto answer = [](const auto& request) { return events(request, 1, 1); };
+  engine.set_script(answer);
+  other.set_script(refuse);
+  REQUIRE(ask(request("POST", "/stream/x", turn_headers("r-1", ""), "one")).whole);
+  other.set_script(answer);
+  const auto before = engine.requests().size();
+  for (const auto* id : {"r-2", "r-3", "r-4"}) {
+    for (const auto& known : gateway->state().engines.all()) known->avoid_until = {};
+    REQUIRE(ask(request("POST", "/stream/x", turn_headers(id, ""), "more")).whole);
+  }
+  REQUIRE(engine.requests().size() == before + 3);
+}
