--- a/apps/sailgate_gateway/main.cpp
+++ b/apps/sailgate_gateway/main.cpp
@@ -52,10 +52,12 @@
 struct SettingsSource {
   std::string path;
   std::optional<std::uint16_t> metrics_port;
+  base::Mechanisms mechanisms;
 
   serving::NodeSettings read() const {
     auto settings = platform::read_node_settings(path);
     if (metrics_port) settings.metrics = net::Endpoint(settings.callers.address(), *metrics_port);
+    settings.mechanisms = mechanisms;
     return settings;
   }
 };
@@ -97,6 +99,12 @@
                            platform::kSettingsVariable);
 }
 
+std::string without_help() {
+  std::string text = "for experiments: a mechanism to switch off, may be repeated; one of";
+  for (const auto& name : base::mechanism_names()) text += " " + name;
+  return text;
+}
+
 int run(int argc, char** argv) {
   options::options_description description("sailgate-gateway: one serving node");
   description.add_options()("help", "print this text and exit")("version",
@@ -105,6 +113,7 @@
       "settings file (TOML) instead of the one the environment names")(
       "metrics-port", options::value<std::uint16_t>(),
       "port of the metrics instead of the first free one that the settings name")(
+      "without", options::value<std::vector<std::string>>()->composing(), without_help().c_str())(
       "check", "check the settings and exit");
   options::variables_map values;
   options::store(options::parse_command_line(argc, argv, description), values);
@@ -116,10 +125,15 @@
     std::cout << "sailgate-gateway " << SAILGATE_VERSION << '\n';
     return cli::kSuccess;
   }
-  SettingsSource source{settings_path(values), std::nullopt};
+  SettingsSource source{settings_path(values), std::nullopt, {}};
   if (values.count("metrics-port") > 0) {
     source.metrics_port = values["metrics-port"].as<std::uint16_t>();
   }
+  if (values.count("without") > 0) {
+    for (const auto& name : values["without"].as<std::vector<std::string>>()) {
+      base::switch_off(source.mechanisms, name);
+    }
+  }
   if (values.count("check") > 0) {
     source.read();
     return cli::kSuccess;
--- a/src/cluster/store_relay.cpp
+++ b/src/cluster/store_relay.cpp
@@ -157,7 +157,7 @@
 }
 
 std::optional<Peer> StoreRelay::relay_for_now() {
-  if (direct_works_) return std::nullopt;
+  if (direct_works_ || !relaying_) return std::nullopt;
   const auto now = net::Clock::now();
   const auto able = directory_.reaching_store(now, silence_limit_);
   if (able.empty()) return std::nullopt;
--- a/src/cluster/store_relay.hpp
+++ b/src/cluster/store_relay.hpp
@@ -50,6 +50,8 @@
   /// Whether this node's own calls are answered, for its beacon.
   bool direct_works() const { return direct_works_; }
   const store::StoreClock& clock() const { return clock_; }
+  /// Whether calls may go through a peer.
+  void set_relaying(bool relaying) { relaying_ = relaying; }
   void set_silence_limit(net::Millis limit) { silence_limit_ = limit; }
 
  private:
@@ -75,6 +77,7 @@
   store::Reachability reachability_;
   store::StoreClock clock_;
   std::uint64_t probes_ = 0;
+  bool relaying_ = true;
 };
 
 }  // namespace sailgate::cluster
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -39,7 +39,7 @@
 net::asio::awaitable<TurnStart> TurnKeeper::begin_here(TurnRequest request,
                                                        net::TimePoint deadline) {
   TurnStart start;
-  start.engine = placements_.find(request.program, request.line);
+  if (mechanisms_.lines) start.engine = placements_.find(request.program, request.line);
   if (!request.previous.empty()) {
     auto found = co_await ledger_.turns.find(request.previous, deadline);
     start.lookup = found.outcome;
@@ -54,28 +54,28 @@
 
 net::asio::awaitable<ReserveOutcome> TurnKeeper::reserve(const TurnRequest& request,
                                                          net::TimePoint deadline) {
-  // An escrow that this node does not know of may hold the turn: only the owner of the shard can
-  // say that a budget is exhausted.
-  const auto said = [&](ReserveOutcome found) {
-    const bool may_say = !ledger_.escrow.enabled() || ledger_.escrow.owns(request.program);
-    return found == ReserveOutcome::kExhausted && !may_say ? ReserveOutcome::kUnavailable : found;
-  };
   auto outcome =
       co_await ledger_.budgets.reserve(request.program, request.tokens, request.budget, deadline);
   if (outcome != ReserveOutcome::kExhausted) co_return outcome;
-  if (ledger_.budgets.exhausted_lately(request.program, request.tokens)) co_return said(outcome);
+  if (ledger_.budgets.exhausted_lately(request.program, request.tokens)) co_return outcome;
   if (co_await gather_tokens(request.program)) {
     outcome =
         co_await ledger_.budgets.reserve(request.program, request.tokens, request.budget, deadline);
   }
-  if (outcome == ReserveOutcome::kExhausted) {
-    ledger_.budgets.note_exhausted(request.program, request.tokens);
-  }
-  co_return said(outcome);
+  if (outcome != ReserveOutcome::kExhausted) co_return outcome;
+  // The owner of the program's shard may hold an escrow that this node does not know of.
+  if (!knows_whole_budget(request.program)) co_return ReserveOutcome::kUnavailable;
+  ledger_.budgets.note_exhausted(request.program, request.tokens);
+  co_return outcome;
+}
+
+bool TurnKeeper::knows_whole_budget(const std::string& program) const {
+  return !ledger_.escrow.enabled() || ledger_.escrow.owns(program);
 }
 
 net::asio::awaitable<bool> TurnKeeper::gather_tokens(std::string program) {
   bool released = false;
+  if (!mechanisms_.gathering) co_return released;
   const auto holders = ledger_.budgets.other_holders(program);
   for (const auto holder : holders) {
     const auto* peer = directory_.find(holder);
@@ -134,6 +134,7 @@
 }
 
 std::optional<Peer> TurnKeeper::home_of(const std::string& program) const {
+  if (!mechanisms_.homes) return std::nullopt;
   const auto now = net::Clock::now();
   const auto silence = beacons_.silence_limit();
   const bool own = ledger_.escrow.owns(program);
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "balancing/line_placements.hpp"
+#include "base/mechanisms.hpp"
 #include "cluster/beacon_sender.hpp"
 #include "cluster/peer_clients.hpp"
 #include "cluster/peer_directory.hpp"
@@ -53,12 +54,13 @@
  public:
   TurnKeeper(net::asio::io_context& context, ledger::ProgramLedger& ledger,
              PeerDirectory& directory, PeerClients& clients, const BeaconSender& beacons,
-             observe::StructuredLog& log)
+             const base::Mechanisms& mechanisms, observe::StructuredLog& log)
       : context_(context),
         ledger_(ledger),
         directory_(directory),
         clients_(clients),
         beacons_(beacons),
+        mechanisms_(mechanisms),
         log_(log) {}
 
   net::asio::awaitable<TurnStart> begin(TurnRequest request, net::TimePoint deadline);
@@ -74,6 +76,8 @@
   /// Reserves tokens, those included that other holders do not use.
   net::asio::awaitable<ledger::ReserveOutcome> reserve(const TurnRequest& request,
                                                        net::TimePoint deadline);
+  /// Whether this node can say that the program's budget is exhausted.
+  bool knows_whole_budget(const std::string& program) const;
   /// Asks the other holders of a program's tokens for what they do not use.
   net::asio::awaitable<bool> gather_tokens(std::string program);
   net::asio::awaitable<bool> begin_at(Peer home, const TurnRequest& request,
@@ -87,6 +91,7 @@
   PeerDirectory& directory_;
   PeerClients& clients_;
   const BeaconSender& beacons_;
+  const base::Mechanisms& mechanisms_;
   observe::StructuredLog& log_;
   /// Programs whose engines are remembered: about 200 bytes each.
   static constexpr std::size_t kMostPlacements = 20'000;
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -105,11 +105,12 @@
   balancing::SelectionQuery query;
   query.service = call.service;
   if (call.route->kind == routing::RouteKind::kStream) {
-    query.affinity_key = call.description.program;
+    if (state_.settings.mechanisms.affinity) query.affinity_key = call.description.program;
     query.line_engine = call.line_engine;
   }
   query.zone = state_.settings.zone;
-  query.now = net::Clock::now();
+  // Without avoidance no engine is avoided any more.
+  query.now = state_.settings.mechanisms.avoidance ? net::Clock::now() : net::TimePoint::max();
   query.draw = state_.random.below(UINT64_MAX);
   query.excluded = call.offered;
   return balancing::select_engine(state_.engines, query);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -120,7 +120,7 @@
   net::asio::co_spawn(context_, state_.store.keep_probing(), net::asio::detached);
   net::asio::co_spawn(context_, maintain(), net::asio::detached);
   net::asio::co_spawn(context_, state_.sweeper.run(), net::asio::detached);
-  if (state_.settings.escrow) {
+  if (state_.settings.mechanisms.escrow) {
     state_.ledger.escrow.enable(escrow_peers());
     net::asio::co_spawn(context_, state_.ledger.escrow.run(), net::asio::detached);
   }
@@ -278,10 +278,9 @@
     state_.store.set_silence_limit(state_.beacons.silence_limit());
     share_store_version();
     state_.ledger.budgets.forget_idle(now);
-    const auto peer_loads = state_.peers.loads(now, state_.beacons.silence_limit());
-    for (const auto& engine : state_.engines.all()) {
-      engine->peer_in_flight = peer_loads.at(engine->record.id);
-    }
+    if (state_.settings.mechanisms.peer_loads) take_peer_loads(now);
+    state_.metrics.set_escrow_shards(state_.ledger.escrow.spendable_shards().size(),
+                                     state_.ledger.escrow.bare_shards().size());
     state_.metrics.set_engines(state_.engines.size());
     state_.metrics.set_connections_opened(state_.connections.opened());
     state_.metrics.set_dropped_log_lines(state_.log.dropped());
@@ -289,6 +288,13 @@
   }
 }
 
+void Gateway::take_peer_loads(net::TimePoint now) {
+  const auto peer_loads = state_.peers.loads(now, state_.beacons.silence_limit());
+  for (const auto& engine : state_.engines.all()) {
+    engine->peer_in_flight = peer_loads.at(engine->record.id);
+  }
+}
+
 void Gateway::share_store_version() {
   auto newest = state_.peers.newest_store_version();
   for (auto* follower : {&configuration_follower_, &engine_follower_, &peer_follower_}) {
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -40,6 +40,7 @@
   net::asio::awaitable<void> maintain();
   net::asio::awaitable<void> finish_stop();
   /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
+  void take_peer_loads(net::TimePoint now);
   net::asio::awaitable<void> release_tokens();
   /// What the claims on shards of programs depend on.
   ledger::EscrowPeers escrow_peers();
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -43,6 +43,10 @@
                        .Help("Times the table store was lost")
                        .Register(registry)
                        .Add({});
+  escrow_shards_ = &gauge(registry, "sailgate_escrow_shards",
+                          "Shards of programs whose budgets this node can spend without the store");
+  bare_shards_ = &gauge(registry, "sailgate_bare_shards",
+                        "Shards of programs that this node owns without an escrow to spend");
   engines_ = &gauge(registry, "sailgate_engines", "Engines known");
   connections_ =
       &gauge(registry, "sailgate_engine_connections_opened", "Connections opened to engines");
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -22,6 +22,11 @@
   void first_event(net::Millis after);
   void store_lost() { store_losses_->Increment(); }
   void set_engines(std::size_t count) { engines_->Set(static_cast<double>(count)); }
+  /// Shards of programs that this node owns, with an escrow to spend and without.
+  void set_escrow_shards(std::size_t spendable, std::size_t bare) {
+    escrow_shards_->Set(static_cast<double>(spendable));
+    bare_shards_->Set(static_cast<double>(bare));
+  }
   void set_connections_opened(std::uint64_t count) {
     connections_->Set(static_cast<double>(count));
   }
@@ -37,6 +42,8 @@
   prometheus::Histogram* first_events_;
   prometheus::Counter* store_losses_;
   prometheus::Gauge* engines_;
+  prometheus::Gauge* escrow_shards_;
+  prometheus::Gauge* bare_shards_;
   prometheus::Gauge* connections_;
   prometheus::Gauge* log_drops_;
 };
--- a/src/serving/node_settings.hpp
+++ b/src/serving/node_settings.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/mechanisms.hpp"
 #include "net/asio.hpp"
 
 namespace sailgate::serving {
@@ -18,9 +19,7 @@
   std::optional<net::Endpoint> metrics;
   net::Endpoint store;
   net::Millis stop_grace{8000};  ///< a stop is forced after this time
-  /// Whether a part of each budget is spent from memory (ledger/escrow_shard.hpp). All nodes that
-  /// share a store must have the same, from its first use on.
-  bool escrow = true;
+  base::Mechanisms mechanisms;
 };
 
 }  // namespace sailgate::serving
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -38,11 +38,13 @@
               static_cast<std::uint64_t>(incarnation)),
         ledger(loop, store, store.clock(), structured_log, incarnation),
         beacons(loop, settings.peers, peers, [this, incarnation] { return beacon(incarnation); }),
-        turns(loop, ledger, peers, peer_clients, beacons, structured_log),
+        turns(loop, ledger, peers, peer_clients, beacons, settings.mechanisms, structured_log),
         sweeper(
             loop, store, store.clock(), structured_log, [this] { return peers.peers().size() + 1; },
             static_cast<std::uint64_t>(incarnation)),
-        random(static_cast<std::uint64_t>(incarnation)) {}
+        random(static_cast<std::uint64_t>(incarnation)) {
+    store.set_relaying(settings.mechanisms.relay);
+  }
 
   /// What this node tells its peers.
   wire::Beacon beacon(std::int64_t incarnation) const {
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -94,7 +94,7 @@
 }
 
 net::asio::awaitable<CallEnd> StreamCall::serve() {
-  const bool resumable = call_.route->resumable;
+  const bool resumable = call_.route->resumable && state_.settings.mechanisms.resuming;
   for (int resumptions = 0; resumptions <= kMostResumptions; ++resumptions) {
     auto dispatch = co_await dispatcher_.dispatch(call_, prompt_, resumable, last_event_id_);
     if (dispatch.failure != DispatchFailure::kNone) co_return co_await fail(dispatch.failure);
