Turns that ask side by side find out once that a budget is exhausted

Ruled out: lost owners (no peer_lost line), the store (calls of 4 ms).

Change: what the first one found is looked at again after the lock.

--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -65,6 +65,8 @@
   if (entry->account.reserve(tokens)) co_return ReserveOutcome::kReserved;
   if (exhausted_lately(id, tokens)) co_return ReserveOutcome::kExhausted;
   const auto guard = co_await entry->mutex.lock();
+  // Programs without end ask many times at once: one of them finds out for all.
+  if (exhausted_lately(id, tokens)) co_return ReserveOutcome::kExhausted;
   TokenDemand demand{tokens, budget, net::Clock::now(), deadline};
   while (true) {
     demand.from_rows = update_escrow(id, *entry, tokens, budget);
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -2,7 +2,9 @@
 
 #include <fcntl.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <vector>
 
 #include "store/row_parts.hpp"
 #include "support/memory_table.hpp"
@@ -222,3 +224,21 @@
   REQUIRE(run(context, wait()));
   REQUIRE(first.budgets.programs() == 1);
 }
+
+TEST_CASE_METHOD(Fixture, "turns that ask side by side read an exhausted budget once", "[ledger]") {
+  table.set_write_time(net::Millis(30));
+  const auto deadline = net::Clock::now() + net::Millis(500);
+  std::vector<ReserveOutcome> ends;
+  for (int turn = 0; turn < 4; ++turn) {
+    net::asio::co_spawn(context, first.budgets.reserve("program", 600, kBudget, deadline),
+                        [&](std::exception_ptr, ReserveOutcome end) { ends.push_back(end); });
+  }
+  // The first one writes its grant; the others wait for it.
+  test::run_until(context, [&] { return table.most_writes_at_once() == 1; });
+  context.poll();
+  first.budgets.note_exhausted("program", 600);
+  test::run_until(context, [&] { return ends.size() == 4; });
+  REQUIRE(std::count(ends.begin(), ends.end(), ReserveOutcome::kReserved) == 1);
+  REQUIRE(std::count(ends.begin(), ends.end(), ReserveOutcome::kExhausted) == 3);
+  REQUIRE(table.reads() == 0);
+}
