A request goes where its node is connected, first turns too

Calls of tools moved on since one request heard of elsewhere outweighed a connection; first turns went by the rendezvous of their program, whatever was connected. First turns are chosen like all requests: the rendezvous of programs (mechanism affinity) is removed, since the home names a line's engine. Lines that come by way of another zone still open connections: they need a node of that zone that passes them on.

--- a/apps/sailgate_bench/selection.cpp
+++ b/apps/sailgate_bench/selection.cpp
@@ -41,7 +41,7 @@
     balancing::SelectionQuery query;
     query.service = "service";
     query.line_engine = line_engine;
-    query.affinity_key = "program-" + std::to_string(i);
+    query.draw = i;
     query.zone = "zone1";
     const auto start = std::chrono::steady_clock::now();
     const auto engine = balancing::select_engine(registry, query);
--- a/src/balancing/engine_selector.hpp
+++ b/src/balancing/engine_selector.hpp
@@ -12,7 +12,6 @@
 struct SelectionQuery {
   std::string service;
   std::string line_engine;   ///< has the whole prompt cached but for the new input; empty: none
-  std::string affinity_key;  ///< requests with the same key share cached prompts; empty: none
   std::string zone;          ///< of this node
   net::TimePoint now;
   std::uint64_t draw = 0;             ///< random tie-break
@@ -23,9 +22,8 @@
 ///
 /// The engine of the line's last turn is kept as long as it is usable, not avoided and not much
 /// busier than the others. Else engines are ranked by, in order: not avoided, load below
-/// saturation, then cost. Cost sums the share of slots this node keeps busy, a charge for another
-/// zone, and with an affinity key the distance from the top of the key's rendezvous order, so that
-/// all nodes agree on a key's engine without talking to each other.
+/// saturation, then cost. Cost sums the share of slots that are busy, a charge for another zone and
+/// one for a new connection.
 ///
 /// @return nullptr when no usable engine is left.
 EnginePointer select_engine(const EngineRegistry& registry, const SelectionQuery& query);
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -104,10 +104,7 @@
   }
   balancing::SelectionQuery query;
   query.service = call.service;
-  if (call.route->kind == routing::RouteKind::kStream) {
-    if (state_.settings.mechanisms.affinity) query.affinity_key = call.description.program;
-    query.line_engine = call.line_engine;
-  }
+  query.line_engine = call.line_engine;
   query.zone = state_.settings.zone;
   // Without avoidance no engine is avoided any more.
   query.now = state_.settings.mechanisms.avoidance ? net::Clock::now() : net::TimePoint::max();
