Engines whose entries lapsed while the store was away serve on

Cause: entries of engines may lapse while the store is away and are back within two seconds of its return. The feed then tells that they are gone, and a node took every such engine for leaving: for that time it had none. Ruled out: waiting with every removal, which would break the time in which a leaving engine must be let go. Change: after an absence of the store of a second or more, until 2.2 s after its return, an engine whose entry is gone stays in use; it is removed then unless its entry is back. Log line engine_entry_lapsed. Tests failed first (the engine was leaving at once; 503).

--- a/src/balancing/engine_registry.cpp
+++ b/src/balancing/engine_registry.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <unordered_set>
+#include <utility>
 
 namespace sailgate::balancing {
 
 void EngineRegistry::put(EngineRecord record) {
+  lapsed_.erase(record.id);
   auto& entry = by_id_[record.id];
   if (entry == nullptr) {
     entry = std::make_shared<Engine>();
@@ -22,6 +24,7 @@
 }
 
 void EngineRegistry::remove(const std::string& id) {
+  lapsed_.erase(id);
   const auto entry = by_id_.find(id);
   if (entry == by_id_.end()) return;
   const auto engine = entry->second;
@@ -33,14 +36,29 @@
   if (was_usable && on_leaving_) on_leaving_(*engine);
 }
 
-void EngineRegistry::replace(std::vector<EngineRecord> records) {
+void EngineRegistry::lapse(const std::string& id) {
+  if (by_id_.count(id) > 0) lapsed_.insert(id);
+}
+
+void EngineRegistry::remove_lapsed() {
+  const auto gone = std::exchange(lapsed_, {});
+  for (const auto& id : gone) remove(id);
+}
+
+void EngineRegistry::replace(std::vector<EngineRecord> records, Absent absent) {
   std::unordered_set<std::string> listed;
   for (const auto& record : records) listed.insert(record.id);
-  std::vector<std::string> absent;
+  std::vector<std::string> unlisted;
   for (const auto& [id, engine] : by_id_) {
-    if (listed.count(id) == 0) absent.push_back(id);
+    if (listed.count(id) == 0) unlisted.push_back(id);
+  }
+  for (const auto& id : unlisted) {
+    if (absent == Absent::kLapsed) {
+      lapse(id);
+    } else {
+      remove(id);
+    }
   }
-  for (const auto& id : absent) remove(id);
   for (auto& record : records) put(std::move(record));
 }
 
--- a/src/balancing/engine_registry.hpp
+++ b/src/balancing/engine_registry.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "balancing/engine.hpp"
@@ -20,8 +21,14 @@
   void put(EngineRecord record);
   /// The engine's entry is gone: it gets no new requests.
   void remove(const std::string& id);
-  /// Takes a whole list: engines that are not in it are removed.
-  void replace(std::vector<EngineRecord> records);
+  /// The engine's entry is gone, perhaps only because the store was away: the engine is used on
+  /// until its entry is back or remove_lapsed() is called.
+  void lapse(const std::string& id);
+  /// Entries that are not back by now belong to engines that are gone.
+  void remove_lapsed();
+  /// Takes a whole list. @param absent what becomes of engines that are not in it.
+  enum class Absent { kRemoved, kLapsed };
+  void replace(std::vector<EngineRecord> records, Absent absent = Absent::kRemoved);
 
   /// @return nullptr when there is no such engine.
   EnginePointer find(const std::string& id) const;
@@ -38,6 +45,7 @@
  private:
   std::unordered_map<std::string, EnginePointer> by_id_;
   std::unordered_map<std::string, std::vector<EnginePointer>> by_service_;
+  std::unordered_set<std::string> lapsed_;
   std::function<void(const Engine&)> on_leaving_;
 };
 
--- a/src/balancing/engine_selector.hpp
+++ b/src/balancing/engine_selector.hpp
@@ -11,8 +11,8 @@
 /// What the choice depends on.
 struct SelectionQuery {
   std::string service;
-  std::string line_engine;   ///< has the whole prompt cached but for the new input; empty: none
-  std::string zone;          ///< of this node
+  std::string line_engine;  ///< has the whole prompt cached but for the new input; empty: none
+  std::string zone;         ///< of this node
   net::TimePoint now;
   std::uint64_t draw = 0;             ///< random tie-break
   std::vector<std::string> excluded;  ///< engines this request was already offered to
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -204,7 +204,9 @@
         state_.log.event("engine_unreadable").with("engine", row.id.key).with("why", error.what());
       }
     }
-    state_.engines.replace(std::move(engines));
+    using Absent = balancing::EngineRegistry::Absent;
+    const bool may_return = engine_follower_.entries_may_return(net::Clock::now());
+    state_.engines.replace(std::move(engines), may_return ? Absent::kLapsed : Absent::kRemoved);
     state_.engines_known = true;
     state_.log.event("engines_read").with("count", state_.engines.size());
   };
@@ -233,9 +235,20 @@
   }
 }
 
+void Gateway::take_engine_removal(const store::Row& row) {
+  if (!engine_follower_.entries_may_return(net::Clock::now())) {
+    state_.engines.remove(row.id.key);
+    return;
+  }
+  state_.log.event("engine_entry_lapsed")
+      .with("engine", row.id.key)
+      .with("row_version", row.version);
+  state_.engines.lapse(row.id.key);
+}
+
 void Gateway::take_engine(const store::Row& row) {
   if (row.removed) {
-    state_.engines.remove(row.id.key);
+    take_engine_removal(row);
     return;
   }
   try {
@@ -278,6 +291,7 @@
     co_await net::sleep_for(context_, kMaintenanceInterval);
     const auto now = net::Clock::now();
     state_.connections.expire(now);
+    if (!engine_follower_.entries_may_return(now)) state_.engines.remove_lapsed();
     state_.store.set_silence_limit(state_.beacons.silence_limit());
     share_store_version();
     state_.ledger.budgets.forget_idle(now);
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -46,6 +46,7 @@
   ledger::EscrowPeers escrow_peers();
   void take_configuration(const store::Row& row);
   void take_engine(const store::Row& row);
+  void take_engine_removal(const store::Row& row);
   void note_contact(bool reached);
   /// Answers of the store that are older than what some node has seen are not taken over.
   void share_store_version();
--- a/src/store/table_follower.cpp
+++ b/src/store/table_follower.cpp
@@ -34,6 +34,11 @@
 
 void TableFollower::note_contact(bool reached) {
   callbacks_.on_contact(reached);
+  const auto now = net::Clock::now();
+  const bool known = last_contact_ != net::TimePoint{};
+  const bool returned = reached && !reached_ && known && now >= last_contact_ + kShortestAbsence;
+  if (returned) returned_at_ = now;
+  if (reached) last_contact_ = now;
   if (reached == reached_) return;
   reached_ = reached;
   log_.event(reached ? "store_reached" : "store_lost")
--- a/src/store/table_follower.hpp
+++ b/src/store/table_follower.hpp
@@ -32,10 +32,19 @@
   /// Somebody has seen this version of the store: older answers are stale.
   void note_version(std::int64_t version);
   std::int64_t newest_seen() const { return newest_seen_; }
+  /// Whether the store is away, or came back so lately that entries which lapsed meanwhile may not
+  /// be back yet: a row that is gone does not tell that its owner is.
+  bool entries_may_return(net::TimePoint now) const {
+    return !reached_ || now < returned_at_ + kReturnTime;
+  }
 
  private:
   /// Silence of the store must be noticed before a node may be held to have heard of a change.
   static constexpr net::Millis kUsualWait{2000};
+  /// Owners that live renew their entries within two seconds of the store's return.
+  static constexpr net::Millis kReturnTime{2200};
+  /// Entries outlast shorter absences: they lapse after some missed heartbeats of their owners.
+  static constexpr net::Millis kShortestAbsence{1000};
 
   net::asio::awaitable<bool> read_whole();
   net::asio::awaitable<bool> follow();
@@ -51,6 +60,8 @@
   std::int64_t newest_seen_ = 0;
   bool whole_ = false;
   bool reached_ = false;
+  net::TimePoint last_contact_{};
+  net::TimePoint returned_at_{};  ///< after the last absence in which entries may have lapsed
   bool stopped_ = false;
 };
 
--- a/tests/balancing/engine_selector_test.cpp
+++ b/tests/balancing/engine_selector_test.cpp
@@ -70,6 +70,23 @@
   REQUIRE(engines.of_service("llm").size() == 2);
 }
 
+TEST_CASE("an engine whose entry lapsed serves until it is known to be gone", "[balancing]") {
+  auto engines = registry();
+  int leaving = 0;
+  engines.on_leaving([&](const balancing::Engine&) { ++leaving; });
+  using Absent = EngineRegistry::Absent;
+  engines.lapse("a");
+  engines.replace({record("a", "near"), record("c", "far")}, Absent::kLapsed);
+  REQUIRE(engines.of_service("llm").size() == 4);
+  REQUIRE(leaving == 0);
+  engines.put(record("b", "near"));
+  engines.remove_lapsed();
+  REQUIRE(engines.find("a") != nullptr);
+  REQUIRE(engines.find("b") != nullptr);
+  REQUIRE(engines.find("d") == nullptr);
+  REQUIRE(leaving == 1);
+}
+
 TEST_CASE("a saturated engine is passed over until it has room", "[balancing]") {
   auto engines = registry();
   const auto first = engines.find("a");
--- a/tests/serving/gateway_test.cpp
+++ b/tests/serving/gateway_test.cpp
@@ -339,3 +339,38 @@
   REQUIRE(gateway->ready());
   REQUIRE(logged({"metrics_unavailable"}) == 1);
 }
+
+TEST_CASE_METHOD(GatewayFixture, "engines whose entries lapsed while the store was away serve on",
+                 "[serving]") {
+  start();
+  engine.set_script([](const auto& request) { return answer(request, "the body"); });
+  table.set_mode(test::MemoryTable::Mode::kRefuses);
+  const auto return_at = net::Clock::now() + net::Millis(1200);
+  run_until(context, [&] { return net::Clock::now() >= return_at; });
+  table.remove("servers", "", "e-1");
+  table.set_mode(test::MemoryTable::Mode::kUp);
+  run_until(context, [&] { return logged({"engine_entry_lapsed", "e-1"}) == 1; });
+  REQUIRE(ask(request("POST", "/unsafe/x")).status == 200);
+
+  put_engine("e-1", engine);
+  const auto settled_at = net::Clock::now() + net::Millis(2500);
+  run_until(context, [&] { return net::Clock::now() >= settled_at; });
+  REQUIRE(ask(request("POST", "/unsafe/x")).status == 200);
+  REQUIRE(logged({"engine_leaving"}) == 0);
+
+  // Without an absence an entry that goes takes its engine along.
+  table.remove("servers", "", "e-1");
+  run_until(context, [&] { return logged({"engine_leaving", "e-1"}) == 1; });
+  REQUIRE(ask(request("POST", "/unsafe/x")).status == 503);
+}
+
+TEST_CASE_METHOD(GatewayFixture, "an engine whose entry does not come back is gone", "[serving]") {
+  start();
+  table.set_mode(test::MemoryTable::Mode::kRefuses);
+  const auto return_at = net::Clock::now() + net::Millis(1200);
+  run_until(context, [&] { return net::Clock::now() >= return_at; });
+  table.remove("servers", "", "e-1");
+  table.set_mode(test::MemoryTable::Mode::kUp);
+  run_until(context, [&] { return logged({"engine_leaving", "e-1"}) == 1; });
+  REQUIRE(ask(request("POST", "/unsafe/x")).status == 503);
+}
