--- a/src/balancing/engine_registry.hpp
+++ b/src/balancing/engine_registry.hpp
@@ -17,6 +17,12 @@
 /// Mirrors the store's list of engines. Not thread-safe.
 class EngineRegistry {
  public:
+  /// What becomes of engines that a whole list lacks.
+  enum class Absent {
+    kRemoved,
+    kLapsed,  ///< see lapse()
+  };
+
   /// Adds or updates one engine.
   void put(EngineRecord record);
   /// The engine's entry is gone: it gets no new requests.
@@ -27,7 +33,6 @@
   /// Entries that are not back by now belong to engines that are gone.
   void remove_lapsed();
   /// Takes a whole list. @param absent what becomes of engines that are not in it.
-  enum class Absent { kRemoved, kLapsed };
   void replace(std::vector<EngineRecord> records, Absent absent = Absent::kRemoved);
 
   /// @return nullptr when there is no such engine.
