--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -11,6 +11,14 @@
   4: i32 port
 }
 
+/** Requests of one tenant that were let through to engines. */
+struct TenantUsage {
+  /** Within the window over which limits count. */
+  1: i32 window
+  /** Within the last second. */
+  2: i32 last_second
+}
+
 /** What a zone's nodes know of one of them. */
 struct ZoneMember {
   1: i64 incarnation
@@ -20,6 +28,8 @@
   /** As in Beacon. */
   4: optional list<i16> escrow_shards
   5: optional list<i16> bare_shards
+  /** As in Beacon. */
+  6: optional i32 uptime_ms
 }
 
 /** The live nodes of a zone, for the nodes of other zones. */
@@ -28,6 +38,8 @@
   2: list<ZoneMember> members
   /** Requests of all members in flight at each engine, keyed as in Beacon. */
   3: map<i32, i32> loads
+  /** Sums over the zone's nodes, keyed as in Beacon. */
+  4: optional map<i32, TenantUsage> tenants
 }
 
 /** Datagram: the sender is alive, and how it loads engines. */
@@ -48,6 +60,12 @@
    * nodes of the sender's zone.
    */
   7: optional ZoneSummary summary
+  /** What the sender let through, by the key of cluster::tenant_key, where it is not nothing. */
+  8: optional map<i32, TenantUsage> tenants
+  /**
+   * Time since the sender's start, while that is short: it has forgotten what it let through before.
+   */
+  9: optional i32 uptime_ms
 }
 
 /** Calls of the table store that a peer makes for the sender; see store/table_store.hpp. */
--- a/src/cluster/beacon_sender.cpp
+++ b/src/cluster/beacon_sender.cpp
@@ -77,19 +77,6 @@
   }
 }
 
-wire::ZoneSummary BeaconSender::own_zone() const {
-  auto summary = directory_.summarize_zone(net::Clock::now(), silence_limit());
-  const auto own = compose_();
-  wire::ZoneMember self;
-  self.incarnation = own.incarnation;
-  self.reaches_store = own.reaches_store;
-  if (!own.escrow_shards.empty()) self.__set_escrow_shards(own.escrow_shards);
-  if (!own.bare_shards.empty()) self.__set_bare_shards(own.bare_shards);
-  summary.members.push_back(std::move(self));
-  for (const auto& [engine, in_flight] : own.loads) summary.loads[engine] += in_flight;
-  return summary;
-}
-
 net::Millis BeaconSender::summary_pause() {
   const auto members = static_cast<std::int64_t>(receivers().size()) + 1;
   const auto longest = 2 * kSummaryInterval * members;
@@ -125,7 +112,8 @@
     co_await net::sleep_for(context_, summarizes() ? summary_pause() : kShortestRound);
     if (!summarizes()) continue;
     auto beacon = compose_();
-    beacon.__set_summary(own_zone());
+    beacon.__set_summary(directory_.summarize_zone(beacon, net::Clock::now(), silence_limit(),
+                                                   usage_window_));
     const auto bytes = wire::encode(beacon);
     for (const auto* peer : summary_receivers()) send_to(*peer, bytes);
   }
--- a/src/cluster/beacon_sender.hpp
+++ b/src/cluster/beacon_sender.hpp
@@ -27,6 +27,9 @@
   BeaconSender(net::asio::io_context& context, const net::Endpoint& endpoint,
                PeerDirectory& directory, std::function<wire::Beacon()> compose, std::uint64_t seed);
 
+  /// Window over which tenants' limits count; see PeerDirectory::usage_of_others().
+  void set_usage_window(net::Millis window) { usage_window_ = window; }
+
   /// Time in which each of so many peers gets one beacon.
   static net::Millis round_time(std::size_t peers);
 
@@ -41,8 +44,6 @@
   net::asio::awaitable<void> send_summaries();
   net::asio::awaitable<void> receive();
   void take(const wire::Beacon& beacon);
-  /// This zone with this node.
-  wire::ZoneSummary own_zone() const;
   /// Whether all peers are too many to be told directly.
   bool summarizes() const;
   /// Peers that get this node's beacons directly.
@@ -58,6 +59,7 @@
   PeerDirectory& directory_;
   std::function<wire::Beacon()> compose_;
   base::Random random_;
+  net::Millis usage_window_{5000};
   std::map<std::string, net::TimePoint> passed_on_at_;  ///< by zone: its summary, by this node
   std::array<char, kDatagramLimit> datagram_{};
 };
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -14,6 +14,70 @@
   return XXH64(key.data(), key.size(), XXH64(node.data(), node.size(), 0));
 }
 
+/// Starts that lie longer ago are not told: they are beyond every window over which limits count.
+constexpr net::Millis kToldUptime{60'000};
+/// What a zone's summary sums up is older than the summary by up to a round of beacons in the zone.
+constexpr net::Millis kSummedAge{200};
+constexpr double kMillisPerSecond = 1000;
+
+net::Millis between(net::TimePoint earlier, net::TimePoint later) {
+  return std::chrono::duration_cast<net::Millis>(later - earlier);
+}
+
+/// Start of a process that told its uptime at `heard_at`; long ago when it told none.
+net::TimePoint start_of(bool told, std::int32_t uptime_ms, net::TimePoint heard_at) {
+  return told ? heard_at - net::Millis(uptime_ms) : net::TimePoint{};
+}
+
+/// Takes over what a node tells of itself.
+void take_over(const wire::Beacon& beacon, net::TimePoint now, Peer& peer) {
+  peer.last_heard = now;
+  peer.reaches_store = beacon.reaches_store;
+  peer.loads = beacon.loads;
+  peer.escrow_shards = {beacon.escrow_shards.begin(), beacon.escrow_shards.end()};
+  peer.bare_shards = {beacon.bare_shards.begin(), beacon.bare_shards.end()};
+  peer.tenants = beacon.tenants;
+  peer.started_at = start_of(beacon.__isset.uptime_ms, beacon.uptime_ms, now);
+}
+
+wire::ZoneMember member_of(const Peer& peer, net::TimePoint now) {
+  wire::ZoneMember member;
+  member.incarnation = peer.incarnation;
+  member.silent_ms = static_cast<std::int32_t>(between(peer.last_heard, now).count());
+  member.reaches_store = peer.reaches_store;
+  if (!peer.escrow_shards.empty()) {
+    member.__set_escrow_shards({peer.escrow_shards.begin(), peer.escrow_shards.end()});
+  }
+  if (!peer.bare_shards.empty()) {
+    member.__set_bare_shards({peer.bare_shards.begin(), peer.bare_shards.end()});
+  }
+  const auto uptime = between(peer.started_at, peer.last_heard);
+  if (uptime < kToldUptime) member.__set_uptime_ms(static_cast<std::int32_t>(uptime.count()));
+  return member;
+}
+
+/// Part of what a node told that may still lie within the window.
+double share_in_window(net::TimePoint told_at, net::TimePoint now, net::Millis silence,
+                       net::Millis window) {
+  if (now < told_at + silence) return 1;
+  const auto faded = between(told_at + silence, now);
+  return std::max(0.0, 1.0 - static_cast<double>(faded.count()) / window.count());
+}
+
+/// Adds what was told at `told_at` of one tenant.
+void add_told(const TenantUsages& told, std::int32_t tenant, net::TimePoint told_at,
+              net::TimePoint now, net::Millis silence, net::Millis window, OthersUsage& sum) {
+  const auto usage = told.find(tenant);
+  if (usage == told.end()) return;
+  if (now >= told_at + silence) {
+    sum.silent += usage->second.window * share_in_window(told_at, now, silence, window);
+    return;
+  }
+  sum.heard += usage->second.window;
+  const double age = static_cast<double>(between(told_at, now).count()) / kMillisPerSecond;
+  sum.unseen += usage->second.last_second * age;
+}
+
 }  // namespace
 
 void PeerDirectory::put(const std::string& node, const wire::PeerRow& row, net::TimePoint seen_at) {
@@ -30,6 +94,7 @@
   peer.zone = row.zone;
   peer.endpoint = {address, static_cast<std::uint16_t>(row.port)};
   peer.last_heard = seen_at;
+  peer.started_at = seen_at;
   nodes_by_incarnation_[peer.incarnation] = node;
   peers_[node] = std::move(peer);
 }
@@ -56,12 +121,8 @@
 bool PeerDirectory::on_beacon(const wire::Beacon& beacon, net::TimePoint now) {
   auto* peer = find_by(beacon.incarnation);
   if (peer == nullptr) return false;
-  peer->last_heard = now;
-  peer->reaches_store = beacon.reaches_store;
   newest_store_version_ = std::max(newest_store_version_, beacon.store_version);
-  peer->loads = beacon.loads;
-  peer->escrow_shards = {beacon.escrow_shards.begin(), beacon.escrow_shards.end()};
-  peer->bare_shards = {beacon.bare_shards.begin(), beacon.bare_shards.end()};
+  take_over(beacon, now, *peer);
   return true;
 }
 
@@ -75,29 +136,31 @@
     peer->reaches_store = member.reaches_store;
     peer->escrow_shards = {member.escrow_shards.begin(), member.escrow_shards.end()};
     peer->bare_shards = {member.bare_shards.begin(), member.bare_shards.end()};
+    peer->started_at = start_of(member.__isset.uptime_ms, member.uptime_ms, heard_at);
   }
-  zone_loads_[summary.zone] = {summary.loads, now};
+  zone_sums_[summary.zone] = {summary.loads, summary.tenants, now};
 }
 
-wire::ZoneSummary PeerDirectory::summarize_zone(net::TimePoint now, net::Millis silence) const {
+wire::ZoneSummary PeerDirectory::summarize_zone(const wire::Beacon& own, net::TimePoint now,
+                                                net::Millis silence, net::Millis window) const {
+  Peer self;
+  self.incarnation = own.incarnation;
+  take_over(own, now, self);
   wire::ZoneSummary summary;
   summary.zone = zone_;
-  for (const auto& [node, peer] : peers_) {
-    if (peer.zone != zone_ || now >= peer.last_heard + silence) continue;
-    wire::ZoneMember member;
-    member.incarnation = peer.incarnation;
-    const auto silent = std::chrono::duration_cast<net::Millis>(now - peer.last_heard);
-    member.silent_ms = static_cast<std::int32_t>(silent.count());
-    member.reaches_store = peer.reaches_store;
-    if (!peer.escrow_shards.empty()) {
-      member.__set_escrow_shards({peer.escrow_shards.begin(), peer.escrow_shards.end()});
-    }
-    if (!peer.bare_shards.empty()) {
-      member.__set_bare_shards({peer.bare_shards.begin(), peer.bare_shards.end()});
-    }
-    summary.members.push_back(std::move(member));
+  const auto add = [&](const Peer& peer) {
+    const bool heard = now < peer.last_heard + silence;
+    add_usages(peer.tenants, share_in_window(peer.last_heard, now, silence, window),
+               summary.tenants);
+    if (!heard) return;
+    summary.members.push_back(member_of(peer, now));
     for (const auto& [engine, in_flight] : peer.loads) summary.loads[engine] += in_flight;
+  };
+  add(self);
+  for (const auto& [node, peer] : peers_) {
+    if (peer.zone == zone_) add(peer);
   }
+  summary.__isset.tenants = !summary.tenants.empty();
   return summary;
 }
 
@@ -179,10 +242,41 @@
   return near.empty() ? far : near;
 }
 
+OthersUsage PeerDirectory::usage_of_others(std::int32_t tenant, net::TimePoint now,
+                                           net::Millis silence, net::Millis window) const {
+  OthersUsage sum;
+  std::set<std::string> summed;
+  for (const auto& [zone, known] : zone_sums_) {
+    add_told(known.tenants, tenant, known.taken_at - kSummedAge, now, silence, window, sum);
+    summed.insert(zone);
+  }
+  for (const auto& [node, peer] : peers_) {
+    if (summed.count(peer.zone) > 0) continue;
+    add_told(peer.tenants, tenant, peer.last_heard, now, silence, window, sum);
+  }
+  return sum;
+}
+
+Membership PeerDirectory::membership(net::TimePoint now, net::Millis silence, net::Millis window,
+                                     net::TimePoint started_at) const {
+  const auto young = [&](net::TimePoint start) {
+    return std::max(0.0, 1.0 - static_cast<double>(between(start, now).count()) / window.count());
+  };
+  Membership membership;
+  membership.young = young(started_at);
+  for (const auto& [node, peer] : peers_) {
+    ++membership.known;
+    if (now < peer.last_heard + silence) ++membership.heard;
+    membership.young += young(peer.started_at);
+  }
+  membership.young /= static_cast<double>(membership.known);
+  return membership;
+}
+
 EngineLoads PeerDirectory::loads(net::TimePoint now, net::Millis silence) const {
   EngineLoads sum;
   std::set<std::string> summed;
-  for (const auto& [zone, known] : zone_loads_) {
+  for (const auto& [zone, known] : zone_sums_) {
     if (now >= known.taken_at + silence) continue;
     sum.add(known.loads);
     summed.insert(zone);
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cluster/engine_loads.hpp"
+#include "cluster/tenant_usage.hpp"
 #include "cluster_types.h"
 #include "net/asio.hpp"
 
@@ -30,6 +31,8 @@
   bool reaches_store = false;                  ///< the store answers its own calls
   std::set<int> escrow_shards;                 ///< owned, with an escrow to spend
   std::set<int> bare_shards;                   ///< owned, without
+  TenantUsages tenants;                        ///< requests that it let through
+  net::TimePoint started_at{};                 ///< of its process; a time long ago is not told
 };
 
 /// Deterministic, not thread-safe.
@@ -46,8 +49,10 @@
   bool on_beacon(const wire::Beacon& beacon, net::TimePoint now);
   /// Takes over what another zone's nodes know of each other.
   void on_summary(const wire::ZoneSummary& summary, net::TimePoint now);
-  /// Peers of this zone that were heard of within `silence`, with the sum of their loads.
-  wire::ZoneSummary summarize_zone(net::TimePoint now, net::Millis silence) const;
+  /// This node and the peers of its zone that were heard of within `silence`, with sums over them.
+  /// @param own this node's beacon. @param window as in usage_of_others().
+  wire::ZoneSummary summarize_zone(const wire::Beacon& own, net::TimePoint now, net::Millis silence,
+                                   net::Millis window) const;
   /// A call to the peer failed.
   void suspect(const std::string& node, net::TimePoint now);
 
@@ -82,13 +87,22 @@
   /// count by their sum, other peers one by one.
   EngineLoads loads(net::TimePoint now, net::Millis silence) const;
 
+  /// What the other nodes let through of a tenant's requests. What a silent node told fades over
+  /// `window`, in which limits count: it may be gone, or cut off and serving on its own share.
+  OthersUsage usage_of_others(std::int32_t tenant, net::TimePoint now, net::Millis silence,
+                              net::Millis window) const;
+  /// @param started_at start of this process.
+  Membership membership(net::TimePoint now, net::Millis silence, net::Millis window,
+                        net::TimePoint started_at) const;
+
   const std::map<std::string, Peer>& peers() const { return peers_; }
   const std::string& zone() const { return zone_; }
 
  private:
-  /// Sum of a zone's loads, as its last summary said.
-  struct ZoneLoads {
+  /// Sums over a zone's nodes, as its last summary said.
+  struct ZoneSums {
     std::map<std::int32_t, std::int32_t> loads;
+    TenantUsages tenants;
     net::TimePoint taken_at{};
   };
 
@@ -99,7 +113,7 @@
   std::string zone_;
   std::map<std::string, Peer> peers_;
   std::unordered_map<std::int64_t, std::string> nodes_by_incarnation_;
-  std::map<std::string, ZoneLoads> zone_loads_;
+  std::map<std::string, ZoneSums> zone_sums_;
   std::int64_t newest_store_version_ = 0;
 };
 
--- /dev/null
+++ b/src/cluster/tenant_quotas.cpp
@@ -0,0 +1,67 @@
+#include "cluster/tenant_quotas.hpp"
+
+#include <algorithm>
+
+namespace sailgate::cluster {
+
+namespace {
+
+constexpr net::Millis kSecond{1000};
+/// Tenants that a beacon tells of: about 10 bytes each of a datagram of at most 8,192. Those with
+/// the most requests come first, since they are the ones that can come near a limit.
+constexpr std::size_t kMostTold = 400;
+
+}  // namespace
+
+void TenantQuotas::refresh(net::TimePoint now, net::Millis silence) {
+  silence_ = silence;
+  membership_ = directory_.membership(now, silence, bounds_.window, started_at_);
+}
+
+quota::FleetUsage TenantQuotas::usage_of(const std::string& tenant, int own,
+                                         net::TimePoint now) const {
+  const auto others = directory_.usage_of_others(tenant_key(tenant), now, silence_, bounds_.window);
+  quota::FleetUsage usage;
+  usage.own = own;
+  usage.others = others.heard;
+  usage.silent = others.silent;
+  usage.unseen = others.unseen;
+  usage.young = membership_.young;
+  usage.live = static_cast<double>(membership_.heard) / static_cast<double>(membership_.known);
+  return usage;
+}
+
+quota::Admission TenantQuotas::admit(const tenancy::Tenant& tenant, const QuotaRequest& request,
+                                     net::TimePoint now) {
+  if (!tenant.limit.limited()) return quota::decide(tenant.limit, bounds_, {}, {});
+  auto& own = own_.try_emplace(tenant.name, bounds_.window).first->second;
+  const auto usage = usage_of(tenant.name, own.within(now, bounds_.window), now);
+  const bool under_way = request.continues || programs_.contains(request.program.text());
+  const auto stage =
+      under_way ? quota::ProgramStage::kUnderWay : quota::ProgramStage::kFirst;
+  const auto admission = quota::decide(tenant.limit, bounds_, usage, stage);
+  if (admission.admitted) {
+    own.add(now);
+    if (!request.program.empty()) programs_.note(request.program.text());
+  }
+  return admission;
+}
+
+TenantUsages TenantQuotas::told(net::TimePoint now) {
+  TenantUsages usages;
+  for (auto entry = own_.begin(); entry != own_.end();) {
+    wire::TenantUsage usage;
+    usage.window = entry->second.within(now, bounds_.window);
+    usage.last_second = entry->second.within(now, kSecond);
+    if (usage.window > 0) usages[tenant_key(entry->first)] = usage;
+    entry = entry->second.empty() ? own_.erase(entry) : std::next(entry);
+  }
+  while (usages.size() > kMostTold) {
+    usages.erase(std::min_element(usages.begin(), usages.end(), [](const auto& a, const auto& b) {
+      return a.second.window < b.second.window;
+    }));
+  }
+  return usages;
+}
+
+}  // namespace sailgate::cluster
--- /dev/null
+++ b/src/cluster/tenant_quotas.hpp
@@ -0,0 +1,57 @@
+/// @file Holds tenants to their limits over all nodes.
+///
+/// Each node counts the requests that it lets through and tells the others in its beacons; each
+/// decides by itself from what it was told (quota/admission.hpp). No request waits for another node,
+/// and a node that hears of nobody still has its share.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "cluster/peer_directory.hpp"
+#include "quota/admission.hpp"
+#include "quota/recent_programs.hpp"
+#include "quota/usage_window.hpp"
+#include "tenancy/state_key.hpp"
+#include "tenancy/tenant.hpp"
+
+namespace sailgate::cluster {
+
+/// A request that asks to be let through.
+struct QuotaRequest {
+  tenancy::StateKey program;  ///< empty: not part of a program
+  bool continues = false;     ///< it goes on from an earlier request of its program
+};
+
+/// Not thread-safe: belongs to the event loop.
+class TenantQuotas {
+ public:
+  TenantQuotas(const PeerDirectory& directory, quota::Bounds bounds, net::TimePoint started_at)
+      : directory_(directory), bounds_(bounds), started_at_(started_at) {}
+
+  void set_bounds(const quota::Bounds& bounds) { bounds_ = bounds; }
+  /// Takes over which nodes are heard of. @param silence longest time between a peer's beacons.
+  void refresh(net::TimePoint now, net::Millis silence);
+  /// Decides on a request; one that is let through is counted.
+  quota::Admission admit(const tenancy::Tenant& tenant, const QuotaRequest& request,
+                         net::TimePoint now);
+  /// What this node let through lately, for its beacons.
+  TenantUsages told(net::TimePoint now);
+  const Membership& membership() const { return membership_; }
+
+ private:
+  quota::FleetUsage usage_of(const std::string& tenant, int own, net::TimePoint now) const;
+
+  /// Programs remembered as under way: at 100 a second over 84 nodes some hours of them.
+  static constexpr std::size_t kMostPrograms = 10'000;
+
+  const PeerDirectory& directory_;
+  quota::Bounds bounds_;
+  net::TimePoint started_at_;
+  net::Millis silence_{0};
+  Membership membership_;
+  std::unordered_map<std::string, quota::UsageWindow> own_;  ///< by the tenant's name
+  quota::RecentPrograms programs_{kMostPrograms};
+};
+
+}  // namespace sailgate::cluster
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -39,9 +39,9 @@
 net::asio::awaitable<TurnStart> TurnKeeper::begin_here(TurnRequest request,
                                                        net::TimePoint deadline) {
   TurnStart start;
-  if (mechanisms_.lines) start.engine = placements_.find(request.program, request.line);
+  if (mechanisms_.lines) start.engine = placements_.find(request.program.text(), request.line);
   if (!request.previous.empty()) {
-    auto found = co_await ledger_.turns.find(request.previous, deadline);
+    auto found = co_await ledger_.turns.find(request.previous.text(), deadline);
     start.lookup = found.outcome;
     start.previous = std::move(found.turn);
     if (start.lookup != LookupOutcome::kFound) co_return start;
@@ -56,7 +56,7 @@
                                                TurnStart& start) {
   if (!store_.answers()) {
     // Waiting would make the program late; most turns use far less than their most.
-    start.reserved = ledger_.budgets.reserve_rest(request.program, request.tokens, request.budget);
+    start.reserved = ledger_.budgets.reserve_rest(request.program.text(), request.tokens, request.budget);
     if (start.reserved > 0) co_return;
   }
   start.reservation = co_await reserve_whole(request, deadline);
@@ -66,17 +66,17 @@
 net::asio::awaitable<ReserveOutcome> TurnKeeper::reserve_whole(const TurnRequest& request,
                                                                net::TimePoint deadline) {
   auto outcome =
-      co_await ledger_.budgets.reserve(request.program, request.tokens, request.budget, deadline);
+      co_await ledger_.budgets.reserve(request.program.text(), request.tokens, request.budget, deadline);
   if (outcome != ReserveOutcome::kExhausted) co_return outcome;
-  if (ledger_.budgets.exhausted_lately(request.program, request.tokens)) co_return outcome;
-  if (co_await gather_tokens(request.program)) {
+  if (ledger_.budgets.exhausted_lately(request.program.text(), request.tokens)) co_return outcome;
+  if (co_await gather_tokens(request.program.text())) {
     outcome =
-        co_await ledger_.budgets.reserve(request.program, request.tokens, request.budget, deadline);
+        co_await ledger_.budgets.reserve(request.program.text(), request.tokens, request.budget, deadline);
   }
   if (outcome != ReserveOutcome::kExhausted) co_return outcome;
   // The owner of the program's shard may hold an escrow that this node does not know of.
-  if (!knows_whole_budget(request.program)) co_return ReserveOutcome::kUnavailable;
-  ledger_.budgets.note_exhausted(request.program, request.tokens);
+  if (!knows_whole_budget(request.program.text())) co_return ReserveOutcome::kUnavailable;
+  ledger_.budgets.note_exhausted(request.program.text(), request.tokens);
   co_return outcome;
 }
 
@@ -110,10 +110,10 @@
 net::asio::awaitable<bool> TurnKeeper::begin_at(Peer home, const TurnRequest& request,
                                                 net::TimePoint deadline, TurnStart& start) {
   wire::BeginTurn message;
-  message.program = request.program;
+  message.program = request.program.text();
   message.line = request.line;
-  start.previous = ledger_.turns.cached(request.previous);
-  if (start.previous == nullptr) message.previous = request.previous;
+  start.previous = ledger_.turns.cached(request.previous.text());
+  if (start.previous == nullptr) message.previous = request.previous.text();
   message.tokens = request.tokens;
   message.budget = request.budget;
   const auto store_time = std::clamp(ledger_.budgets.store_patience() * kHomeStoreTries,
@@ -126,7 +126,7 @@
   auto exchange = co_await http->exchange(std::move(call), timeout);
   if (!succeeded(exchange)) {
     directory_.suspect(home.node, net::Clock::now());
-    log_.event("peer_lost").with("peer", home.node).with("program", request.program);
+    log_.event("peer_lost").with("peer", home.node).with("program", request.program.text());
     co_return false;
   }
   const auto reply = wire::decode<wire::BeginTurnReply>(exchange.response.body());
@@ -163,7 +163,7 @@
 net::asio::awaitable<TurnStart> TurnKeeper::begin(TurnRequest request, net::TimePoint deadline) {
   const bool needs_home = request.tokens > 0 || !request.previous.empty();
   if (!needs_home) co_return TurnStart{};
-  const auto home = home_of(request.program);
+  const auto home = home_of(request.program.text());
   if (home) {
     TurnStart start;
     if (co_await begin_at(*home, request, deadline, start)) co_return start;
@@ -173,8 +173,8 @@
 
 void TurnKeeper::end(const TurnEnd& end, const TurnStart& start) {
   if (start.keeper.empty()) {
-    if (end.reserved > 0) ledger_.budgets.settle(end.program, end.reserved, end.used);
-    if (!end.engine.empty()) placements_.note(end.program, end.line, end.engine);
+    if (end.reserved > 0) ledger_.budgets.settle(end.program.text(), end.reserved, end.used);
+    if (!end.engine.empty()) placements_.note(end.program.text(), end.line, end.engine);
     return;
   }
   const auto peer = directory_.peers().find(start.keeper);
@@ -182,7 +182,7 @@
       peer != directory_.peers().end() && peer->second.incarnation == start.keeper_incarnation;
   if (!same) return;  // what was reserved there counts as used
   wire::EndTurn message;
-  message.program = end.program;
+  message.program = end.program.text();
   message.line = end.line;
   message.reserved = end.reserved;
   message.used = end.used;
@@ -203,9 +203,9 @@
   const auto message = wire::decode<wire::BeginTurn>(request.body());
   const auto time = std::clamp(net::Millis(message.time_left_ms), net::Millis(0), kLongestHomeTime);
   TurnRequest turn;
-  turn.program = message.program;
+  turn.program = tenancy::StateKey::from_text(message.program);
   turn.line = message.line;
-  turn.previous = message.previous;
+  turn.previous = tenancy::StateKey::from_text(message.previous);
   turn.tokens = message.tokens;
   turn.budget = message.budget;
   const auto start = co_await begin_here(std::move(turn), net::Clock::now() + time);
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -19,14 +19,15 @@
 #include "ledger/program_ledger.hpp"
 #include "net/http_client.hpp"
 #include "observe/structured_log.hpp"
+#include "tenancy/state_key.hpp"
 
 namespace sailgate::cluster {
 
 /// What a turn needs before it starts.
 struct TurnRequest {
-  std::string program;
-  std::string line;         ///< line of turns within the program
-  std::string previous;     ///< empty: the turn goes on from none
+  tenancy::StateKey program;
+  std::string line;            ///< line of turns within the program
+  tenancy::StateKey previous;  ///< empty: the turn goes on from none
   std::int64_t tokens = 0;  ///< to reserve; 0: none
   std::int64_t budget = 0;
 };
@@ -43,7 +44,7 @@
 
 /// What is known of a turn when it has ended.
 struct TurnEnd {
-  std::string program;
+  tenancy::StateKey program;
   std::string line;
   std::int64_t reserved = 0;  ///< tokens
   std::int64_t used = 0;      ///< tokens
--- a/src/ledger/turn.hpp
+++ b/src/ledger/turn.hpp
@@ -12,7 +12,7 @@
 
 /// Immutable; turns that go on from the same one share it.
 struct Turn {
-  std::string id;
+  std::string id;  ///< text of its tenancy::StateKey
   std::string input;
   std::string output;    ///< data of each event, each followed by a line feed
   TurnPointer previous;  ///< nullptr at the start of a chain
--- /dev/null
+++ b/src/quota/admission.cpp
@@ -0,0 +1,57 @@
+#include "quota/admission.hpp"
+
+#include <algorithm>
+
+namespace sailgate::quota {
+
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+/// Share of what the limit may be exceeded by that the target lies above the limit. The rest stands
+/// for news that is late: at 84 nodes 0.2 to 0.9 s old, of which the estimate covers steady sending.
+constexpr double kExcessUsed = 0.5;
+/// Share of the target that is kept for programs under way.
+constexpr double kKeptForUnderWay = 0.15;
+/// Bounds on the time to come back: a refused caller does not come back into the same news, nor
+/// later than the whole window has passed.
+constexpr net::Millis kShortestReturn{200};
+
+double target_of(const Limit& limit, const Bounds& bounds) {
+  const double seconds = static_cast<double>(bounds.window.count()) / kMillisPerSecond;
+  const double most = limit.rate_per_s * seconds + limit.burst;
+  const double excess = most * bounds.excess_share + bounds.excess_requests;
+  return most + kExcessUsed * excess;
+}
+
+/// Time in which so many of the window's requests leave it, if they are spread evenly.
+net::Millis time_to_leave(double requests, const FleetUsage& usage, const Bounds& bounds) {
+  const double counted = std::max(1.0, usage.own + usage.others + usage.silent);
+  const double window = static_cast<double>(bounds.window.count());
+  const auto time = net::Millis(static_cast<std::int64_t>(window * requests / counted));
+  return std::clamp(time, kShortestReturn, std::max(bounds.window, kShortestReturn));
+}
+
+}  // namespace
+
+Admission decide(const Limit& limit, const Bounds& bounds, const FleetUsage& usage,
+                 ProgramStage stage) {
+  Admission admission;
+  admission.admitted = true;
+  if (!limit.limited()) return admission;
+  const double target = target_of(limit, bounds);
+  const double kept = stage == ProgramStage::kFirst ? kKeptForUnderWay : 0;
+  const double recent = usage.own + usage.others + usage.unseen;
+  // Of the two bounds the tighter one decides: the whole window's, and the share of this node's side.
+  const double whole = target * (1 - kept - usage.young) - usage.silent;
+  const double side = target * (1 - kept) * usage.live;
+  admission.used = recent;
+  admission.allowed = std::max(0.0, std::min(whole, side));
+  admission.admitted = recent + 1 <= admission.allowed;
+  if (!admission.admitted) {
+    const double excess = recent + 1 - admission.allowed;
+    admission.retry_after = time_to_leave(excess, usage, bounds);
+  }
+  return admission;
+}
+
+}  // namespace sailgate::quota
--- /dev/null
+++ b/src/quota/admission.hpp
@@ -0,0 +1,48 @@
+/// @file Whether a tenant's request may go on to an engine, by what this node knows of all nodes.
+///
+/// Answers the load of a tenant that sends more than its limit, through any number of nodes of which
+/// each sees a few requests a second. A decision without I/O, clock or randomness.
+#pragma once
+
+#include "quota/limit.hpp"
+
+namespace sailgate::quota {
+
+/// What one node knows of a tenant's requests, its own and those of the other nodes.
+struct FleetUsage {
+  double own = 0;     ///< requests that this node let through within the window
+  double others = 0;  ///< by nodes that are heard of, as they told last
+  double silent = 0;  ///< by nodes that fell silent, as far as they still lie within the window
+  double unseen = 0;  ///< estimate of what the others let through since they told
+  double young = 0;   ///< share of nodes that may have forgotten, each by the part of the window
+                      ///< before its start
+  double live = 1;    ///< share of the known nodes that are heard of, this one among them
+};
+
+/// What a request is to its program.
+enum class ProgramStage {
+  kFirst,     ///< it may be the program's first: nothing is lost yet when it is refused
+  kUnderWay,  ///< the program has cost work, which is lost when it is refused
+};
+
+/// The decision with what it was made from, for the log.
+struct Admission {
+  bool admitted = false;
+  double used = 0;             ///< requests of the window that count against the limit
+  double allowed = 0;          ///< most of them for this request
+  net::Millis retry_after{0};  ///< when there may be room; 0 when admitted
+};
+
+/// The target lies between the limit and what may be exceeded at most: all requests inside the limit
+/// are let through, and what is left absorbs what the news of other nodes is late by.
+///
+/// - Nodes that are cut off from each other share the target by their number, so that any groups of
+///   them together stay below it.
+/// - Nodes that have just started have forgotten what they let through before; it is taken for their
+///   share of the target, fading over the window.
+/// - Programs that have not begun are refused somewhat before the others: a program that is refused
+///   midway has cost its work, and its caller gets nothing.
+Admission decide(const Limit& limit, const Bounds& bounds, const FleetUsage& usage,
+                 ProgramStage stage);
+
+}  // namespace sailgate::quota
--- /dev/null
+++ b/src/quota/recent_programs.hpp
@@ -0,0 +1,32 @@
+/// @file Programs whose requests were let through lately.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <unordered_set>
+
+namespace sailgate::quota {
+
+/// Remembers at least the last `most` programs and at most twice as many. Not thread-safe.
+class RecentPrograms {
+ public:
+  explicit RecentPrograms(std::size_t most) : most_(most) {}
+
+  void note(const std::string& program) {
+    if (newer_.size() >= most_) {
+      older_ = std::move(newer_);
+      newer_.clear();
+    }
+    newer_.insert(program);
+  }
+  bool contains(const std::string& program) const {
+    return newer_.count(program) > 0 || older_.count(program) > 0;
+  }
+
+ private:
+  std::size_t most_;
+  std::unordered_set<std::string> newer_;
+  std::unordered_set<std::string> older_;
+};
+
+}  // namespace sailgate::quota
--- /dev/null
+++ b/src/quota/usage_window.cpp
@@ -0,0 +1,26 @@
+#include "quota/usage_window.hpp"
+
+namespace sailgate::quota {
+
+std::int64_t UsageWindow::slice_at(net::TimePoint time) {
+  return std::chrono::duration_cast<net::Millis>(time.time_since_epoch()) / kSlice;
+}
+
+void UsageWindow::add(net::TimePoint now) {
+  const auto number = slice_at(now);
+  if (slices_.empty() || slices_.back().number < number) slices_.push_back({number, 0});
+  ++slices_.back().count;
+}
+
+int UsageWindow::within(net::TimePoint now, net::Millis span) {
+  const auto oldest = slice_at(now - longest_);
+  while (!slices_.empty() && slices_.front().number < oldest) slices_.pop_front();
+  const auto first = slice_at(now - span);
+  int count = 0;
+  for (auto slice = slices_.rbegin(); slice != slices_.rend() && slice->number >= first; ++slice) {
+    count += slice->count;
+  }
+  return count;
+}
+
+}  // namespace sailgate::quota
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "net/asio.hpp"
+#include "tenancy/tenant.hpp"
 
 namespace sailgate::routing {
 
@@ -33,6 +34,7 @@
   int priority = 0;          ///< 0 is the most urgent
   int most_engines = 1;      ///< that may work on one attempt of a caller at the same time
   bool resumable = false;    ///< a stream may go on at another engine
+  bool open_to_all = false;  ///< requests need not say whose they are
   bool retained = false;     ///< turns bring only their new input; the system keeps the rest
   net::Millis retention{0};
   std::vector<WeightedService> services;
@@ -60,6 +62,7 @@
   std::int64_t version = 0;
   std::vector<Route> routes;
   std::vector<Service> services;
+  std::vector<tenancy::Tenant> tenants;  ///< none: requests need not say whose they are
   CallerLimits limits;
 };
 
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-RouteTable::RouteTable(Configuration configuration) : configuration_(std::move(configuration)) {
+RouteTable::RouteTable(Configuration configuration)
+    : configuration_(std::move(configuration)), tenants_(configuration_.tenants) {
   for (const auto& route : configuration_.routes) {
     by_host_[normalized_host(route.host)].push_back(&route);
   }
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "routing/configuration.hpp"
+#include "tenancy/tenant_directory.hpp"
 
 namespace sailgate::routing {
 
@@ -23,11 +24,13 @@
   /// @return the service's entry, or nullptr.
   const Service* service(const std::string& name) const;
 
+  const tenancy::TenantDirectory& tenants() const { return tenants_; }
   const Configuration& configuration() const { return configuration_; }
   std::int64_t version() const { return configuration_.version; }
 
  private:
   Configuration configuration_;
+  tenancy::TenantDirectory tenants_;
   std::unordered_map<std::string, std::vector<const Route*>> by_host_;  ///< longest prefix first
   std::unordered_map<std::string, const Service*> services_;
 };
--- a/src/serving/call.hpp
+++ b/src/serving/call.hpp
@@ -11,6 +11,7 @@
 #include "serving/client_channel.hpp"
 #include "serving/edge_protocol.hpp"
 #include "serving/engine_exchange.hpp"
+#include "tenancy/state_key.hpp"
 
 namespace sailgate::serving {
 
@@ -24,6 +25,7 @@
   CallDescription description;
   std::shared_ptr<const routing::RouteTable> routes;  ///< the version the request began under
   const routing::Route* route = nullptr;
+  const tenancy::Tenant* tenant = nullptr;  ///< of `routes`; nullptr: nobody's request
   std::string service;
   net::TimePoint received_at;
   net::TimePoint deadline;  ///< the earlier of the caller's and the route's
@@ -36,6 +38,16 @@
   bool may_have_run = false;           ///< some engine may have worked on it
   EngineExchange* exchange = nullptr;  ///< under way, for the caller's leaving
 
+  /// Name of the tenant; empty: nobody's request.
+  std::string tenant_name() const { return tenant == nullptr ? std::string() : tenant->name; }
+  /// Key of what is kept by an id that the caller chose.
+  tenancy::StateKey key_of(const std::string& id) const { return {tenant_name(), id}; }
+  /// Rank at the engine: the tenant's goes before the route's.
+  int priority() const {
+    const bool ranked = tenant != nullptr && tenant->priority;
+    return ranked ? *tenant->priority : route->priority;
+  }
+
   net::Millis elapsed() const {
     return std::chrono::duration_cast<net::Millis>(net::Clock::now() - received_at);
   }
--- a/src/serving/call_handler.cpp
+++ b/src/serving/call_handler.cpp
@@ -61,6 +61,10 @@
   call.route =
       call.routes->find(text(call.request[http::field::host]), text(call.request.target()));
   if (call.route == nullptr) co_return co_await refuse(call, Kind::kUnknownResource);
+  call.tenant = call.routes->tenants().find(call.description.credential);
+  if (call.tenant == nullptr && call.routes->tenants().required() && !call.route->open_to_all) {
+    co_return co_await refuse(call, Kind::kUnauthorized);
+  }
   constexpr double kDrawRange = 1 << 20U;
   const double draw = static_cast<double>(state_.random.below(1 << 20U)) / kDrawRange;
   call.service = routing::choose_service(*call.route, draw);
@@ -69,9 +73,37 @@
                         ? std::min(*call.description.deadline, call.route->timeout)
                         : call.route->timeout;
   call.deadline = call.received_at + held;
+  if (const auto refused = co_await hold_to_quota(call)) co_return *refused;
   co_return co_await run(call);
 }
 
+net::asio::awaitable<std::optional<CallEnd>> CallHandler::hold_to_quota(Call& call) {
+  if (call.tenant == nullptr) co_return std::nullopt;
+  const auto& description = call.description;
+  cluster::QuotaRequest request;
+  request.program = call.key_of(description.program);
+  // Tools are called between the turns of a program.
+  const bool tool = call.route->kind != routing::RouteKind::kStream && !description.program.empty();
+  request.continues = tool || !description.previous_turn.empty();
+  const auto admission = state_.quotas.admit(*call.tenant, request, net::Clock::now());
+  state_.metrics.tenant_request(call.tenant->name, admission.admitted);
+  if (admission.admitted) co_return std::nullopt;
+  const auto& membership = state_.quotas.membership();
+  state_.log.event("quota_refused")
+      .with("id", description.request_id)
+      .with("program", description.program)
+      .with("tenant", call.tenant->name)
+      .with("configuration", call.routes->version())
+      .with("used", admission.used)
+      .with("allowed", admission.allowed)
+      .with("continues", static_cast<int>(request.continues))
+      .with("nodes", membership.known)
+      .with("nodes_heard", membership.heard)
+      .with("young", membership.young)
+      .with("retry_after_ms", admission.retry_after.count());
+  co_return co_await refuse(call, Kind::kTenantLimited, admission.retry_after);
+}
+
 net::asio::awaitable<CallEnd> CallHandler::run(Call& call) {
   call.channel.watch([&call] {
     if (call.exchange != nullptr) call.exchange->abort();
@@ -93,6 +125,7 @@
   state_.log.event("request")
       .with("id", call.description.request_id)
       .with("program", call.description.program)
+      .with("tenant", call.tenant_name())
       .with("route", call.route == nullptr ? "" : call.route->name)
       .with("configuration", call.routes == nullptr ? 0 : call.routes->version())
       .with("outcome", end.outcome)
--- a/src/serving/call_handler.hpp
+++ b/src/serving/call_handler.hpp
@@ -1,6 +1,8 @@
 /// @file Serves one request: finds its route and runs it as a plain call or a stream.
 #pragma once
 
+#include <optional>
+
 #include "sailgate_types.h"
 #include "serving/call.hpp"
 #include "serving/dispatcher.hpp"
@@ -25,6 +27,8 @@
  private:
   net::asio::awaitable<CallEnd> refuse_or_run(Call& call);
   net::asio::awaitable<CallEnd> run(Call& call);
+  /// Refuses a request beyond its tenant's limit. @return nullopt: it may go on.
+  net::asio::awaitable<std::optional<CallEnd>> hold_to_quota(Call& call);
   void log_end(const Call& call, const CallEnd& end);
 
   NodeState& state_;
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -104,7 +104,8 @@
   DispatchDirectives directives;
   directives.expected_instance = engine.record.id;
   directives.deadline = std::max(call.time_left() - kDeadlineMargin, net::Millis(1));
-  directives.priority = call.route->priority;
+  directives.priority = call.priority();
+  directives.tenant = call.tenant_name();
   directives.last_event_id = last_event_id;
   state_.protocol.direct(*request, directives);
   request->version(11);
@@ -138,7 +139,9 @@
   query.service = call.service;
   const auto& description = call.description;
   const bool long_prompt = description.prompt_tokens >= kLongPrompt;
-  if (long_prompt && state_.settings.mechanisms.affinity) query.affinity_key = description.program;
+  if (long_prompt && state_.settings.mechanisms.affinity) {
+    query.affinity_key = call.key_of(description.program).text();
+  }
   query.line_engine = call.line_engine;
   query.zone = state_.settings.zone;
   // Without avoidance no engine is avoided any more.
--- a/src/serving/edge_protocol.hpp
+++ b/src/serving/edge_protocol.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "net/asio.hpp"
+#include "tenancy/tenant_directory.hpp"
 
 namespace sailgate::serving {
 
@@ -25,6 +26,7 @@
   std::int64_t shared_prefix_tokens = 0;
   std::int64_t prompt_tokens = 0;
   std::string last_event_id;  ///< the caller's stream goes on after this event
+  tenancy::Credential credential;
 };
 
 /// What the node tells an engine besides the caller's own headers.
@@ -32,6 +34,7 @@
   std::string expected_instance;
   net::Millis deadline{0};
   int priority = 0;
+  std::string tenant;         ///< whose request it is; empty: nobody's
   std::string last_event_id;  ///< empty: as the caller said
 };
 
@@ -48,7 +51,8 @@
  public:
   virtual ~EdgeProtocol() = default;
   virtual CallDescription describe(const Fields& request) const = 0;
-  /// Replaces in `request` the headers that the node sets itself.
+  /// Replaces in `request` the headers that the node sets itself, and removes those that only the
+  /// system may set and the caller's key.
   virtual void direct(Fields& request, const DispatchDirectives& directives) const = 0;
   virtual AnswerFacts inspect(const net::http::response_header<>& answer) const = 0;
   /// Path at which the entry asks whether this node takes new connections.
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -298,6 +298,7 @@
     state_.connections.expire(now);
     if (!engine_follower_.entries_may_return(now)) state_.engines.remove_lapsed();
     state_.store.set_silence_limit(state_.beacons.silence_limit());
+    state_.quotas.refresh(now, state_.beacons.silence_limit());
     share_store_version();
     state_.ledger.budgets.forget_idle(now);
     if (state_.settings.mechanisms.peer_loads) take_peer_loads(now);
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -35,6 +35,10 @@
                    .Name("sailgate_requests_total")
                    .Help("Requests by how they ended")
                    .Register(registry);
+  tenant_requests_ = &prometheus::BuildCounter()
+                          .Name("sailgate_tenant_requests_total")
+                          .Help("Requests of a tenant by whether its limit let them through")
+                          .Register(registry);
   durations_ = &histogram(registry, "sailgate_request_seconds", "From the request to its end");
   first_events_ =
       &histogram(registry, "sailgate_first_event_seconds", "From the request to the first event");
@@ -58,6 +62,14 @@
   durations_->Observe(seconds(duration));
 }
 
+void GatewayMetrics::tenant_request(const std::string& tenant, bool admitted) {
+  const bool named = named_tenants_.size() < kMostTenants || named_tenants_.count(tenant) > 0;
+  if (named) named_tenants_.insert(tenant);
+  tenant_requests_
+      ->Add({{"tenant", named ? tenant : "other"}, {"limit", admitted ? "within" : "beyond"}})
+      .Increment();
+}
+
 void GatewayMetrics::first_event(net::Millis after) { first_events_->Observe(seconds(after)); }
 
 std::string GatewayMetrics::text() const {
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -7,6 +7,7 @@
 #include <prometheus/registry.h>
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include "net/asio.hpp"
@@ -19,6 +20,8 @@
 
   /// A request ended. @param outcome stable name of how, as in the log.
   void request_ended(const std::string& outcome, net::Millis duration);
+  /// A tenant's request was let through, or refused at its limit.
+  void tenant_request(const std::string& tenant, bool admitted);
   void first_event(net::Millis after);
   void store_lost() { store_losses_->Increment(); }
   void set_engines(std::size_t count) { engines_->Set(static_cast<double>(count)); }
@@ -38,6 +41,11 @@
  private:
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>* requests_;
+  prometheus::Family<prometheus::Counter>* tenant_requests_;
+  /// Tenants with figures of their own; the others are counted together, so that neither the page
+  /// nor memory grows with the configuration.
+  static constexpr std::size_t kMostTenants = 200;
+  std::set<std::string> named_tenants_;
   prometheus::Histogram* durations_;
   prometheus::Histogram* first_events_;
   prometheus::Counter* store_losses_;
--- a/src/serving/node_settings.hpp
+++ b/src/serving/node_settings.hpp
@@ -7,6 +7,7 @@
 
 #include "base/mechanisms.hpp"
 #include "net/asio.hpp"
+#include "quota/limit.hpp"
 
 namespace sailgate::serving {
 
@@ -19,6 +20,7 @@
   std::optional<net::Endpoint> metrics;
   net::Endpoint store;
   net::Millis stop_grace{8000};  ///< a stop is forced after this time
+  quota::Bounds quota_bounds;
   base::Mechanisms mechanisms;
 };
 
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -10,6 +10,7 @@
 #include "cluster/peer_clients.hpp"
 #include "cluster/peer_directory.hpp"
 #include "cluster/store_relay.hpp"
+#include "cluster/tenant_quotas.hpp"
 #include "cluster/turn_keeper.hpp"
 #include "ledger/expiry_sweeper.hpp"
 #include "ledger/program_ledger.hpp"
@@ -33,6 +34,7 @@
         log(structured_log),
         connections(loop),
         peers(settings.node, settings.zone),
+        quotas(peers, settings.quota_bounds, started_at),
         peer_clients(loop),
         store(loop, table_store, peers, peer_clients, structured_log,
               static_cast<std::uint64_t>(incarnation)),
@@ -47,10 +49,11 @@
             static_cast<std::uint64_t>(incarnation)),
         random(static_cast<std::uint64_t>(incarnation)) {
     store.set_relaying(settings.mechanisms.relay);
+    beacons.set_usage_window(settings.quota_bounds.window);
   }
 
   /// What this node tells its peers.
-  wire::Beacon beacon(std::int64_t incarnation) const {
+  wire::Beacon beacon(std::int64_t incarnation) {
     wire::Beacon message;
     message.incarnation = incarnation;
     message.reaches_store = store.direct_works();
@@ -61,9 +64,18 @@
       if (engine->in_flight == 0) continue;
       message.loads[cluster::engine_key(engine->record.id)] = engine->in_flight;
     }
+    const auto now = net::Clock::now();
+    auto tenants = quotas.told(now);
+    if (!tenants.empty()) message.__set_tenants(std::move(tenants));
+    const auto uptime = std::chrono::duration_cast<net::Millis>(now - started_at);
+    if (uptime < kToldUptime) message.__set_uptime_ms(static_cast<std::int32_t>(uptime.count()));
     return message;
   }
 
+  /// Starts that lie longer ago are not told to peers: all that the process forgot by its start has
+  /// left every window by then.
+  static constexpr net::Millis kToldUptime{60'000};
+
   net::asio::io_context& context;
   NodeSettings settings;
   const EdgeProtocol& protocol;
@@ -73,7 +85,9 @@
   bool engines_known = false;
   std::int64_t newest_store_version = 0;  ///< seen by this node or a peer
   EngineConnectionPool connections;
+  net::TimePoint started_at = net::Clock::now();
   cluster::PeerDirectory peers;
+  cluster::TenantQuotas quotas;
   cluster::PeerClients peer_clients;
   cluster::StoreRelay store;  ///< the table store, through a peer where need be
   ledger::ProgramLedger ledger;
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -39,9 +39,9 @@
 cluster::TurnRequest StreamCall::turn_request() const {
   const auto& description = call_.description;
   cluster::TurnRequest request;
-  request.program = description.program;
+  request.program = call_.key_of(description.program);
   request.line = description.line;
-  if (call_.route->retained) request.previous = description.previous_turn;
+  if (call_.route->retained) request.previous = call_.key_of(description.previous_turn);
   const bool bounded =
       !description.program.empty() && description.token_budget && description.max_output_tokens > 0;
   if (bounded) {
@@ -108,7 +108,7 @@
   ended_ = true;
   call_.tokens_out = events_ * tokens_per_event();
   cluster::TurnEnd end;
-  end.program = call_.description.program;
+  end.program = call_.key_of(call_.description.program);
   end.line = call_.description.line;
   end.reserved = reserved_;
   end.used = std::min(call_.tokens_out, reserved_);
@@ -214,8 +214,9 @@
 net::asio::awaitable<CallEnd> StreamCall::complete() {
   ledger::TurnPointer turn;
   if (call_.route->retained) {
+    const auto key = call_.key_of(call_.description.request_id);
     turn = std::make_shared<const ledger::Turn>(
-        ledger::Turn{call_.description.request_id, call_.request.body(), output_, start_.previous});
+        ledger::Turn{key.text(), call_.request.body(), output_, start_.previous});
     const auto deadline = std::min(call_.deadline, net::Clock::now() + kRecordTime);
     if (!co_await state_.ledger.turns.record(turn, call_.route->retention, deadline)) {
       co_return CallEnd{"turn_not_durable", false};
--- a/tests/cluster/cluster_test.cpp
+++ b/tests/cluster/cluster_test.cpp
@@ -53,8 +53,8 @@
   cluster::TurnStart begin(Node& node, const std::string& program, std::int64_t tokens,
                            const std::string& previous = "", std::int64_t budget = 1000) {
     cluster::TurnRequest request;
-    request.program = program;
-    request.previous = previous;
+    request.program = tenancy::StateKey("", program);
+    request.previous = tenancy::StateKey("", previous);
     request.tokens = tokens;
     request.budget = budget;
     return run(context, node.state().turns.begin(std::move(request), soon()));
@@ -99,7 +99,7 @@
   const auto program = program_at_second();
   const auto start = begin(first, program, 600);
   REQUIRE(start.keeper == "second");
-  first.state().turns.end({program, "", 600, 100, nullptr, ""}, start);
+  first.state().turns.end({tenancy::StateKey("", program), "", 600, 100, nullptr, ""}, start);
   run_until(context, [&] {
     // The home has settled when it can reserve again what was not used.
     return run(context, second.state().ledger.budgets.reserve(program, 450, 1000, soon())) ==
@@ -219,7 +219,7 @@
   }
   cluster::TurnStart begin(Node& node, const std::string& program, std::int64_t tokens) {
     cluster::TurnRequest request;
-    request.program = program;
+    request.program = tenancy::StateKey("", program);
     request.tokens = tokens;
     request.budget = 900;
     const auto deadline = net::Clock::now() + net::Millis(400);
--- a/tests/cluster/peer_directory_test.cpp
+++ b/tests/cluster/peer_directory_test.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr net::Millis kSilence{800};
+constexpr net::Millis kWindow{5000};
 
 wire::PeerRow row(std::int64_t incarnation, const std::string& zone) {
   wire::PeerRow row;
@@ -178,8 +179,8 @@
   second.loads[cluster::engine_key("e")] = 4;
   there.on_beacon(second, now);
   const auto told_at = now + net::Millis(300);
-  const auto summary = there.summarize_zone(told_at, kSilence);
-  REQUIRE(summary.members.size() == 1);
+  const auto summary = there.summarize_zone(beacon(2), told_at, kSilence, kWindow);
+  REQUIRE(summary.members.size() == 2);
 
   directory.put("far-2", row(3, "there"), now - net::Millis(10'000));
   directory.on_summary(summary, told_at);
@@ -239,3 +240,76 @@
   directory.remove("near");
   REQUIRE(directory.find(9) == nullptr);
 }
+
+namespace {
+
+constexpr std::int32_t kChoir = 7;
+
+wire::Beacon beacon_with_usage(std::int64_t incarnation, int window, int last_second) {
+  auto message = beacon(incarnation);
+  wire::TenantUsage usage;
+  usage.window = window;
+  usage.last_second = last_second;
+  message.__set_tenants({{kChoir, usage}});
+  return message;
+}
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "what nodes let through is summed, with what came since they told",
+                 "[cluster][quota]") {
+  directory.on_beacon(beacon_with_usage(1, 30, 10), now);
+  directory.on_beacon(beacon_with_usage(2, 50, 20), now);
+  const auto later = now + net::Millis(500);
+  const auto others = directory.usage_of_others(kChoir, later, kSilence, kWindow);
+  REQUIRE(others.heard == Approx(80));
+  REQUIRE(others.unseen == Approx(15));
+  REQUIRE(others.silent == Approx(0));
+  REQUIRE(directory.usage_of_others(kChoir + 1, later, kSilence, kWindow).heard == Approx(0));
+}
+
+TEST_CASE_METHOD(Fixture, "what a silent node told fades over the window", "[cluster][quota]") {
+  directory.on_beacon(beacon_with_usage(1, 30, 10), now);
+  const auto at = [&](net::Millis time) {
+    return directory.usage_of_others(kChoir, now + time, kSilence, kWindow);
+  };
+  REQUIRE(at(kSilence).heard == Approx(0));
+  REQUIRE(at(kSilence).silent == Approx(30));
+  REQUIRE(at(kSilence + kWindow / 2).silent == Approx(15));
+  REQUIRE(at(kSilence + kWindow).silent == Approx(0));
+}
+
+TEST_CASE_METHOD(Fixture, "a zone's summary tells what its nodes let through",
+                 "[cluster][quota]") {
+  PeerDirectory there("far", "there");
+  there.put("far-2", row(3, "there"), now);
+  there.on_beacon(beacon_with_usage(3, 40, 5), now);
+  const auto summary =
+      there.summarize_zone(beacon_with_usage(2, 10, 1), now, kSilence, kWindow);
+  directory.put("far-2", row(3, "there"), now);
+  // Told by the node itself before; the sum of its zone takes its place.
+  directory.on_beacon(beacon_with_usage(2, 10, 1), now);
+  directory.on_summary(summary, now);
+  const auto others = directory.usage_of_others(kChoir, now, kSilence, kWindow);
+  REQUIRE(others.heard == Approx(50));
+}
+
+TEST_CASE_METHOD(Fixture, "nodes that have just started are known to have forgotten",
+                 "[cluster][quota]") {
+  const auto started = now - net::Millis(60'000);
+  auto young = beacon(1);
+  young.__set_uptime_ms(1000);
+  directory.on_beacon(young, now);
+  directory.on_beacon(beacon(2), now);
+  const auto seen = directory.membership(now, kSilence, kWindow, started);
+  REQUIRE(seen.known == 3);
+  REQUIRE(seen.heard == 3);
+  REQUIRE(seen.young == Approx(0.8 / 3));
+  // All of them, this one too.
+  auto other = beacon(2);
+  other.__set_uptime_ms(0);
+  directory.on_beacon(other, now);
+  REQUIRE(directory.membership(now, kSilence, kWindow, now).young == Approx((0.8 + 1 + 1) / 3));
+  const auto later = now + net::Millis(900);
+  REQUIRE(directory.membership(later, kSilence, kWindow, started).heard == 1);
+}
