Only requests that reached an engine count against a limit

And the kept share for programs under way refused new ones below the limit itself. Change: what did not reach an engine is taken back; programs that have not begun are let through up to the limit, those under way up to the target above it.

--- a/src/cluster/tenant_quotas.cpp
+++ b/src/cluster/tenant_quotas.cpp
@@ -47,6 +47,11 @@
   return admission;
 }
 
+void TenantQuotas::take_back(const tenancy::Tenant& tenant, net::TimePoint then) {
+  const auto own = own_.find(tenant.name);
+  if (own != own_.end()) own->second.take_back(then);
+}
+
 TenantUsages TenantQuotas::told(net::TimePoint now) {
   TenantUsages usages;
   for (auto entry = own_.begin(); entry != own_.end();) {
--- a/src/cluster/tenant_quotas.hpp
+++ b/src/cluster/tenant_quotas.hpp
@@ -35,6 +35,10 @@
   /// Decides on a request; one that is let through is counted.
   quota::Admission admit(const tenancy::Tenant& tenant, const QuotaRequest& request,
                          net::TimePoint now);
+  /// A request that was let through at `then` never ran: only those that run count. Programs that
+  /// loop send several turns a second that their budget refuses; counted, they took the whole limit
+  /// of a small tenant.
+  void take_back(const tenancy::Tenant& tenant, net::TimePoint then);
   /// What this node let through lately, for its beacons.
   TenantUsages told(net::TimePoint now);
   const Membership& membership() const { return membership_; }
--- a/src/quota/admission.cpp
+++ b/src/quota/admission.cpp
@@ -10,15 +10,14 @@
 /// Share of what the limit may be exceeded by that the target lies above the limit. The rest stands
 /// for news that is late: at 84 nodes 0.2 to 0.9 s old, of which the estimate covers steady sending.
 constexpr double kExcessUsed = 0.5;
-/// Share of the target that is kept for programs under way.
-constexpr double kKeptForUnderWay = 0.15;
 /// Bounds on the time to come back: a refused caller does not come back into the same news, nor
 /// later than the whole window has passed.
 constexpr net::Millis kShortestReturn{200};
 
-double target_of(const Limit& limit, const Bounds& bounds) {
+double target_of(const Limit& limit, const Bounds& bounds, ProgramStage stage) {
   const double seconds = static_cast<double>(bounds.window.count()) / kMillisPerSecond;
   const double most = limit.rate_per_s * seconds + limit.burst;
+  if (stage == ProgramStage::kFirst) return most;
   const double excess = most * bounds.excess_share + bounds.excess_requests;
   return most + kExcessUsed * excess;
 }
@@ -38,12 +37,11 @@
   Admission admission;
   admission.admitted = true;
   if (!limit.limited()) return admission;
-  const double target = target_of(limit, bounds);
-  const double kept = stage == ProgramStage::kFirst ? kKeptForUnderWay : 0;
+  const double target = target_of(limit, bounds, stage);
   const double recent = usage.own + usage.others + usage.unseen;
   // Of the two bounds the tighter one decides: the whole window's, and the share of this node's side.
-  const double whole = target * (1 - kept - usage.young) - usage.silent;
-  const double side = target * (1 - kept) * usage.live;
+  const double whole = target * (1 - usage.young) - usage.silent;
+  const double side = target * usage.live;
   admission.used = recent;
   admission.allowed = std::max(0.0, std::min(whole, side));
   admission.admitted = recent + 1 <= admission.allowed;
--- a/src/quota/admission.hpp
+++ b/src/quota/admission.hpp
@@ -40,8 +40,8 @@
 ///   them together stay below it.
 /// - Nodes that have just started have forgotten what they let through before; it is taken for their
 ///   share of the target, fading over the window.
-/// - Programs that have not begun are refused somewhat before the others: a program that is refused
-///   midway has cost its work, and its caller gets nothing.
+/// - Programs that have not begun are let through up to the limit itself, those under way up to the
+///   target: a program that is refused midway has cost its work, and its caller gets nothing.
 Admission decide(const Limit& limit, const Bounds& bounds, const FleetUsage& usage,
                  ProgramStage stage);
 
--- a/src/quota/usage_window.cpp
+++ b/src/quota/usage_window.cpp
@@ -12,6 +12,13 @@
   ++slices_.back().count;
 }
 
+void UsageWindow::take_back(net::TimePoint then) {
+  const auto number = slice_at(then);
+  for (auto& slice : slices_) {
+    if (slice.number == number && slice.count > 0) --slice.count;
+  }
+}
+
 int UsageWindow::within(net::TimePoint now, net::Millis span) {
   const auto oldest = slice_at(now - longest_);
   while (!slices_.empty() && slices_.front().number < oldest) slices_.pop_front();
--- a/src/quota/usage_window.hpp
+++ b/src/quota/usage_window.hpp
@@ -16,6 +16,8 @@
   explicit UsageWindow(net::Millis longest) : longest_(longest) {}
 
   void add(net::TimePoint now);
+  /// Takes back a request that was added at `then`.
+  void take_back(net::TimePoint then);
   /// Requests within `span` before `now`.
   int within(net::TimePoint now, net::Millis span);
   bool empty() const { return slices_.empty(); }
--- a/src/serving/call.hpp
+++ b/src/serving/call.hpp
@@ -33,6 +33,7 @@
   std::string line_engine;             ///< ran the last turn of this one's line; empty: not known
   std::string home;                    ///< node that keeps the program's tokens; empty: this one
   std::vector<std::string> offered;    ///< engines the request was offered to
+  net::TimePoint admitted_at{};        ///< within its tenant's limit; unset where none applies
   AttemptBound attempts;               ///< engines that may still be working on it
   std::int64_t tokens_out = 0;         ///< generated and handed to the caller
   bool may_have_run = false;           ///< some engine may have worked on it
--- a/src/serving/call_handler.cpp
+++ b/src/serving/call_handler.cpp
@@ -85,9 +85,13 @@
   // Tools are called between the turns of a program.
   const bool tool = call.route->kind != routing::RouteKind::kStream && !description.program.empty();
   request.continues = tool || !description.previous_turn.empty();
-  const auto admission = state_.quotas.admit(*call.tenant, request, net::Clock::now());
+  const auto now = net::Clock::now();
+  const auto admission = state_.quotas.admit(*call.tenant, request, now);
   state_.metrics.tenant_request(call.tenant->name, admission.admitted);
-  if (admission.admitted) co_return std::nullopt;
+  if (admission.admitted) {
+    call.admitted_at = now;
+    co_return std::nullopt;
+  }
   const auto& membership = state_.quotas.membership();
   state_.log.event("quota_refused")
       .with("id", description.request_id)
@@ -156,6 +160,8 @@
     channel.unwatch();
   }
   --state_.active_requests;
+  const bool counted = call.admitted_at != net::TimePoint{};
+  if (counted && !call.may_have_run) state_.quotas.take_back(*call.tenant, call.admitted_at);
   log_end(call, end);
   co_return end.connection_usable&& channel.keep();
 }
--- /dev/null
+++ b/tests/cluster/quota_fleet.cpp
@@ -0,0 +1,187 @@
+#include "cluster/quota_fleet.hpp"
+
+#include <algorithm>
+
+namespace sailgate::test {
+
+namespace {
+
+constexpr net::Millis kStep{5};
+constexpr net::Millis kRound{200};
+constexpr net::Millis kSummaryInterval{150};
+constexpr net::Millis kSilence{2000};
+constexpr net::Millis kWindow{5000};
+constexpr double kMillisPerSecond = 1000;
+
+}  // namespace
+
+QuotaFleet::QuotaFleet(int nodes, int zones, FleetNetwork network, std::uint64_t seed)
+    : network_(network), random_(seed), nodes_(nodes) {
+  for (int zone = 0; zone < zones; ++zone) zones_.push_back("zone-" + std::to_string(zone));
+  for (std::size_t index = 0; index < nodes_.size(); ++index) {
+    nodes_[index].name = "node-" + std::to_string(index);
+    nodes_[index].zone = zones_[index % zones_.size()];
+  }
+  for (std::size_t index = 0; index < nodes_.size(); ++index) start(index);
+  // A fleet that has served for a while.
+  advance(2 * kWindow);
+}
+
+void QuotaFleet::start(std::size_t index) {
+  auto& node = nodes_[index];
+  node.incarnation = ++incarnations_;
+  node.started_at = now_;
+  node.directory = std::make_unique<cluster::PeerDirectory>(node.name, node.zone);
+  node.quotas =
+      std::make_unique<cluster::TenantQuotas>(*node.directory, quota::Bounds{}, node.started_at);
+  node.next_beacon = now_ + net::Millis(static_cast<std::int64_t>(random_.below(kRound.count())));
+  node.next_summary = now_ + kRound;
+  // Rows of the store tell every node of every other.
+  const auto introduce = [&](Node& to, const Node& of) {
+    wire::PeerRow row;
+    row.incarnation = of.incarnation;
+    row.zone = of.zone;
+    row.address = "127.0.0.1";
+    row.port = 7000;
+    to.directory->put(of.name, row, now_);
+  };
+  for (auto& other : nodes_) {
+    if (other.directory == nullptr || other.name == node.name) continue;
+    introduce(other, node);
+    introduce(node, other);
+  }
+}
+
+wire::Beacon QuotaFleet::beacon_of(Node& node) const {
+  wire::Beacon beacon;
+  beacon.incarnation = node.incarnation;
+  beacon.reaches_store = true;
+  auto told = node.quotas->told(now_);
+  if (!told.empty()) beacon.__set_tenants(std::move(told));
+  const auto uptime = std::chrono::duration_cast<net::Millis>(now_ - node.started_at);
+  beacon.__set_uptime_ms(static_cast<std::int32_t>(uptime.count()));
+  return beacon;
+}
+
+bool QuotaFleet::reaches(const Node& from, const Node& to) const {
+  return !from.cut_off && !to.cut_off;
+}
+
+void QuotaFleet::send_to(const Node& from, std::size_t to,
+                         std::shared_ptr<const wire::Beacon> beacon) {
+  if (!reaches(from, nodes_[to]) || draw() < network_.loss) return;
+  messages_.push({now_ + network_.delay, to, std::move(beacon)});
+}
+
+void QuotaFleet::send_beacons(Node& node) {
+  const auto beacon = std::make_shared<const wire::Beacon>(beacon_of(node));
+  for (std::size_t to = 0; to < nodes_.size(); ++to) {
+    if (nodes_[to].zone == node.zone && nodes_[to].name != node.name) send_to(node, to, beacon);
+  }
+  node.next_beacon = now_ + kRound;
+}
+
+void QuotaFleet::send_summary(Node& node) {
+  auto beacon = beacon_of(node);
+  beacon.__set_summary(node.directory->summarize_zone(beacon, now_, kSilence, kWindow));
+  const auto shared = std::make_shared<const wire::Beacon>(std::move(beacon));
+  for (const auto& zone : zones_) {
+    if (zone == node.zone) continue;
+    std::vector<std::size_t> members;
+    for (std::size_t to = 0; to < nodes_.size(); ++to) {
+      if (nodes_[to].zone == zone) members.push_back(to);
+    }
+    send_to(node, members[random_.below(members.size())], shared);
+  }
+  const auto members = static_cast<std::int64_t>(nodes_.size() / zones_.size());
+  const auto longest = 2 * kSummaryInterval.count() * std::max<std::int64_t>(members, 1);
+  node.next_summary =
+      now_ + net::Millis(static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(longest))));
+}
+
+void QuotaFleet::deliver(const Message& message) {
+  auto& node = nodes_[message.receiver];
+  const auto& beacon = *message.beacon;
+  node.directory->on_beacon(beacon, now_);
+  if (!beacon.__isset.summary) return;
+  node.directory->on_summary(beacon.summary, now_);
+  const auto* sender = node.directory->find(beacon.incarnation);
+  const bool first_hand = sender != nullptr && sender->zone == beacon.summary.zone;
+  if (!first_hand || sender->zone == node.zone) return;
+  auto& passed_on_at = node.passed_on_at[beacon.summary.zone];
+  if (now_ < passed_on_at + kSummaryInterval) return;
+  passed_on_at = now_;
+  auto own = beacon_of(node);
+  own.__set_summary(beacon.summary);
+  const auto shared = std::make_shared<const wire::Beacon>(std::move(own));
+  for (std::size_t to = 0; to < nodes_.size(); ++to) {
+    if (nodes_[to].zone == node.zone && nodes_[to].name != node.name) send_to(node, to, shared);
+  }
+}
+
+void QuotaFleet::advance(net::Millis time) {
+  const auto until = now_ + time;
+  while (now_ < until) {
+    now_ += kStep;
+    while (!messages_.empty() && messages_.top().at <= now_) {
+      const auto message = messages_.top();
+      messages_.pop();
+      deliver(message);
+    }
+    for (auto& node : nodes_) {
+      if (now_ >= node.next_beacon) send_beacons(node);
+      if (now_ >= node.next_summary) send_summary(node);
+    }
+  }
+}
+
+bool QuotaFleet::request(const tenancy::Tenant& tenant, const cluster::QuotaRequest& request) {
+  auto& node = nodes_[random_.below(nodes_.size())];
+  node.quotas->refresh(now_, kSilence);
+  const bool passed = node.quotas->admit(tenant, request, now_).admitted;
+  (passed ? passed_ : refused_).push_back(now_);
+  return passed;
+}
+
+void QuotaFleet::send(const tenancy::Tenant& tenant, double rate_per_s, net::Millis time) {
+  const auto until = now_ + time;
+  while (now_ < until) {
+    advance(kStep);
+    const double expected = rate_per_s * static_cast<double>(kStep.count()) / kMillisPerSecond;
+    const auto whole = static_cast<int>(expected);
+    const int count = whole + (draw() < expected - whole ? 1 : 0);
+    for (int i = 0; i < count; ++i) request(tenant, {});
+  }
+}
+
+void QuotaFleet::cut(double share) {
+  for (auto& node : nodes_) node.cut_off = share > 0 && draw() < share;
+}
+
+void QuotaFleet::restart(double share) {
+  for (std::size_t index = 0; index < nodes_.size(); ++index) {
+    if (draw() < share) start(index);
+  }
+}
+
+int QuotaFleet::most_in_window() const {
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < passed_.size(); ++last) {
+    while (passed_[last] - passed_[first] >= kWindow) ++first;
+    most = std::max(most, last - first + 1);
+  }
+  return static_cast<int>(most);
+}
+
+int QuotaFleet::refused_inside(double limit) const {
+  int inside = 0;
+  for (const auto time : refused_) {
+    const auto begin = std::lower_bound(passed_.begin(), passed_.end(), time - kWindow);
+    const auto end = std::upper_bound(passed_.begin(), passed_.end(), time);
+    inside += static_cast<double>(end - begin) + 1 <= limit ? 1 : 0;
+  }
+  return inside;
+}
+
+}  // namespace sailgate::test
--- /dev/null
+++ b/tests/cluster/quota_fleet.hpp
@@ -0,0 +1,88 @@
+/// @file A fleet of nodes in virtual time that hold tenants to their limits.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "base/random.hpp"
+#include "cluster/tenant_quotas.hpp"
+
+namespace sailgate::test {
+
+/// What the network between the nodes is like.
+struct FleetNetwork {
+  net::Millis delay{2};
+  double loss = 0.01;  ///< share of the beacons that are lost
+};
+
+/// Nodes send beacons to their own zone and summaries to the others, at the times at which
+/// cluster::BeaconSender does; everything else is the code that nodes run.
+class QuotaFleet {
+ public:
+  QuotaFleet(int nodes, int zones, FleetNetwork network, std::uint64_t seed);
+
+  /// A tenant's request at a node drawn by chance, at the fleet's time. @return whether it is let
+  /// through.
+  bool request(const tenancy::Tenant& tenant, const cluster::QuotaRequest& request);
+  /// Requests at `rate_per_s` for this time, each the first of a program.
+  void send(const tenancy::Tenant& tenant, double rate_per_s, net::Millis time);
+  /// Cuts this share of the nodes off from all others, or heals the cut. Callers still reach them.
+  void cut(double share);
+  void heal() { cut(0); }
+  /// This share of the nodes loses all memory.
+  void restart(double share);
+
+  /// Most requests that were let through in any window, and those that were refused although the
+  /// window before held fewer than the limit.
+  int most_in_window() const;
+  int refused_inside(double limit) const;
+  int sent() const { return static_cast<int>(passed_.size() + refused_.size()); }
+  net::TimePoint now() const { return now_; }
+
+ private:
+  struct Node {
+    std::string name;
+    std::string zone;
+    std::int64_t incarnation = 0;
+    net::TimePoint started_at{};
+    bool cut_off = false;
+    std::unique_ptr<cluster::PeerDirectory> directory;
+    std::unique_ptr<cluster::TenantQuotas> quotas;
+    net::TimePoint next_beacon{};
+    net::TimePoint next_summary{};
+    std::map<std::string, net::TimePoint> passed_on_at;
+  };
+  struct Message {
+    net::TimePoint at;
+    std::size_t receiver;
+    std::shared_ptr<const wire::Beacon> beacon;
+    bool operator>(const Message& other) const { return at > other.at; }
+  };
+
+  void advance(net::Millis time);
+  void start(std::size_t node);
+  wire::Beacon beacon_of(Node& node) const;
+  bool reaches(const Node& from, const Node& to) const;
+  void send_to(const Node& from, std::size_t to, std::shared_ptr<const wire::Beacon> beacon);
+  void send_beacons(Node& node);
+  void send_summary(Node& node);
+  void deliver(const Message& message);
+  double draw() { return static_cast<double>(random_.below(1U << 20U)) / (1U << 20U); }
+
+  FleetNetwork network_;
+  base::Random random_;
+  std::vector<Node> nodes_;
+  std::vector<std::string> zones_;
+  std::priority_queue<Message, std::vector<Message>, std::greater<>> messages_;
+  net::TimePoint now_ = net::TimePoint{} + std::chrono::hours(1);
+  std::int64_t incarnations_ = 0;
+  std::vector<net::TimePoint> passed_;
+  std::vector<net::TimePoint> refused_;
+};
+
+}  // namespace sailgate::test
--- /dev/null
+++ b/tests/cluster/tenant_quotas_test.cpp
@@ -0,0 +1,108 @@
+#include "cluster/tenant_quotas.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "cluster/quota_fleet.hpp"
+
+using namespace sailgate;
+using test::FleetNetwork;
+using test::QuotaFleet;
+
+namespace {
+
+/// 25 requests a second and 25 on top: 150 in 5 s; at most 185 by the bounds that nodes begin with.
+tenancy::Tenant small_tenant() {
+  tenancy::Tenant tenant;
+  tenant.name = "choir";
+  tenant.limit = {25, 25};
+  return tenant;
+}
+
+/// 421 a second: 2,526 in 5 s, at most 2,798.
+tenancy::Tenant large_tenant() {
+  tenancy::Tenant tenant;
+  tenant.name = "federation";
+  tenant.limit = {421, 421};
+  return tenant;
+}
+
+constexpr double kSmallLimit = 150;
+constexpr int kSmallMost = 185;
+constexpr double kLargeLimit = 2526;
+constexpr int kLargeMost = 2798;
+/// What tenants send when nothing happens: limits are set at 1.6 times of it.
+constexpr double kUsualSmall = 25 / 1.6;
+constexpr double kUsualLarge = 421 / 1.6;
+
+constexpr net::Millis kCalm{10'000};
+
+}  // namespace
+
+TEST_CASE("requests inside the limit are let through at any size of the fleet",
+          "[cluster][quota]") {
+  const auto nodes = GENERATE(1, 12, 84);
+  INFO(nodes);
+  QuotaFleet fleet(nodes, nodes < 4 ? 1 : 4, {}, 1);
+  fleet.send(small_tenant(), kUsualSmall, kCalm);
+  REQUIRE(fleet.refused_inside(kSmallLimit) == 0);
+  REQUIRE(fleet.sent() > 100);
+}
+
+TEST_CASE("a tenant that sends three times its usual rate stays within its limit",
+          "[cluster][quota]") {
+  const auto seed = GENERATE(1U, 2U, 3U);
+  const auto nodes = GENERATE(12, 84);
+  INFO(nodes << " nodes, seed " << seed);
+  QuotaFleet small(nodes, 4, {}, seed);
+  small.send(small_tenant(), kUsualSmall, net::Millis(5000));
+  small.send(small_tenant(), 3 * kUsualSmall, net::Millis(6000));
+  REQUIRE(small.most_in_window() <= kSmallMost);
+  REQUIRE(small.most_in_window() >= kSmallLimit * 0.8);
+  QuotaFleet large(nodes, 4, {}, seed);
+  large.send(large_tenant(), kUsualLarge, net::Millis(5000));
+  large.send(large_tenant(), 3 * kUsualLarge, net::Millis(6000));
+  REQUIRE(large.most_in_window() <= kLargeMost);
+  REQUIRE(large.most_in_window() >= kLargeLimit * 0.8);
+}
+
+TEST_CASE("nodes that are cut off from all others keep the limit with them", "[cluster][quota]") {
+  const auto seed = GENERATE(1U, 2U, 3U);
+  INFO(seed);
+  QuotaFleet fleet(84, 4, {}, seed);
+  fleet.send(small_tenant(), 3 * kUsualSmall, net::Millis(6000));
+  fleet.cut(0.4);
+  fleet.send(small_tenant(), 3 * kUsualSmall, kCalm);
+  fleet.heal();
+  fleet.send(small_tenant(), 3 * kUsualSmall, kCalm);
+  REQUIRE(fleet.most_in_window() <= kSmallMost);
+}
+
+TEST_CASE("the limit holds while half of the nodes or all of them forget what they let through",
+          "[cluster][quota]") {
+  const auto share = GENERATE(0.5, 1.1);
+  const auto seed = GENERATE(1U, 2U, 3U);
+  INFO(share << " restarted, seed " << seed);
+  QuotaFleet fleet(84, 4, {}, seed);
+  fleet.send(large_tenant(), 3 * kUsualLarge, net::Millis(6000));
+  fleet.restart(share);
+  fleet.send(large_tenant(), 3 * kUsualLarge, kCalm);
+  REQUIRE(fleet.most_in_window() <= kLargeMost);
+}
+
+TEST_CASE("nodes that restart in turn refuse nothing inside the limit", "[cluster][quota]") {
+  QuotaFleet fleet(84, 4, {}, 1);
+  for (int round = 0; round < 10; ++round) {
+    fleet.restart(1.0 / 84);
+    fleet.send(small_tenant(), kUsualSmall, net::Millis(1000));
+  }
+  REQUIRE(fleet.refused_inside(kSmallLimit) == 0);
+}
+
+TEST_CASE("the limit holds where many beacons are lost", "[cluster][quota]") {
+  const auto seed = GENERATE(1U, 2U, 3U);
+  INFO(seed);
+  QuotaFleet fleet(84, 4, FleetNetwork{net::Millis(40), 0.3}, seed);
+  fleet.send(large_tenant(), kUsualLarge, net::Millis(5000));
+  fleet.send(large_tenant(), 2 * kUsualLarge, kCalm);
+  REQUIRE(fleet.most_in_window() <= kLargeMost);
+}
--- /dev/null
+++ b/tests/quota/admission_test.cpp
@@ -0,0 +1,93 @@
+#include "quota/admission.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace sailgate;
+using quota::Admission;
+using quota::Bounds;
+using quota::FleetUsage;
+using quota::Limit;
+using quota::ProgramStage;
+
+namespace {
+
+/// 25 a second and 25 on top: 150 in 5 s, of which 185 may be exceeded at most.
+const Limit kSmall{25, 25};
+constexpr double kLimit = 150;
+constexpr double kMost = 185;
+
+Admission decide(const FleetUsage& usage, ProgramStage stage = ProgramStage::kUnderWay) {
+  return quota::decide(kSmall, Bounds{}, usage, stage);
+}
+
+FleetUsage used(double own, double others) {
+  FleetUsage usage;
+  usage.own = own;
+  usage.others = others;
+  return usage;
+}
+
+}  // namespace
+
+TEST_CASE("a tenant without a limit is let through", "[quota]") {
+  REQUIRE(quota::decide(Limit{}, Bounds{}, used(1e6, 1e6), ProgramStage::kFirst).admitted);
+}
+
+TEST_CASE("all requests inside the limit are let through, none beyond the most", "[quota]") {
+  REQUIRE(decide(used(1, kLimit - 2)).admitted);
+  const auto refused = decide(used(1, kMost - 1));
+  REQUIRE_FALSE(refused.admitted);
+  REQUIRE(refused.allowed > kLimit);
+  REQUIRE(refused.allowed < kMost);
+}
+
+TEST_CASE("what came since the others told counts", "[quota]") {
+  auto usage = used(1, kLimit - 2);
+  usage.unseen = 40;
+  REQUIRE_FALSE(decide(usage).admitted);
+}
+
+TEST_CASE("programs that have not begun are refused before those under way", "[quota]") {
+  const auto usage = used(5, kLimit - 5);
+  REQUIRE_FALSE(decide(usage, ProgramStage::kFirst).admitted);
+  REQUIRE(decide(usage, ProgramStage::kUnderWay).admitted);
+  REQUIRE(decide(used(5, kLimit - 6), ProgramStage::kFirst).admitted);
+}
+
+TEST_CASE("groups that are cut off from each other share the limit by their nodes", "[quota]") {
+  double together = 0;
+  for (const double live : {0.6, 0.3, 0.1}) {
+    FleetUsage usage;
+    usage.live = live;
+    while (decide(usage).admitted) ++usage.own;
+    together += usage.own;
+  }
+  REQUIRE(together <= kMost);
+  REQUIRE(together >= kLimit - 3);
+}
+
+TEST_CASE("what nodes let through before they fell silent counts", "[quota]") {
+  auto usage = used(0, 0);
+  usage.silent = kLimit;
+  while (decide(usage).admitted) ++usage.own;
+  REQUIRE(usage.own + usage.silent <= kMost);
+}
+
+TEST_CASE("nodes that have all just started do not begin with a full allowance", "[quota]") {
+  // Before the restart the tenant had used its limit evenly; it sends as much as it can after it.
+  for (const double passed : {0.1, 0.3, 0.5, 0.9}) {
+    FleetUsage usage;
+    usage.young = 1 - passed;
+    while (decide(usage).admitted) ++usage.own;
+    REQUIRE(usage.own + (1 - passed) * kLimit <= kMost);
+  }
+}
+
+TEST_CASE("the time to come back follows from what leaves the window", "[quota]") {
+  const auto soon = decide(used(1, kMost));
+  REQUIRE(soon.retry_after >= net::Millis(200));
+  REQUIRE(soon.retry_after <= net::Millis(1000));
+  const auto late = decide(used(1, 3 * kMost));
+  REQUIRE(late.retry_after > soon.retry_after);
+  REQUIRE(late.retry_after <= net::Millis(5000));
+}
