Engines that fail for many nodes are left to one node a zone to try

Change: an answer of 500 and above (504 apart, which says that time is over) counts as the engine's failure; nodes tell their failures in a row in beacons and zone summaries; from three over all nodes on an engine is left to one node a zone.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -40,6 +40,7 @@
   3: map<i32, i32> loads
   /** Sums over the zone's nodes, keyed as in Beacon. */
   4: optional map<i32, TenantUsage> tenants
+  5: optional map<i32, i32> failures
 }
 
 /** Datagram: the sender is alive, and how it loads engines. */
@@ -66,6 +67,8 @@
    * Time since the sender's start, while that is short: it has forgotten what it let through before.
    */
   9: optional i32 uptime_ms
+  /** Engines that failed the sender's last requests: how many in a row, keyed as loads. */
+  10: optional map<i32, i32> failures
 }
 
 /** Calls of the table store that a peer makes for the sender; see store/table_store.hpp. */
--- a/src/balancing/engine.hpp
+++ b/src/balancing/engine.hpp
@@ -25,6 +25,8 @@
   int peer_in_flight = 0;        ///< requests of other nodes there, as their beacons said
   int idle_connections = 0;      ///< kept by this node
   int consecutive_failures = 0;  ///< since the last good answer
+  net::TimePoint failed_at{};    ///< the last of them
+  bool left_to_probe = false;    ///< fails for many nodes: another node tries it for all
   net::TimePoint avoid_until{};  ///< after a refusal or failure: other engines come first
   bool leaving = false;          ///< said so itself, or its entry is gone: no new requests
 
--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -63,6 +63,10 @@
   return usable == 0 ? 0 : sum / usable;
 }
 
+bool avoided(const Engine& engine, const SelectionQuery& query) {
+  return engine.left_to_probe || query.now < engine.avoid_until;
+}
+
 Rank rank(const Engine& engine, const SelectionQuery& query, double saturation) {
   const double load = load_of(engine);
   const double zone = engine.record.zone == query.zone ? 0.0 : kOtherZoneCost;
@@ -73,7 +77,7 @@
       keyed ? kAffinityCost * rendezvous_draw(query.affinity_key, engine.record.id)
             : load + connect;
   const auto tie = XXH64(engine.record.id.data(), engine.record.id.size(), query.draw);
-  return {query.now < engine.avoid_until, load >= saturation, preference + zone, tie};
+  return {avoided(engine, query), load >= saturation, preference + zone, tie};
 }
 
 bool excluded(const SelectionQuery& query, const Engine& engine) {
@@ -87,7 +91,7 @@
   if (query.line_engine.empty()) return nullptr;
   auto engine = registry.find(query.line_engine);
   if (engine == nullptr || engine->record.service != query.service) return nullptr;
-  if (!engine->usable() || query.now < engine->avoid_until) return nullptr;
+  if (!engine->usable() || avoided(*engine, query)) return nullptr;
   if (excluded(query, *engine)) return nullptr;
   const double bound = std::max(kStayLoad, kStayOverMean * mean);
   return load_of(*engine) < bound ? engine : nullptr;
--- a/src/base/mechanisms.cpp
+++ b/src/base/mechanisms.cpp
@@ -17,7 +17,7 @@
     Switch{"gathering", &Mechanisms::gathering},   Switch{"relay", &Mechanisms::relay},
     Switch{"lines", &Mechanisms::lines},           Switch{"affinity", &Mechanisms::affinity},
     Switch{"peer-loads", &Mechanisms::peer_loads}, Switch{"avoidance", &Mechanisms::avoidance},
-    Switch{"resuming", &Mechanisms::resuming},
+    Switch{"resuming", &Mechanisms::resuming},     Switch{"peer-failures", &Mechanisms::peer_failures},
 };
 
 }  // namespace
--- a/src/base/mechanisms.hpp
+++ b/src/base/mechanisms.hpp
@@ -16,6 +16,7 @@
   bool lines = true;       ///< a line of turns stays at the engine of its last turn
   bool affinity = true;    ///< long prompts go to one engine, whichever node chooses
   bool peer_loads = true;  ///< what other nodes have at an engine counts as its load
+  bool peer_failures = true;  ///< engines that fail for many nodes are tried by one a zone
   bool avoidance = true;   ///< engines that failed or refused come last for a while
   bool resuming = true;    ///< broken streams go on at another engine
 };
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -34,6 +34,7 @@
   peer.last_heard = now;
   peer.reaches_store = beacon.reaches_store;
   peer.loads = beacon.loads;
+  peer.failures = beacon.failures;
   peer.escrow_shards = {beacon.escrow_shards.begin(), beacon.escrow_shards.end()};
   peer.bare_shards = {beacon.bare_shards.begin(), beacon.bare_shards.end()};
   peer.tenants = beacon.tenants;
@@ -138,7 +139,7 @@
     peer->bare_shards = {member.bare_shards.begin(), member.bare_shards.end()};
     peer->started_at = start_of(member.__isset.uptime_ms, member.uptime_ms, heard_at);
   }
-  zone_sums_[summary.zone] = {summary.loads, summary.tenants, now};
+  zone_sums_[summary.zone] = {summary.loads, summary.failures, summary.tenants, now};
 }
 
 wire::ZoneSummary PeerDirectory::summarize_zone(const wire::Beacon& own, net::TimePoint now,
@@ -155,12 +156,14 @@
     if (!heard) return;
     summary.members.push_back(member_of(peer, now));
     for (const auto& [engine, in_flight] : peer.loads) summary.loads[engine] += in_flight;
+    for (const auto& [engine, failures] : peer.failures) summary.failures[engine] += failures;
   };
   add(self);
   for (const auto& [node, peer] : peers_) {
     if (peer.zone == zone_) add(peer);
   }
   summary.__isset.tenants = !summary.tenants.empty();
+  summary.__isset.failures = !summary.failures.empty();
   return summary;
 }
 
@@ -273,18 +276,28 @@
   return membership;
 }
 
-EngineLoads PeerDirectory::loads(net::TimePoint now, net::Millis silence) const {
+template <typename Select>
+EngineLoads PeerDirectory::sum_over_live(net::TimePoint now, net::Millis silence,
+                                         const Select& select) const {
   EngineLoads sum;
   std::set<std::string> summed;
   for (const auto& [zone, known] : zone_sums_) {
     if (now >= known.taken_at + silence) continue;
-    sum.add(known.loads);
+    sum.add(select(known));
     summed.insert(zone);
   }
   for (const auto& [node, peer] : peers_) {
-    if (summed.count(peer.zone) == 0 && is_live(peer, now, silence)) sum.add(peer.loads);
+    if (summed.count(peer.zone) == 0 && is_live(peer, now, silence)) sum.add(select(peer));
   }
   return sum;
 }
 
+EngineLoads PeerDirectory::loads(net::TimePoint now, net::Millis silence) const {
+  return sum_over_live(now, silence, [](const auto& told) -> const auto& { return told.loads; });
+}
+
+EngineLoads PeerDirectory::failures(net::TimePoint now, net::Millis silence) const {
+  return sum_over_live(now, silence, [](const auto& told) -> const auto& { return told.failures; });
+}
+
 }  // namespace sailgate::cluster
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -28,6 +28,7 @@
   net::TimePoint suspected_at{};               ///< a call failed
   net::TimePoint suspected_until{};            ///< not used until then
   std::map<std::int32_t, std::int32_t> loads;  ///< as its last beacon said
+  std::map<std::int32_t, std::int32_t> failures;  ///< in a row, by engine; as its last beacon said
   bool reaches_store = false;                  ///< the store answers its own calls
   std::set<int> escrow_shards;                 ///< owned, with an escrow to spend
   std::set<int> bare_shards;                   ///< owned, without
@@ -86,6 +87,8 @@
   /// Requests of live peers in flight at engines. Zones whose summary is not older than `silence`
   /// count by their sum, other peers one by one.
   EngineLoads loads(net::TimePoint now, net::Millis silence) const;
+  /// Failures in a row that live peers saw at engines, summed in the same way.
+  EngineLoads failures(net::TimePoint now, net::Millis silence) const;
 
   /// What the other nodes let through of a tenant's requests. What a silent node told fades over
   /// `window`, in which limits count: it may be gone, or cut off and serving on its own share.
@@ -102,10 +105,14 @@
   /// Sums over a zone's nodes, as its last summary said.
   struct ZoneSums {
     std::map<std::int32_t, std::int32_t> loads;
+    std::map<std::int32_t, std::int32_t> failures;
     TenantUsages tenants;
     net::TimePoint taken_at{};
   };
 
+  /// Sum over zones and peers of what `select` takes from each, as loads() counts them.
+  template <typename Select>
+  EngineLoads sum_over_live(net::TimePoint now, net::Millis silence, const Select& select) const;
   Peer* find_by(std::int64_t incarnation);
   void forget(const std::string& node);
 
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -26,6 +26,10 @@
 /// to 0.714 in bursts where they hold 1,200 (one run each).
 constexpr std::int64_t kLongPrompt = 4096;
 
+constexpr unsigned kServerErrors = 500;
+/// An engine's answer when a request's time is over: it says nothing of the engine.
+constexpr unsigned kGatewayTimeout = 504;
+
 void remove_hop_fields(net::TextRequest& request) {
   std::vector<std::string> listed;
   for (const auto& token : http::token_list(request[http::field::connection])) {
@@ -84,13 +88,26 @@
 
 void note_failure(NodeState& state, balancing::Engine& engine, const char* what) {
   engine.consecutive_failures = std::min(engine.consecutive_failures + 1, kMostCountedFailures);
-  engine.avoid_until = net::Clock::now() + kFailurePause * engine.consecutive_failures;
+  engine.failed_at = net::Clock::now();
+  engine.avoid_until = engine.failed_at + kFailurePause * engine.consecutive_failures;
   state.log.event("engine_failed")
       .with("engine", engine.record.id)
       .with("what", what)
       .with("failures", engine.consecutive_failures);
 }
 
+bool is_engine_failure(unsigned status) {
+  return status >= kServerErrors && status != kGatewayTimeout;
+}
+
+void note_answer(NodeState& state, balancing::Engine& engine, unsigned status) {
+  if (is_engine_failure(status)) {
+    note_failure(state, engine, "status");
+  } else {
+    note_success(engine);
+  }
+}
+
 void note_success(balancing::Engine& engine) {
   engine.consecutive_failures = 0;
   engine.avoid_until = {};
--- a/src/serving/dispatcher.hpp
+++ b/src/serving/dispatcher.hpp
@@ -76,6 +76,12 @@
 /// Marks a failure of an engine: others come first for a while.
 void note_failure(NodeState& state, balancing::Engine& engine, const char* what);
 
+/// Whether an engine's answer tells of a fault of the engine.
+bool is_engine_failure(unsigned status);
+
+/// Marks a whole answer of an engine, good or bad by its status.
+void note_answer(NodeState& state, balancing::Engine& engine, unsigned status);
+
 /// Marks a good answer of an engine.
 void note_success(balancing::Engine& engine);
 
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -302,6 +302,7 @@
     share_store_version();
     state_.ledger.budgets.forget_idle(now);
     if (state_.settings.mechanisms.peer_loads) take_peer_loads(now);
+    if (state_.settings.mechanisms.peer_failures) take_peer_failures(now);
     state_.metrics.set_escrow_shards(state_.ledger.escrow.spendable_shards().size(),
                                      state_.ledger.escrow.bare_shards().size());
     state_.metrics.set_engines(state_.engines.size());
@@ -318,6 +319,24 @@
   }
 }
 
+void Gateway::take_peer_failures(net::TimePoint now) {
+  const auto silence = state_.beacons.silence_limit();
+  const auto failures = state_.peers.failures(now, silence);
+  for (const auto& engine : state_.engines.all()) {
+    const auto& id = engine->record.id;
+    const int told = failures.at(id);
+    const bool suspect = told > 0 || balancing::failed_lately(*engine, now);
+    const bool tries = suspect && !state_.peers.home(id, now, silence).has_value();
+    const bool left = suspect && balancing::leaves_to_probe(*engine, told, tries, now);
+    if (left == engine->left_to_probe) continue;
+    engine->left_to_probe = left;
+    state_.log.event(left ? "engine_left_to_probe" : "engine_used_again")
+        .with("engine", id)
+        .with("own_failures", engine->consecutive_failures)
+        .with("told_failures", told);
+  }
+}
+
 void Gateway::share_store_version() {
   auto newest = state_.peers.newest_store_version();
   for (auto* follower : {&configuration_follower_, &engine_follower_, &peer_follower_}) {
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "balancing/engine_failures.hpp"
 #include "balancing/engine_registry.hpp"
 #include "base/random.hpp"
 #include "cluster/beacon_sender.hpp"
@@ -54,6 +55,7 @@
 
   /// What this node tells its peers.
   wire::Beacon beacon(std::int64_t incarnation) {
+    const auto now = net::Clock::now();
     wire::Beacon message;
     message.incarnation = incarnation;
     message.reaches_store = store.direct_works();
@@ -61,10 +63,13 @@
     message.escrow_shards = ledger.escrow.spendable_shards();
     message.bare_shards = ledger.escrow.bare_shards();
     for (const auto& engine : engines.all()) {
-      if (engine->in_flight == 0) continue;
-      message.loads[cluster::engine_key(engine->record.id)] = engine->in_flight;
+      const auto key = cluster::engine_key(engine->record.id);
+      if (engine->in_flight > 0) message.loads[key] = engine->in_flight;
+      if (balancing::failed_lately(*engine, now)) {
+        message.failures[key] = engine->consecutive_failures;
+      }
     }
-    const auto now = net::Clock::now();
+    message.__isset.failures = !message.failures.empty();
     auto tenants = quotas.told(now);
     if (!tenants.empty()) message.__set_tenants(std::move(tenants));
     const auto uptime = std::chrono::duration_cast<net::Millis>(now - started_at);
--- a/src/serving/plain_call.cpp
+++ b/src/serving/plain_call.cpp
@@ -24,7 +24,7 @@
     while (outcome == ReadOutcome::kData) outcome = co_await exchange.read_some(body);
     call_.exchange = nullptr;
     if (outcome == ReadOutcome::kEnd) {
-      note_success(exchange.engine());
+      note_answer(state_, exchange.engine(), exchange.head().result_int());
       auto head = exchange.head();
       exchange.finish();
       const bool head_only = call_.request.method() == net::http::verb::head;
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -167,6 +167,7 @@
     co_return co_await fail(failure_of(outcome));
   }
   auto head = exchange.head();
+  note_answer(state_, exchange.engine(), head.result_int());
   exchange.finish();
   const bool taken = co_await call_.channel.write_answer(std::move(head), std::move(body), false);
   co_return CallEnd{taken ? "engine_status" : "caller_gone", taken};
--- a/tests/serving/gateway_test.cpp
+++ b/tests/serving/gateway_test.cpp
@@ -374,3 +374,19 @@
   run_until(context, [&] { return logged({"engine_leaving", "e-1"}) == 1; });
   REQUIRE(ask(request("POST", "/unsafe/x")).status == 503);
 }
+
+TEST_CASE_METHOD(GatewayFixture, "an engine that answers with faults of its own comes last",
+                 "[serving]") {
+  start(true);
+  engine.set_script([](const auto& request) {
+    return EngineReply{test::engine_answer(request, "why", "", 500), false, false};
+  });
+  other.set_script([](const auto& request) { return answer(request, "other"); });
+  int failed = 0;
+  for (int i = 0; i < 6; ++i) {
+    failed += ask(request("POST", "/unsafe/x", "", "b")).status == 500 ? 1 : 0;
+  }
+  // It used to be the least busy one, and took every other request or more.
+  REQUIRE(failed <= 1);
+  REQUIRE(engine.requests().size() == static_cast<std::size_t>(failed));
+}
