One fault alone does not make a node avoid an engine; formatting

Hypothesis: tools answer one call in a hundred with a 500; each made its node avoid a sound engine for 0.3 s. Change: a first 500 is counted and told to the other nodes, and only the second in a row makes a node avoid the engine.

--- a/src/balancing/engine_failures.hpp
+++ b/src/balancing/engine_failures.hpp
@@ -1,8 +1,8 @@
 /// @file Engines that fail for many nodes.
 ///
 /// Answers engines that fail every request at once while their health check is good. Such an engine
-/// is always idle, so each node places its next request there; and with 84 nodes of some 20 requests
-/// a second, each node that finds out by itself finds out by failing.
+/// is always idle, so each node places its next request there; and with 84 nodes of some 20
+/// requests a second, each node that finds out by itself finds out by failing.
 #pragma once
 
 #include "balancing/engine.hpp"
--- a/src/base/mechanisms.cpp
+++ b/src/base/mechanisms.cpp
@@ -13,11 +13,16 @@
 };
 
 constexpr std::array kSwitches{
-    Switch{"escrow", &Mechanisms::escrow},         Switch{"homes", &Mechanisms::homes},
-    Switch{"gathering", &Mechanisms::gathering},   Switch{"relay", &Mechanisms::relay},
-    Switch{"lines", &Mechanisms::lines},           Switch{"affinity", &Mechanisms::affinity},
-    Switch{"peer-loads", &Mechanisms::peer_loads}, Switch{"avoidance", &Mechanisms::avoidance},
-    Switch{"resuming", &Mechanisms::resuming},     Switch{"peer-failures", &Mechanisms::peer_failures},
+    Switch{"escrow", &Mechanisms::escrow},
+    Switch{"homes", &Mechanisms::homes},
+    Switch{"gathering", &Mechanisms::gathering},
+    Switch{"relay", &Mechanisms::relay},
+    Switch{"lines", &Mechanisms::lines},
+    Switch{"affinity", &Mechanisms::affinity},
+    Switch{"peer-loads", &Mechanisms::peer_loads},
+    Switch{"avoidance", &Mechanisms::avoidance},
+    Switch{"resuming", &Mechanisms::resuming},
+    Switch{"peer-failures", &Mechanisms::peer_failures},
 };
 
 }  // namespace
--- a/src/base/mechanisms.hpp
+++ b/src/base/mechanisms.hpp
@@ -9,16 +9,16 @@
 /// For experiments: all are on in service. Nodes that share a store must agree on `escrow` from the
 /// store's first use on, since it divides budgets.
 struct Mechanisms {
-  bool escrow = true;      ///< owners of shards spend a part of each budget from memory
-  bool homes = true;       ///< one node keeps a program's tokens for the others
-  bool gathering = true;   ///< tokens that other holders do not use are asked for
-  bool relay = true;       ///< a node that the store does not answer goes through a peer
-  bool lines = true;       ///< a line of turns stays at the engine of its last turn
-  bool affinity = true;    ///< long prompts go to one engine, whichever node chooses
-  bool peer_loads = true;  ///< what other nodes have at an engine counts as its load
+  bool escrow = true;         ///< owners of shards spend a part of each budget from memory
+  bool homes = true;          ///< one node keeps a program's tokens for the others
+  bool gathering = true;      ///< tokens that other holders do not use are asked for
+  bool relay = true;          ///< a node that the store does not answer goes through a peer
+  bool lines = true;          ///< a line of turns stays at the engine of its last turn
+  bool affinity = true;       ///< long prompts go to one engine, whichever node chooses
+  bool peer_loads = true;     ///< what other nodes have at an engine counts as its load
   bool peer_failures = true;  ///< engines that fail for many nodes are tried by one a zone
-  bool avoidance = true;   ///< engines that failed or refused come last for a while
-  bool resuming = true;    ///< broken streams go on at another engine
+  bool avoidance = true;      ///< engines that failed or refused come last for a while
+  bool resuming = true;       ///< broken streams go on at another engine
 };
 
 /// Names that switch_off() takes.
--- a/src/cluster/beacon_sender.cpp
+++ b/src/cluster/beacon_sender.cpp
@@ -112,8 +112,8 @@
     co_await net::sleep_for(context_, summarizes() ? summary_pause() : kShortestRound);
     if (!summarizes()) continue;
     auto beacon = compose_();
-    beacon.__set_summary(directory_.summarize_zone(beacon, net::Clock::now(), silence_limit(),
-                                                   usage_window_));
+    beacon.__set_summary(
+        directory_.summarize_zone(beacon, net::Clock::now(), silence_limit(), usage_window_));
     const auto bytes = wire::encode(beacon);
     for (const auto* peer : summary_receivers()) send_to(*peer, bytes);
   }
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -293,11 +293,13 @@
 }
 
 EngineLoads PeerDirectory::loads(net::TimePoint now, net::Millis silence) const {
-  return sum_over_live(now, silence, [](const auto& told) -> const auto& { return told.loads; });
+  return sum_over_live(
+      now, silence, [](const auto& told) -> const auto& { return told.loads; });
 }
 
 EngineLoads PeerDirectory::failures(net::TimePoint now, net::Millis silence) const {
-  return sum_over_live(now, silence, [](const auto& told) -> const auto& { return told.failures; });
+  return sum_over_live(
+      now, silence, [](const auto& told) -> const auto& { return told.failures; });
 }
 
 }  // namespace sailgate::cluster
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -23,17 +23,17 @@
   std::string node;
   std::int64_t incarnation = 0;
   std::string zone;
-  net::Endpoint endpoint;                      ///< calls (TCP) and beacons (UDP)
-  net::TimePoint last_heard{};                 ///< by this node, or by one of the peer's zone
-  net::TimePoint suspected_at{};               ///< a call failed
-  net::TimePoint suspected_until{};            ///< not used until then
-  std::map<std::int32_t, std::int32_t> loads;  ///< as its last beacon said
+  net::Endpoint endpoint;                         ///< calls (TCP) and beacons (UDP)
+  net::TimePoint last_heard{};                    ///< by this node, or by one of the peer's zone
+  net::TimePoint suspected_at{};                  ///< a call failed
+  net::TimePoint suspected_until{};               ///< not used until then
+  std::map<std::int32_t, std::int32_t> loads;     ///< as its last beacon said
   std::map<std::int32_t, std::int32_t> failures;  ///< in a row, by engine; as its last beacon said
-  bool reaches_store = false;                  ///< the store answers its own calls
-  std::set<int> escrow_shards;                 ///< owned, with an escrow to spend
-  std::set<int> bare_shards;                   ///< owned, without
-  TenantUsages tenants;                        ///< requests that it let through
-  net::TimePoint started_at{};                 ///< of its process; a time long ago is not told
+  bool reaches_store = false;                     ///< the store answers its own calls
+  std::set<int> escrow_shards;                    ///< owned, with an escrow to spend
+  std::set<int> bare_shards;                      ///< owned, without
+  TenantUsages tenants;                           ///< requests that it let through
+  net::TimePoint started_at{};                    ///< of its process; a time long ago is not told
 };
 
 /// Deterministic, not thread-safe.
--- a/src/cluster/tenant_quotas.cpp
+++ b/src/cluster/tenant_quotas.cpp
@@ -37,8 +37,7 @@
   auto& own = own_.try_emplace(tenant.name, bounds_.window).first->second;
   const auto usage = usage_of(tenant.name, own.within(now, bounds_.window), now);
   const bool under_way = request.continues || programs_.contains(request.program.text());
-  const auto stage =
-      under_way ? quota::ProgramStage::kUnderWay : quota::ProgramStage::kFirst;
+  const auto stage = under_way ? quota::ProgramStage::kUnderWay : quota::ProgramStage::kFirst;
   const auto admission = quota::decide(tenant.limit, bounds_, usage, stage);
   if (admission.admitted) {
     own.add(now);
--- a/src/cluster/tenant_quotas.hpp
+++ b/src/cluster/tenant_quotas.hpp
@@ -1,8 +1,8 @@
 /// @file Holds tenants to their limits over all nodes.
 ///
 /// Each node counts the requests that it lets through and tells the others in its beacons; each
-/// decides by itself from what it was told (quota/admission.hpp). No request waits for another node,
-/// and a node that hears of nobody still has its share.
+/// decides by itself from what it was told (quota/admission.hpp). No request waits for another
+/// node, and a node that hears of nobody still has its share.
 #pragma once
 
 #include <string>
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -56,7 +56,8 @@
                                                TurnStart& start) {
   if (!store_.answers()) {
     // Waiting would make the program late; most turns use far less than their most.
-    start.reserved = ledger_.budgets.reserve_rest(request.program.text(), request.tokens, request.budget);
+    start.reserved =
+        ledger_.budgets.reserve_rest(request.program.text(), request.tokens, request.budget);
     if (start.reserved > 0) co_return;
   }
   start.reservation = co_await reserve_whole(request, deadline);
@@ -65,13 +66,13 @@
 
 net::asio::awaitable<ReserveOutcome> TurnKeeper::reserve_whole(const TurnRequest& request,
                                                                net::TimePoint deadline) {
-  auto outcome =
-      co_await ledger_.budgets.reserve(request.program.text(), request.tokens, request.budget, deadline);
+  auto outcome = co_await ledger_.budgets.reserve(request.program.text(), request.tokens,
+                                                  request.budget, deadline);
   if (outcome != ReserveOutcome::kExhausted) co_return outcome;
   if (ledger_.budgets.exhausted_lately(request.program.text(), request.tokens)) co_return outcome;
   if (co_await gather_tokens(request.program.text())) {
-    outcome =
-        co_await ledger_.budgets.reserve(request.program.text(), request.tokens, request.budget, deadline);
+    outcome = co_await ledger_.budgets.reserve(request.program.text(), request.tokens,
+                                               request.budget, deadline);
   }
   if (outcome != ReserveOutcome::kExhausted) co_return outcome;
   // The owner of the program's shard may hold an escrow that this node does not know of.
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -28,7 +28,7 @@
   tenancy::StateKey program;
   std::string line;            ///< line of turns within the program
   tenancy::StateKey previous;  ///< empty: the turn goes on from none
-  std::int64_t tokens = 0;  ///< to reserve; 0: none
+  std::int64_t tokens = 0;     ///< to reserve; 0: none
   std::int64_t budget = 0;
 };
 
--- a/src/quota/admission.cpp
+++ b/src/quota/admission.cpp
@@ -8,7 +8,8 @@
 
 constexpr double kMillisPerSecond = 1000;
 /// Share of what the limit may be exceeded by that the target lies above the limit. The rest stands
-/// for news that is late: at 84 nodes 0.2 to 0.9 s old, of which the estimate covers steady sending.
+/// for news that is late: at 84 nodes 0.2 to 0.9 s old, of which the estimate covers steady
+/// sending.
 constexpr double kExcessUsed = 0.5;
 /// Bounds on the time to come back: a refused caller does not come back into the same news, nor
 /// later than the whole window has passed.
@@ -39,7 +40,8 @@
   if (!limit.limited()) return admission;
   const double target = target_of(limit, bounds, stage);
   const double recent = usage.own + usage.others + usage.unseen;
-  // Of the two bounds the tighter one decides: the whole window's, and the share of this node's side.
+  // Of the two bounds the tighter one decides: the whole window's, and the share of this node's
+  // side.
   const double whole = target * (1 - usage.young) - usage.silent;
   const double side = target * usage.live;
   admission.used = recent;
--- a/src/quota/admission.hpp
+++ b/src/quota/admission.hpp
@@ -1,7 +1,7 @@
 /// @file Whether a tenant's request may go on to an engine, by what this node knows of all nodes.
 ///
-/// Answers the load of a tenant that sends more than its limit, through any number of nodes of which
-/// each sees a few requests a second. A decision without I/O, clock or randomness.
+/// Answers the load of a tenant that sends more than its limit, through any number of nodes of
+/// which each sees a few requests a second. A decision without I/O, clock or randomness.
 #pragma once
 
 #include "quota/limit.hpp"
@@ -33,12 +33,13 @@
   net::Millis retry_after{0};  ///< when there may be room; 0 when admitted
 };
 
-/// The target lies between the limit and what may be exceeded at most: all requests inside the limit
-/// are let through, and what is left absorbs what the news of other nodes is late by.
+/// The target lies between the limit and what may be exceeded at most: all requests inside the
+/// limit are let through, and what is left absorbs what the news of other nodes is late by.
 ///
 /// - Nodes that are cut off from each other share the target by their number, so that any groups of
 ///   them together stay below it.
-/// - Nodes that have just started have forgotten what they let through before; it is taken for their
+/// - Nodes that have just started have forgotten what they let through before; it is taken for
+/// their
 ///   share of the target, fading over the window.
 /// - Programs that have not begun are let through up to the limit itself, those under way up to the
 ///   target: a program that is refused midway has cost its work, and its caller gets nothing.
--- a/src/quota/limit.hpp
+++ b/src/quota/limit.hpp
@@ -15,7 +15,7 @@
 
 /// How a limit is held to, the same on all nodes. The platform's settings give them.
 struct Bounds {
-  net::Millis window{5000};  ///< any span of this length counts
+  net::Millis window{5000};   ///< any span of this length counts
   double excess_share = 0.1;  ///< of the limit, which may be exceeded by so much
   double excess_requests = 20;
 };
--- a/src/quota/usage_window.hpp
+++ b/src/quota/usage_window.hpp
@@ -8,8 +8,8 @@
 
 namespace sailgate::quota {
 
-/// Counts in slices of time; a slice that lies partly within a span counts whole, so that a count is
-/// never too low. Not thread-safe.
+/// Counts in slices of time; a slice that lies partly within a span counts whole, so that a count
+/// is never too low. Not thread-safe.
 class UsageWindow {
  public:
   /// @param longest span that is asked for; older requests are forgotten.
--- a/src/serving/attempt_bound.hpp
+++ b/src/serving/attempt_bound.hpp
@@ -6,9 +6,10 @@
 
 namespace sailgate::serving {
 
-/// Follows the engines that may still be working on an attempt. An engine whose connection was reset
-/// may live and work on, so going on elsewhere would make two engines work on one attempt; an engine
-/// that ended its answer, or cannot be connected to any more, does not count. Pure bookkeeping.
+/// Follows the engines that may still be working on an attempt. An engine whose connection was
+/// reset may live and work on, so going on elsewhere would make two engines work on one attempt; an
+/// engine that ended its answer, or cannot be connected to any more, does not count. Pure
+/// bookkeeping.
 ///
 /// Without the bound, resets of the connections of 34 nodes left 5 to 11 streams of a day at two
 /// engines each where one was allowed.
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -27,6 +27,9 @@
 constexpr std::int64_t kLongPrompt = 4096;
 
 constexpr unsigned kServerErrors = 500;
+/// Answers of 500 in a row that do not make a node avoid the engine: tools answer one call in a
+/// hundred so, and the other nodes hear of each all the same.
+constexpr int kSparedFaults = 1;
 /// An engine's answer when a request's time is over: it says nothing of the engine.
 constexpr unsigned kGatewayTimeout = 504;
 
@@ -86,23 +89,32 @@
   }
 }
 
-void note_failure(NodeState& state, balancing::Engine& engine, const char* what) {
+namespace {
+
+/// @param spared failures in a row that do not yet make the node avoid the engine.
+void count_failure(NodeState& state, balancing::Engine& engine, const char* what, int spared) {
   engine.consecutive_failures = std::min(engine.consecutive_failures + 1, kMostCountedFailures);
   engine.failed_at = net::Clock::now();
-  engine.avoid_until = engine.failed_at + kFailurePause * engine.consecutive_failures;
+  engine.avoid_until = engine.failed_at + kFailurePause * (engine.consecutive_failures - spared);
   state.log.event("engine_failed")
       .with("engine", engine.record.id)
       .with("what", what)
       .with("failures", engine.consecutive_failures);
 }
 
+}  // namespace
+
+void note_failure(NodeState& state, balancing::Engine& engine, const char* what) {
+  count_failure(state, engine, what, 0);
+}
+
 bool is_engine_failure(unsigned status) {
   return status >= kServerErrors && status != kGatewayTimeout;
 }
 
 void note_answer(NodeState& state, balancing::Engine& engine, unsigned status) {
   if (is_engine_failure(status)) {
-    note_failure(state, engine, "status");
+    count_failure(state, engine, "status", kSparedFaults);
   } else {
     note_success(engine);
   }
--- a/src/tenancy/state_key.hpp
+++ b/src/tenancy/state_key.hpp
@@ -6,12 +6,12 @@
 namespace sailgate::tenancy {
 
 /// Names a program or a turn together with the tenant whose caller named it: callers choose their
-/// ids themselves, so two tenants may use the same one. Everything that is kept by such an id (turns,
-/// budgets, homes, lines, prompts placed by program) is keyed by this.
+/// ids themselves, so two tenants may use the same one. Everything that is kept by such an id
+/// (turns, budgets, homes, lines, prompts placed by program) is keyed by this.
 ///
-/// The text is "tenant/id" with "/" and "%" of the tenant's name escaped. Without a tenant it is the
-/// id alone, as rows are keyed where no tenants are configured; an id that holds a "/" gets one in
-/// front, since no tenant has an empty name. Different pairs have different texts.
+/// The text is "tenant/id" with "/" and "%" of the tenant's name escaped. Without a tenant it is
+/// the id alone, as rows are keyed where no tenants are configured; an id that holds a "/" gets one
+/// in front, since no tenant has an empty name. Different pairs have different texts.
 class StateKey {
  public:
   StateKey() = default;
--- a/src/tenancy/tenant.hpp
+++ b/src/tenancy/tenant.hpp
@@ -11,8 +11,9 @@
 
 struct Tenant {
   std::string name;
-  std::vector<std::string> key_digests;  ///< of the keys its callers present; see base::token_digest
-  std::optional<int> priority;           ///< goes before the route's; 0 is the most urgent
+  std::vector<std::string>
+      key_digests;              ///< of the keys its callers present; see base::token_digest
+  std::optional<int> priority;  ///< goes before the route's; 0 is the most urgent
   quota::Limit limit;
 };
 
--- a/src/tenancy/tenant_directory.hpp
+++ b/src/tenancy/tenant_directory.hpp
@@ -21,8 +21,8 @@
   TenantDirectory() = default;
   explicit TenantDirectory(std::vector<Tenant> tenants);
 
-  /// Tenant of the credential; nullptr when it names none. More than one key field names none: which
-  /// of them counts would be a guess, and proxies on the way may guess otherwise.
+  /// Tenant of the credential; nullptr when it names none. More than one key field names none:
+  /// which of them counts would be a guess, and proxies on the way may guess otherwise.
   const Tenant* find(const Credential& credential) const;
 
   /// Whether requests must say whose they are.
