--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -52,17 +52,6 @@
   return static_cast<double>(engine.in_flight + engine.peer_in_flight) / engine.record.slots;
 }
 
-double mean_load(const std::vector<EnginePointer>& engines) {
-  double sum = 0;
-  int usable = 0;
-  for (const auto& engine : engines) {
-    if (!engine->usable()) continue;
-    sum += load_of(*engine);
-    ++usable;
-  }
-  return usable == 0 ? 0 : sum / usable;
-}
-
 bool avoided(const Engine& engine, const SelectionQuery& query) {
   return engine.left_to_probe || query.now < engine.avoid_until;
 }
@@ -99,6 +88,17 @@
 
 }  // namespace
 
+double mean_load(const std::vector<EnginePointer>& engines) {
+  double sum = 0;
+  int usable = 0;
+  for (const auto& engine : engines) {
+    if (!engine->usable()) continue;
+    sum += load_of(*engine);
+    ++usable;
+  }
+  return usable == 0 ? 0 : sum / usable;
+}
+
 EnginePointer select_engine(const EngineRegistry& registry, const SelectionQuery& query) {
   const auto& engines = registry.of_service(query.service);
   const double mean = mean_load(engines);
--- a/src/balancing/engine_selector.hpp
+++ b/src/balancing/engine_selector.hpp
@@ -19,6 +19,9 @@
   std::vector<std::string> excluded;  ///< engines this request was already offered to
 };
 
+/// Mean over the usable engines of requests in flight per slot, those of other nodes among them.
+double mean_load(const std::vector<EnginePointer>& engines);
+
 /// Pure decision over the registry's state: no clock, no randomness of its own.
 ///
 /// The engine of the line's last turn is kept as long as it is usable, not avoided and not much
--- a/src/base/mechanisms.cpp
+++ b/src/base/mechanisms.cpp
@@ -21,6 +21,7 @@
     Switch{"affinity", &Mechanisms::affinity},
     Switch{"peer-loads", &Mechanisms::peer_loads},
     Switch{"avoidance", &Mechanisms::avoidance},
+    Switch{"overload", &Mechanisms::overload},
     Switch{"resuming", &Mechanisms::resuming},
     Switch{"peer-failures", &Mechanisms::peer_failures},
 };
--- a/src/base/mechanisms.hpp
+++ b/src/base/mechanisms.hpp
@@ -18,6 +18,7 @@
   bool peer_loads = true;     ///< what other nodes have at an engine counts as its load
   bool peer_failures = true;  ///< engines that fail for many nodes are tried by one a zone
   bool avoidance = true;      ///< engines that failed or refused come last for a while
+  bool overload = true;       ///< programs do not begin while their engines are overloaded
   bool resuming = true;       ///< broken streams go on at another engine
 };
 
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -60,12 +60,16 @@
   return member;
 }
 
+double part_of(net::Millis span, net::Millis window) {
+  return static_cast<double>(span.count()) / static_cast<double>(window.count());
+}
+
 /// Part of what a node told that may still lie within the window.
 double share_in_window(net::TimePoint told_at, net::TimePoint now, net::Millis silence,
                        net::Millis window) {
   if (now < told_at + silence) return 1;
   const auto faded = between(told_at + silence, now);
-  return std::max(0.0, 1.0 - static_cast<double>(faded.count()) / window.count());
+  return std::max(0.0, 1.0 - part_of(faded, window));
 }
 
 /// Adds what was told at `told_at` of one tenant.
@@ -294,7 +298,7 @@
 Membership PeerDirectory::membership(net::TimePoint now, net::Millis silence, net::Millis window,
                                      net::TimePoint started_at) const {
   const auto young = [&](net::TimePoint start) {
-    return std::max(0.0, 1.0 - static_cast<double>(between(start, now).count()) / window.count());
+    return std::max(0.0, 1.0 - part_of(between(start, now), window));
   };
   Membership membership;
   membership.complete = complete_;
--- a/src/cluster/tenant_quotas.hpp
+++ b/src/cluster/tenant_quotas.hpp
@@ -29,7 +29,6 @@
   TenantQuotas(const PeerDirectory& directory, quota::Bounds bounds, net::TimePoint started_at)
       : directory_(directory), bounds_(bounds), started_at_(started_at) {}
 
-  void set_bounds(const quota::Bounds& bounds) { bounds_ = bounds; }
   /// Takes over which nodes are heard of. @param silence longest time between a peer's beacons.
   void refresh(net::TimePoint now, net::Millis silence);
   /// Decides on a request; one that is let through is counted.
--- a/src/quota/limit.hpp
+++ b/src/quota/limit.hpp
@@ -18,6 +18,8 @@
   net::Millis window{5000};   ///< any span of this length counts
   double excess_share = 0.1;  ///< of the limit, which may be exceeded by so much
   double excess_requests = 20;
+
+  bool operator==(const Bounds& other) const = default;
 };
 
 }  // namespace sailgate::quota
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -70,8 +70,8 @@
       }
     }
     message.__isset.failures = !message.failures.empty();
-    auto tenants = quotas.told(now);
-    if (!tenants.empty()) message.__set_tenants(std::move(tenants));
+    const auto tenants = quotas.told(now);
+    if (!tenants.empty()) message.__set_tenants(tenants);
     const auto uptime = std::chrono::duration_cast<net::Millis>(now - started_at);
     if (uptime < kToldUptime) message.__set_uptime_ms(static_cast<std::int32_t>(uptime.count()));
     return message;
--- a/src/serving/settings_reloader.cpp
+++ b/src/serving/settings_reloader.cpp
@@ -30,6 +30,9 @@
   if (before.readiness != after.readiness) change.need_restart.emplace_back("readiness");
   if (before.peers != after.peers) change.need_restart.emplace_back("peers");
   if (before.metrics != after.metrics) change.need_restart.emplace_back("metrics");
+  if (!(before.quota_bounds == after.quota_bounds)) {
+    change.need_restart.emplace_back("quota_bounds");
+  }
   return change;
 }
 
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "balancing/engine_selector.hpp"
+#include "balancing/overload.hpp"
+
 namespace sailgate::serving {
 
 namespace {
@@ -21,6 +24,8 @@
 /// Callers heed a time to come back of up to this part of the time they have left.
 constexpr int kReturnShare = 3;
 constexpr net::Millis kShortestReturn{50};
+/// Time to come back when engines are overloaded: some times the age of what nodes know of loads.
+constexpr net::Millis kOverloadReturn{800};
 /// Time to come back when only some of the store's rows cannot be reached.
 constexpr net::Millis kLongestReturn{1000};
 /// Callers that were refused while the store is away come back spread over this part of the time
@@ -31,6 +36,10 @@
 
 net::asio::awaitable<CallEnd> StreamCall::run() {
   if (const auto refused = co_await prepare()) co_return *refused;
+  if (const auto refused = co_await hold_to_load()) {
+    end_turn(nullptr, "");
+    co_return *refused;
+  }
   auto end = co_await serve();
   end_turn(nullptr, "");
   co_return end;
@@ -92,6 +101,24 @@
   co_return std::nullopt;
 }
 
+net::asio::awaitable<std::optional<CallEnd>> StreamCall::hold_to_load() {
+  const auto& description = call_.description;
+  // A line of turns whose engine is known has begun, whichever node it reaches.
+  const bool begins = !description.program.empty() && description.previous_turn.empty() &&
+                      description.last_event_id.empty() && call_.line_engine.empty();
+  if (!begins || !state_.settings.mechanisms.overload) co_return std::nullopt;
+  const auto load = balancing::mean_load(state_.engines.of_service(call_.service));
+  if (balancing::may_begin(load, call_.priority())) co_return std::nullopt;
+  const auto wait = kOverloadReturn * (100 + state_.random.below(kReturnSpread)) / 100;
+  state_.log.event("refused_for_load")
+      .with("id", description.request_id)
+      .with("program", description.program)
+      .with("load", load)
+      .with("rank", call_.priority())
+      .with("retry_after_ms", wait.count());
+  co_return co_await refuse(call_, Kind::kOverloaded, wait);
+}
+
 std::int64_t StreamCall::tokens_per_event() const {
   const auto* service = call_.routes->service(call_.service);
   return service == nullptr ? 1 : std::max(1, service->tokens_per_event);
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -28,6 +28,9 @@
   net::asio::awaitable<std::optional<CallEnd>> prepare();
   cluster::TurnRequest turn_request() const;
   net::asio::awaitable<CallEnd> refuse_for_now();
+  /// Refuses the first turn of a program while its engines are overloaded. @return nullopt: it may
+  /// go on.
+  net::asio::awaitable<std::optional<CallEnd>> hold_to_load();
   net::asio::awaitable<CallEnd> serve();
   net::asio::awaitable<CallEnd> pass_on_whole(EngineExchange& exchange);
   net::asio::awaitable<RelayEnd> relay(EngineExchange& exchange);
--- /dev/null
+++ b/tests/balancing/overload_test.cpp
@@ -0,0 +1,121 @@
+#include "balancing/overload.hpp"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <vector>
+
+using sailgate::balancing::may_begin;
+
+TEST_CASE("programs begin while engines can take them", "[balancing]") {
+  REQUIRE(may_begin(0, 0));
+  REQUIRE(may_begin(1.4, 9));
+  REQUIRE_FALSE(may_begin(2.5, 0));
+}
+
+TEST_CASE("less urgent programs are refused first", "[balancing]") {
+  REQUIRE(may_begin(1.95, 0));
+  REQUIRE_FALSE(may_begin(1.95, 1));
+}
+
+namespace {
+
+/// What callers of a burst got.
+struct Served {
+  int asked = 0;
+  int in_time = 0;
+  int refused = 0;
+};
+
+/// Programs of eleven turns on 352 slots; what does not fit waits in the order in which it came. A
+/// turn takes 100 ms, programs are due after 1.4 times their time on idle slots and 200 ms. Refused
+/// programs do not come back.
+class BurstService {
+ public:
+  explicit BurstService(bool refuses) : refuses_(refuses) {}
+
+  /// @param rate programs a second.
+  void send(double rate, int seconds) {
+    for (int tick = 0; tick < seconds * kTicksPerSecond; ++tick) step(rate / kTicksPerSecond);
+  }
+  const Served& served() const { return served_; }
+
+ private:
+  static constexpr int kTicksPerSecond = 100;
+  static constexpr int kSlots = 352;
+  static constexpr int kTurns = 11;
+  static constexpr int kTurnTicks = 10;
+  static constexpr int kDueTicks = kTurns * kTurnTicks * 14 / 10 + 20;
+  static constexpr int kNewsTicks = 50;  ///< age of what nodes know of the load
+
+  struct Program {
+    int began = 0;
+    int turns_left = kTurns;
+    int ends_at = 0;  ///< of the turn under way
+  };
+
+  void step(double arrivals) {
+    ++now_;
+    arrivals_ += arrivals;
+    for (; arrivals_ >= 1; --arrivals_) arrive();
+    std::vector<Program> running;
+    for (auto& program : running_) {
+      if (program.ends_at > now_) {
+        running.push_back(program);
+      } else if (--program.turns_left > 0) {
+        waiting_.push_back(program);
+      } else {
+        served_.in_time += now_ - program.began <= kDueTicks ? 1 : 0;
+      }
+    }
+    running_ = std::move(running);
+    while (!waiting_.empty() && running_.size() < kSlots) {
+      waiting_.front().ends_at = now_ + kTurnTicks;
+      running_.push_back(waiting_.front());
+      waiting_.pop_front();
+    }
+    loads_.push_back(static_cast<double>(running_.size() + waiting_.size()) / kSlots);
+    if (loads_.size() > kNewsTicks) loads_.pop_front();
+  }
+
+  void arrive() {
+    ++served_.asked;
+    const double known = loads_.empty() ? 0 : loads_.front();
+    if (refuses_ && !may_begin(known, 0)) {
+      ++served_.refused;
+    } else {
+      waiting_.push_back({now_, kTurns, 0});
+    }
+  }
+
+  bool refuses_;
+  int now_ = 0;
+  double arrivals_ = 0;
+  std::vector<Program> running_;
+  std::deque<Program> waiting_;
+  std::deque<double> loads_;
+  Served served_;
+};
+
+/// A burst of three times the usual work for 6 s; the usual work takes 60 of 100 slots.
+Served burst(bool refuses) {
+  constexpr double kUsual = 0.6 * 352 / 1.1;
+  BurstService service(refuses);
+  service.send(kUsual, 4);
+  service.send(3 * kUsual, 6);
+  service.send(kUsual, 20);
+  return service.served();
+}
+
+}  // namespace
+
+TEST_CASE("refusing programs that have not begun serves more of them in time in a burst",
+          "[balancing]") {
+  const auto all_taken = burst(false);
+  const auto some_refused = burst(true);
+  const double before = static_cast<double>(all_taken.in_time) / all_taken.asked;
+  const double after = static_cast<double>(some_refused.in_time) / some_refused.asked;
+  CAPTURE(before, after, some_refused.refused);
+  REQUIRE(after > before + 0.1);
+  // Whoever is refused is refused at once, and no more than do not fit.
+  REQUIRE(some_refused.refused < some_refused.asked / 3);
+}
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <fstream>
 
+#include "base/digest.hpp"
 #include "base64.hpp"
 #include "configuration_codec.hpp"
 #include "edge_headers.hpp"
@@ -30,6 +31,9 @@
 ready = "10.1.0.1:8141"
 [bounds]
 grace_s = 6.5
+quota_window_s = 4
+quota_over = 0.2
+quota_slack = 30
 [provider]
 addr = "10.200.1.7:8142"
 )";
@@ -50,6 +54,21 @@
   REQUIRE(settings.peers.port() == 7381);
   REQUIRE(settings.store.address().to_string() == "10.200.1.7");
   REQUIRE(settings.stop_grace == net::Millis(6500));
+  REQUIRE(settings.quota_bounds == quota::Bounds{net::Millis(4000), 0.2, 30});
+}
+
+TEST_CASE("bounds on limits that make no sense are refused by name", "[platform]") {
+  const auto with = [](const std::string& line) {
+    std::string text = kSettings;
+    const auto start = text.find(line.substr(0, line.find(' ')));
+    return text.replace(start, text.find('\n', start) - start, line);
+  };
+  for (const auto* line : {"quota_window_s = 0", "quota_over = -0.1", "quota_slack = -1"}) {
+    CAPTURE(line);
+    const SettingsFile file(with(line));
+    REQUIRE_THROWS_WITH(platform::read_node_settings(file.path),
+                        Catch::Matchers::Contains("bounds.quota_"));
+  }
 }
 
 TEST_CASE("a settings file that lacks something is refused by name", "[platform]") {
@@ -82,6 +101,28 @@
   REQUIRE(configuration.limits.header_bytes == 16384);
 }
 
+TEST_CASE("tenants are decoded without their keys", "[platform]") {
+  const auto configuration = platform::decode_configuration(
+      R"({"version":1,"routes":[{"host":"h","path_prefix":"/a/","service":"s","public":true,
+      "max_attempts":2}],"services":[],"tenants":[
+      {"name":"choir","api_keys":["k1","k2"],"priority":2,"rate_per_s":25,"burst":12.5},
+      {"name":"band","api_keys":[]}]})");
+  const auto& route = configuration.routes.at(0);
+  REQUIRE(route.open_to_all);
+  REQUIRE(route.most_engines == 2);
+  const auto& choir = configuration.tenants.at(0);
+  REQUIRE(choir.name == "choir");
+  REQUIRE(choir.priority == 2);
+  REQUIRE(choir.limit.rate_per_s == Approx(25));
+  REQUIRE(choir.limit.burst == Approx(12.5));
+  REQUIRE(choir.key_digests ==
+          std::vector<std::string>{base::token_digest("k1"), base::token_digest("k2")});
+  const auto& band = configuration.tenants.at(1);
+  REQUIRE_FALSE(band.priority);
+  REQUIRE_FALSE(band.limit.limited());
+  REQUIRE(band.key_digests.empty());
+}
+
 TEST_CASE("what is no configuration or engine throws", "[platform]") {
   for (const auto* text : {"", "{}", "[]", R"({"version":1,"routes":[{}],"services":[]})"}) {
     CAPTURE(text);
--- a/tests/serving/settings_reloader_test.cpp
+++ b/tests/serving/settings_reloader_test.cpp
@@ -38,6 +38,13 @@
   REQUIRE(logged({"settings_reloaded", "signal", "\"taken\":\"store\""}) == 1);
 }
 
+TEST_CASE_METHOD(Fixture, "bounds on limits need a restart", "[settings]") {
+  written.quota_bounds.window = net::Millis(4000);
+  reloader.reload("signal");
+  REQUIRE(applied.empty());
+  REQUIRE(logged({"settings_reloaded", "\"need_restart\":\"quota_bounds\""}) == 1);
+}
+
 TEST_CASE_METHOD(Fixture, "a file that is written without a signal is read", "[settings]") {
   written.stop_grace = net::Millis(1234);
   reloader.reload_if_written();
