--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -39,10 +39,10 @@
   net::asio::awaitable<void> serve(std::shared_ptr<CallerSession> session);
   net::asio::awaitable<void> maintain();
   net::asio::awaitable<void> finish_stop();
-  /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
   void take_peer_loads(net::TimePoint now);
   /// Leaves engines that fail for many nodes to one node of each zone.
   void take_peer_failures(net::TimePoint now);
+  /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
   net::asio::awaitable<void> release_tokens();
   /// What the claims on shards of programs depend on.
   ledger::EscrowPeers escrow_peers();
