--- a/src/balancing/engine_failures.hpp
+++ b/src/balancing/engine_failures.hpp
@@ -10,13 +10,13 @@
 namespace sailgate::balancing {
 
 /// Failures in a row, over all nodes, from which an engine is left to one node a zone to try. Tools
-/// fail one call in a hundred, so one or two failures tell nothing of an engine. With it 0.7 to 1.1 of
-/// 100 requests fail where 3 of 27 engines fail all of theirs, without it 3.4 to 3.5 (84 nodes in
-/// virtual time). Not tuned: other numbers were not tried.
+/// fail one call in a hundred, so one or two failures tell nothing of an engine. With it 0.7 to 1.1
+/// of 100 requests fail where 3 of 27 engines fail all of theirs, without it 3.4 to 3.5 (84 nodes
+/// in virtual time). Not tuned: other numbers were not tried.
 inline constexpr int kFailuresOfManyNodes = 3;
 
-/// Failures are told to other nodes this long: the longest that a node avoids an engine by itself is
-/// 2.4 s. All nodes use an engine again within 3.5 s of its mending (in virtual time).
+/// Failures are told to other nodes this long: the longest that a node avoids an engine by itself
+/// is 2.4 s. All nodes use an engine again within 3.5 s of its mending (in virtual time).
 inline constexpr net::Millis kFailureTold{2000};
 
 /// Whether this node's last requests at the engine failed, lately enough to be told.
