Nodes tell each other one set of figures, with room for speeds, prompts and programs begun

Cause: each figure in a beacon was copied by hand in four places of the directory. Change: ToldFigures reads, sums and writes them; fields for engine speeds, shared prompts, programs begun and nodes that step aside are on the wire, told by nobody yet; mechanisms of the parts to come have their switches.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -19,6 +19,14 @@
   2: i32 asked_per_s
 }
 
+/** How fast an engine is, learned from exchanges with it. */
+struct EngineSpeed {
+  /** Against the usual engine of its service, in thousandths. */
+  1: i32 permille
+  /** Exchanges it was learned from of late. */
+  2: i32 samples
+}
+
 /** What a zone's nodes know of one of them. */
 struct ZoneMember {
   1: i64 incarnation
@@ -30,6 +38,8 @@
   5: optional list<i16> bare_shards
   /** As in Beacon. */
   6: optional i32 uptime_ms
+  /** The node sends callers elsewhere; see readiness/. */
+  7: optional bool steps_aside
 }
 
 /** The live nodes of a zone, for the nodes of other zones. */
@@ -41,6 +51,11 @@
   /** Sums over the zone's nodes, keyed as in Beacon. */
   4: optional map<i32, TenantUsage> tenants
   5: optional map<i32, i32> failures
+  /** Mean over the zone's nodes, weighted by samples; keyed as in Beacon. */
+  6: optional map<i32, EngineSpeed> speeds
+  /** Sums over the zone's nodes, keyed as in Beacon. */
+  7: optional map<i32, i32> prompts
+  8: optional map<i32, i32> begun
 }
 
 /** Datagram: the sender is alive, and how it loads engines. */
@@ -69,6 +84,14 @@
   9: optional i32 uptime_ms
   /** Engines that failed the sender's last requests: how many in a row, keyed as loads. */
   10: optional map<i32, i32> failures
+  /** Keyed as loads. */
+  11: optional map<i32, EngineSpeed> speeds
+  /** Programs of late that began with each shared prompt, by the key of balancing::prompt_key. */
+  12: optional map<i32, i32> prompts
+  /** Programs of late that the sender let begin, by the key of cluster::tenant_key. */
+  13: optional map<i32, i32> begun
+  /** The sender sends callers elsewhere; see readiness/. */
+  14: optional bool steps_aside
 }
 
 /** Calls of the table store that a peer makes for the sender; see store/table_store.hpp. */
--- a/src/base/mechanisms.cpp
+++ b/src/base/mechanisms.cpp
@@ -24,6 +24,11 @@
     Switch{"overload", &Mechanisms::overload},
     Switch{"resuming", &Mechanisms::resuming},
     Switch{"peer-failures", &Mechanisms::peer_failures},
+    Switch{"readiness", &Mechanisms::readiness},
+    Switch{"fairness", &Mechanisms::fairness},
+    Switch{"holding", &Mechanisms::holding},
+    Switch{"speeds", &Mechanisms::speeds},
+    Switch{"prompts", &Mechanisms::prompts},
 };
 
 }  // namespace
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -36,11 +36,10 @@
   peer.last_heard = now;
   peer.told_of_itself = true;
   peer.reaches_store = beacon.reaches_store;
-  peer.loads = beacon.loads;
-  peer.failures = beacon.failures;
+  peer.steps_aside = beacon.steps_aside;
+  peer.told = figures_of(beacon);
   peer.escrow_shards = {beacon.escrow_shards.begin(), beacon.escrow_shards.end()};
   peer.bare_shards = {beacon.bare_shards.begin(), beacon.bare_shards.end()};
-  peer.tenants = beacon.tenants;
   peer.started_at = start_of(beacon.__isset.uptime_ms, beacon.uptime_ms, now);
 }
 
@@ -49,6 +48,7 @@
   member.incarnation = peer.incarnation;
   member.silent_ms = static_cast<std::int32_t>(between(peer.last_heard, now).count());
   member.reaches_store = peer.reaches_store;
+  if (peer.steps_aside) member.__set_steps_aside(true);
   if (!peer.escrow_shards.empty()) {
     member.__set_escrow_shards({peer.escrow_shards.begin(), peer.escrow_shards.end()});
   }
@@ -115,8 +115,8 @@
   if (known == peers_.end()) return;
   const auto& peer = known->second;
   nodes_by_incarnation_.erase(peer.incarnation);
-  if (!peer.tenants.empty()) {
-    departed_[peer.incarnation] = {peer.zone, peer.last_heard, peer.tenants};
+  if (!peer.told.tenants.empty()) {
+    departed_[peer.incarnation] = {peer.zone, peer.last_heard, peer.told.tenants};
   }
   peers_.erase(known);
 }
@@ -161,11 +161,12 @@
     peer->last_heard = heard_at;
     peer->told_of_itself = true;
     peer->reaches_store = member.reaches_store;
+    peer->steps_aside = member.steps_aside;
     peer->escrow_shards = {member.escrow_shards.begin(), member.escrow_shards.end()};
     peer->bare_shards = {member.bare_shards.begin(), member.bare_shards.end()};
     peer->started_at = start_of(member.__isset.uptime_ms, member.uptime_ms, heard_at);
   }
-  zone_sums_[summary.zone] = {summary.loads, summary.failures, summary.tenants, now};
+  zone_sums_[summary.zone] = {figures_of(summary), now};
 }
 
 wire::ZoneSummary PeerDirectory::summarize_zone(const wire::Beacon& own, net::TimePoint now,
@@ -175,14 +176,14 @@
   take_over(own, now, self);
   wire::ZoneSummary summary;
   summary.zone = zone_;
+  ToldFigures sum;
   const auto add = [&](const Peer& peer) {
     const bool heard = now < peer.last_heard + silence;
-    add_usages(peer.tenants, share_in_window(peer.last_heard, now, silence, window),
-               summary.tenants);
+    add_usages(peer.told.tenants, share_in_window(peer.last_heard, now, silence, window),
+               sum.tenants);
     if (!heard) return;
     summary.members.push_back(member_of(peer, now));
-    for (const auto& [engine, in_flight] : peer.loads) summary.loads[engine] += in_flight;
-    for (const auto& [engine, failures] : peer.failures) summary.failures[engine] += failures;
+    sum.add(peer.told);
   };
   add(self);
   for (const auto& [node, peer] : peers_) {
@@ -191,10 +192,9 @@
   for (const auto& [incarnation, departed] : departed_) {
     if (departed.zone != zone_) continue;
     add_usages(departed.tenants, share_in_window(departed.last_heard, now, silence, window),
-               summary.tenants);
+               sum.tenants);
   }
-  summary.__isset.tenants = !summary.tenants.empty();
-  summary.__isset.failures = !summary.failures.empty();
+  tell(sum, summary);
   return summary;
 }
 
@@ -281,12 +281,12 @@
   OthersUsage sum;
   std::set<std::string> summed;
   for (const auto& [zone, known] : zone_sums_) {
-    add_told(known.tenants, tenant, known.taken_at - kSummedAge, now, silence, window, sum);
+    add_told(known.told.tenants, tenant, known.taken_at - kSummedAge, now, silence, window, sum);
     summed.insert(zone);
   }
   for (const auto& [node, peer] : peers_) {
     if (summed.count(peer.zone) > 0) continue;
-    add_told(peer.tenants, tenant, peer.last_heard, now, silence, window, sum);
+    add_told(peer.told.tenants, tenant, peer.last_heard, now, silence, window, sum);
   }
   for (const auto& [incarnation, departed] : departed_) {
     if (summed.count(departed.zone) > 0) continue;
@@ -312,30 +312,36 @@
   return membership;
 }
 
-template <typename Select>
-EngineLoads PeerDirectory::sum_over_live(net::TimePoint now, net::Millis silence,
-                                         const Select& select) const {
-  EngineLoads sum;
+template <typename Visit>
+void PeerDirectory::for_each_live(net::TimePoint now, net::Millis silence,
+                                  const Visit& visit) const {
   std::set<std::string> summed;
   for (const auto& [zone, known] : zone_sums_) {
     if (now >= known.taken_at + silence) continue;
-    sum.add(select(known));
+    visit(known.told);
     summed.insert(zone);
   }
   for (const auto& [node, peer] : peers_) {
-    if (summed.count(peer.zone) == 0 && is_live(peer, now, silence)) sum.add(select(peer));
+    if (summed.count(peer.zone) == 0 && is_live(peer, now, silence)) visit(peer.told);
   }
-  return sum;
 }
 
 EngineLoads PeerDirectory::loads(net::TimePoint now, net::Millis silence) const {
-  return sum_over_live(
-      now, silence, [](const auto& told) -> const auto& { return told.loads; });
+  EngineLoads sum;
+  for_each_live(now, silence, [&](const ToldFigures& told) { sum.add(told.loads); });
+  return sum;
 }
 
 EngineLoads PeerDirectory::failures(net::TimePoint now, net::Millis silence) const {
-  return sum_over_live(
-      now, silence, [](const auto& told) -> const auto& { return told.failures; });
+  EngineLoads sum;
+  for_each_live(now, silence, [&](const ToldFigures& told) { sum.add(told.failures); });
+  return sum;
+}
+
+ToldFigures PeerDirectory::figures(net::TimePoint now, net::Millis silence) const {
+  ToldFigures sum;
+  for_each_live(now, silence, [&](const ToldFigures& told) { sum.add(told); });
+  return sum;
 }
 
 }  // namespace sailgate::cluster
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "cluster/engine_loads.hpp"
-#include "cluster/tenant_usage.hpp"
+#include "cluster/told_figures.hpp"
 #include "cluster_types.h"
 #include "net/asio.hpp"
 
@@ -23,18 +23,17 @@
   std::string node;
   std::int64_t incarnation = 0;
   std::string zone;
-  net::Endpoint endpoint;                         ///< calls (TCP) and beacons (UDP)
-  net::TimePoint last_heard{};                    ///< by this node, or by one of the peer's zone
-  bool told_of_itself = false;                    ///< else last_heard is when its row came
-  net::TimePoint suspected_at{};                  ///< a call failed
-  net::TimePoint suspected_until{};               ///< not used until then
-  std::map<std::int32_t, std::int32_t> loads;     ///< as its last beacon said
-  std::map<std::int32_t, std::int32_t> failures;  ///< in a row, by engine; as its last beacon said
-  bool reaches_store = false;                     ///< the store answers its own calls
-  std::set<int> escrow_shards;                    ///< owned, with an escrow to spend
-  std::set<int> bare_shards;                      ///< owned, without
-  TenantUsages tenants;                           ///< requests that it let through
-  net::TimePoint started_at{};                    ///< of its process; a time long ago is not told
+  net::Endpoint endpoint;            ///< calls (TCP) and beacons (UDP)
+  net::TimePoint last_heard{};       ///< by this node, or by one of the peer's zone
+  bool told_of_itself = false;       ///< else last_heard is when its row came
+  net::TimePoint suspected_at{};     ///< a call failed
+  net::TimePoint suspected_until{};  ///< not used until then
+  ToldFigures told;                  ///< as its last beacon said
+  bool reaches_store = false;        ///< the store answers its own calls
+  bool steps_aside = false;          ///< sends callers elsewhere
+  std::set<int> escrow_shards;       ///< owned, with an escrow to spend
+  std::set<int> bare_shards;         ///< owned, without
+  net::TimePoint started_at{};       ///< of its process; a time long ago is not told
 };
 
 /// Deterministic, not thread-safe.
@@ -93,6 +92,8 @@
   EngineLoads loads(net::TimePoint now, net::Millis silence) const;
   /// Failures in a row that live peers saw at engines, summed in the same way.
   EngineLoads failures(net::TimePoint now, net::Millis silence) const;
+  /// All figures of live peers but those of tenants, summed in the same way.
+  ToldFigures figures(net::TimePoint now, net::Millis silence) const;
 
   /// What the other nodes let through of a tenant's requests. What a silent node told fades over
   /// `window`, in which limits count: it may be gone, or cut off and serving on its own share.
@@ -108,15 +109,13 @@
  private:
   /// Sums over a zone's nodes, as its last summary said.
   struct ZoneSums {
-    std::map<std::int32_t, std::int32_t> loads;
-    std::map<std::int32_t, std::int32_t> failures;
-    TenantUsages tenants;
+    ToldFigures told;
     net::TimePoint taken_at{};
   };
 
-  /// Sum over zones and peers of what `select` takes from each, as loads() counts them.
-  template <typename Select>
-  EngineLoads sum_over_live(net::TimePoint now, net::Millis silence, const Select& select) const;
+  /// Calls `visit` with the figures of each zone and each peer that loads() counts.
+  template <typename Visit>
+  void for_each_live(net::TimePoint now, net::Millis silence, const Visit& visit) const;
   /// What a process that has left or was replaced let through: it may still be serving, and what it
   /// let through lies in the window for a while.
   struct Departed {
--- /dev/null
+++ b/src/cluster/told_figures.cpp
@@ -0,0 +1,63 @@
+#include "cluster/told_figures.hpp"
+
+namespace sailgate::cluster {
+
+namespace {
+
+/// Beacons and summaries carry the same figures under the same names.
+template <typename Message>
+ToldFigures read(const Message& message) {
+  ToldFigures figures;
+  figures.loads = message.loads;
+  figures.failures = message.failures;
+  figures.speeds = message.speeds;
+  figures.prompts = message.prompts;
+  figures.begun = message.begun;
+  figures.tenants = message.tenants;
+  return figures;
+}
+
+}  // namespace
+
+void add_counts(const CountByKey& counts, CountByKey& sum) {
+  for (const auto& [key, count] : counts) sum[key] += count;
+}
+
+void add_speeds(const EngineSpeeds& speeds, EngineSpeeds& sum) {
+  for (const auto& [engine, speed] : speeds) {
+    if (speed.samples <= 0) continue;
+    auto& mean = sum[engine];
+    const std::int64_t weighted =
+        std::int64_t{mean.permille} * mean.samples + std::int64_t{speed.permille} * speed.samples;
+    mean.samples += speed.samples;
+    mean.permille = static_cast<std::int32_t>(weighted / mean.samples);
+  }
+}
+
+void ToldFigures::add(const ToldFigures& other) {
+  add_counts(other.loads, loads);
+  add_counts(other.failures, failures);
+  add_speeds(other.speeds, speeds);
+  add_counts(other.prompts, prompts);
+  add_counts(other.begun, begun);
+}
+
+ToldFigures figures_of(const wire::Beacon& beacon) { return read(beacon); }
+
+ToldFigures figures_of(const wire::ZoneSummary& summary) { return read(summary); }
+
+void tell(const ToldFigures& figures, wire::ZoneSummary& summary) {
+  summary.loads = figures.loads;
+  summary.failures = figures.failures;
+  summary.__isset.failures = !figures.failures.empty();
+  summary.speeds = figures.speeds;
+  summary.__isset.speeds = !figures.speeds.empty();
+  summary.prompts = figures.prompts;
+  summary.__isset.prompts = !figures.prompts.empty();
+  summary.begun = figures.begun;
+  summary.__isset.begun = !figures.begun.empty();
+  summary.tenants = figures.tenants;
+  summary.__isset.tenants = !figures.tenants.empty();
+}
+
+}  // namespace sailgate::cluster
--- /dev/null
+++ b/tests/cluster/told_figures_test.cpp
@@ -0,0 +1,50 @@
+#include "cluster/told_figures.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace sailgate {
+
+namespace {
+
+wire::EngineSpeed speed(std::int32_t permille, std::int32_t samples) {
+  wire::EngineSpeed value;
+  value.permille = permille;
+  value.samples = samples;
+  return value;
+}
+
+}  // namespace
+
+TEST_CASE("speeds of several nodes weigh as much as what they were learned from") {
+  cluster::EngineSpeeds sum;
+  cluster::add_speeds({{1, speed(1000, 30)}, {2, speed(550, 4)}}, sum);
+  cluster::add_speeds({{1, speed(600, 10)}, {3, speed(100, 0)}}, sum);
+  REQUIRE(sum.at(1).permille == 900);
+  REQUIRE(sum.at(1).samples == 40);
+  REQUIRE(sum.at(2).permille == 550);
+  // Learned from nothing: says nothing.
+  REQUIRE(sum.count(3) == 0);
+}
+
+TEST_CASE("a zone's summary carries the sums of its nodes' beacons") {
+  wire::Beacon first;
+  first.loads[1] = 3;
+  first.prompts[7] = 2;
+  first.begun[9] = 1;
+  first.failures[1] = 1;
+  wire::Beacon second = first;
+  second.speeds[1] = speed(500, 2);
+  cluster::ToldFigures sum;
+  sum.add(cluster::figures_of(first));
+  sum.add(cluster::figures_of(second));
+  wire::ZoneSummary summary;
+  cluster::tell(sum, summary);
+  const auto told = cluster::figures_of(summary);
+  REQUIRE(told.loads.at(1) == 6);
+  REQUIRE(told.failures.at(1) == 2);
+  REQUIRE(told.prompts.at(7) == 4);
+  REQUIRE(told.begun.at(9) == 2);
+  REQUIRE(told.speeds.at(1).permille == 500);
+}
+
+}  // namespace sailgate
