--- a/tests/processes/gateway_soak_test.cpp
+++ b/tests/processes/gateway_soak_test.cpp
@@ -7,17 +7,49 @@
 
 using namespace sailgate;
 
-TEST_CASE("gateway processes under faults break no rule", "[processes]") {
-  soak::SoakOptions options;
-  options.faults = 3;
+namespace {
+
+/// Plays one seed; its logs are in a directory of the test's own.
+soak::SoakReport play(soak::SoakOptions options, const std::string& name) {
   options.programs_directory =
       std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
-  options.work_directory =
-      (std::filesystem::temp_directory_path() / ("sailgate-test-soak-" + std::to_string(getpid())))
-          .string();
-  const auto report = soak::run_soak(options);
+  options.work_directory = (std::filesystem::temp_directory_path() /
+                            ("sailgate-test-" + name + "-" + std::to_string(getpid())))
+                               .string();
+  return soak::run_soak(options);
+}
+
+void require_no_violation(const soak::SoakReport& report) {
   CAPTURE(report.text);
   REQUIRE(report.started);
   REQUIRE(report.violations == 0);
   REQUIRE(report.turns > 0);
 }
+
+}  // namespace
+
+TEST_CASE("gateway processes under faults break no rule", "[processes]") {
+  soak::SoakOptions options;
+  options.faults = 3;
+  require_no_violation(play(options, "soak"));
+}
+
+// Once 417 of 416 requests of a tenant ran in a window here. Three faults were found then: nodes
+// that all began at once each took what was left of the limit, what a departed process had let
+// through counted no longer, and callers that ask faster than nodes tell were not reckoned with.
+// Which of them the seed met is not known.
+TEST_CASE("a tenant's limit holds under the faults of a seed that once exceeded it",
+          "[processes]") {
+  soak::SoakOptions options;
+  options.seed = 800;
+  options.faults = 10;
+  require_no_violation(play(options, "soak-800"));
+}
+
+TEST_CASE("gateway processes under load and less capacity break no rule", "[processes]") {
+  soak::SoakOptions options;
+  options.seed = 2;
+  options.faults = 4;
+  options.hard_load = true;
+  require_no_violation(play(options, "soak-load"));
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,7 +14,8 @@
   description.add_options()("help", "print this text")(
       "seed", options::value<std::uint64_t>()->default_value(1), "first seed")(
       "runs", options::value<std::uint64_t>()->default_value(1), "number of seeds")(
-      "faults", options::value<int>()->default_value(8), "faults of each run");
+      "faults", options::value<int>()->default_value(8), "faults of each run")(
+      "hard-load", "also faults that bring load and less capacity together");
   options::variables_map values;
   options::store(options::parse_command_line(argc, argv, description), values);
   if (values.count("help") > 0) {
@@ -26,6 +27,7 @@
     sailgate::soak::SoakOptions soak;
     soak.seed = values["seed"].as<std::uint64_t>() + run;
     soak.faults = values["faults"].as<int>();
+    soak.hard_load = values.count("hard-load") > 0;
     soak.programs_directory =
         std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
     soak.work_directory =
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -26,6 +26,9 @@
 constexpr int kTablePort = 23090;
 constexpr std::size_t kEngines = 4;
 constexpr int kCallers = 8;
+/// Callers that a busy tenant has besides its usual ones.
+constexpr int kExtraCallers = 6;
+constexpr std::size_t kZones = 2;
 constexpr int kStopTimeout = 12'000;
 constexpr net::Millis kStartLimit{30'000};
 constexpr net::Millis kCalm{1500};
@@ -97,6 +100,8 @@
   struct Node {
     std::string name;
     std::string settings_file;
+    std::size_t zone = 0;
+    std::size_t store_link = 0;
     net::Endpoint callers;
     net::Endpoint readiness;
     std::unique_ptr<bench::ChildProcess> process;
@@ -116,13 +121,15 @@
   void add_node(int index) {
     Node node;
     node.name = "node-" + std::to_string(index);
+    node.zone = static_cast<std::size_t>(index) % kZones;
+    node.store_link = links_.count();
     const auto ip = "127.0.2." + std::to_string(index + 1);
     const auto address = net::asio::ip::make_address(ip);
     node.callers = {address, static_cast<std::uint16_t>(kFirstPort)};
     node.readiness = {address, static_cast<std::uint16_t>(kFirstPort + 1)};
     node.settings_file = options_.work_directory + "/" + node.name + ".toml";
     std::ofstream file(node.settings_file);
-    file << "node = \"" << node.name << "\"\nzone = \"zone" << index % 2 << "\"\nip = \"" << ip
+    file << "node = \"" << node.name << "\"\nzone = \"zone" << node.zone << "\"\nip = \"" << ip
          << "\"\nport_range = [" << kFirstPort + 10 << ", " << kFirstPort + 20
          << "]\n[listen]\nfront = \"" << text_of(node.callers) << "\"\nready = \""
          << text_of(node.readiness) << "\"\n[bounds]\ngrace_s = 8\n[provider]\naddr = \""
@@ -173,6 +180,7 @@
             R"(],"limits":{"max_header_bytes":4000,"max_body_bytes":100000,)" +
             R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
     for (std::size_t i = 0; i < engines_.count(); ++i) {
+      engine_links_.push_back(links_.count());
       const auto link = links_.add(text_of(engines_.endpoint(i)));
       put("servers", "engine-" + std::to_string(i),
           R"({"service":"app","addr":")" + link + R"(","zone":"zone)" + std::to_string(i % 2) +
@@ -301,8 +309,61 @@
     engines_.set_trouble(kEngineTrouble);
   }
 
+  net::asio::awaitable<void> cut_zone_from_store() {
+    const auto zone = random_.below(kZones);
+    note("zone" + std::to_string(zone) + " is cut off from the table service");
+    for (const auto& node : nodes_) {
+      if (node.zone == zone) links_.set_mode(node.store_link, LinkMode::kSilent);
+    }
+    co_await last();
+    links_.heal();
+  }
+
+  net::asio::awaitable<void> slow_engine() {
+    const auto engine = random_.below(engine_links_.size());
+    note("engine-" + std::to_string(engine) + " is slow");
+    links_.set_mode(engine_links_[engine], LinkMode::kDelay);
+    co_await last();
+    links_.heal();
+  }
+
+  net::asio::awaitable<void> busy_tenant() {
+    const auto& tenant = tenants_[random_.below(tenants_.size())];
+    note(tenant.name + " sends several times its usual");
+    const auto usual = callers_.size();
+    const auto group = "busy" + std::to_string(usual) + "-";
+    for (int i = 0; i < kExtraCallers; ++i) add_caller(tenant, group + std::to_string(i));
+    co_await last();
+    for (auto i = usual; i < callers_.size(); ++i) callers_[i]->stop();
+  }
+
+  net::asio::awaitable<void> silence_table_under_load() {
+    note("the table service is silent while a tenant is busy");
+    co_await set_table(R"({"silent":1})");
+    co_await busy_tenant();
+    co_await set_table(R"({"silent":0})");
+  }
+
   // ---------------------------------------------------------------- play
 
+  void add_caller(const SoakTenant& tenant, const std::string& group) {
+    callers_.push_back(std::make_unique<SoakCaller>(
+        context_, checker_, [this] { return choose_node(); }, tenant, group,
+        random_.below(UINT64_MAX)));
+    net::asio::co_spawn(context_, callers_.back()->run(), net::asio::detached);
+  }
+
+  std::vector<Fault> fault_kinds() const {
+    std::vector<Fault> kinds{&Soak::kill_node,     &Soak::kill_all,       &Soak::freeze_node,
+                             &Soak::stop_node,     &Soak::break_links,    &Soak::trouble_table,
+                             &Soak::trouble_table, &Soak::trouble_engines};
+    // Left out otherwise, so that seeds of before go on to draw what they drew.
+    if (!options_.hard_load) return kinds;
+    kinds.insert(kinds.end(), {&Soak::cut_zone_from_store, &Soak::slow_engine, &Soak::busy_tenant,
+                               &Soak::silence_table_under_load});
+    return kinds;
+  }
+
   net::Endpoint choose_node() {
     for (int tries = 0; tries < 20; ++tries) {
       const auto& node = pick();
@@ -312,9 +373,7 @@
   }
 
   net::asio::awaitable<void> inject() {
-    std::vector<Fault> kinds{&Soak::kill_node,     &Soak::kill_all,       &Soak::freeze_node,
-                             &Soak::stop_node,     &Soak::break_links,    &Soak::trouble_table,
-                             &Soak::trouble_table, &Soak::trouble_engines};
+    auto kinds = fault_kinds();
     for (std::size_t i = kinds.size() - 1; i > 0; --i) {
       std::swap(kinds[i], kinds[random_.below(i + 1)]);
     }
@@ -339,11 +398,7 @@
     }
     for (int i = 0; i < kCallers; ++i) {
       const auto& tenant = tenants_[i % tenants_.size()];
-      const auto group = "c" + std::to_string(i / static_cast<int>(tenants_.size()));
-      callers_.push_back(std::make_unique<SoakCaller>(
-          context_, checker_, [this] { return choose_node(); }, tenant, group,
-          random_.below(UINT64_MAX)));
-      net::asio::co_spawn(context_, callers_.back()->run(), net::asio::detached);
+      add_caller(tenant, "c" + std::to_string(i / static_cast<int>(tenants_.size())));
     }
     co_await inject();
     if (!co_await wait_until_ready()) checker_.not_finished("deployment", "not all nodes ready");
@@ -365,6 +420,7 @@
   std::string table_address_;
   platform::TableClient table_;
   bench::FaultProxies links_;
+  std::vector<std::size_t> engine_links_;  ///< by engine
   std::vector<SoakTenant> tenants_ = make_tenants();
   std::unique_ptr<bench::ChildProcess> standin_;
   std::vector<Node> nodes_;
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -10,6 +10,7 @@
   std::uint64_t seed = 1;
   int faults = 8;
   int nodes = 4;
+  bool hard_load = false;          ///< adds faults that bring load and less capacity together
   std::string programs_directory;  ///< holds sailgate-gateway and sailgate-standin
   std::string work_directory;      ///< for settings and logs; created
 };
