--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -4,22 +4,11 @@
 
 #include "net/endpoint.hpp"
 #include "net/socket_state.hpp"
-#include "wire/codec.hpp"
 
 namespace sailgate::serving {
 
 namespace {
 
-constexpr const char* kPeerTable = "nodes";
-constexpr net::Millis kStoreTimeout{700};
-constexpr net::Millis kRegisterPause{300};
-/// Changes of engines and the configuration are fetched together within this time: engines register
-/// within a few seconds, and without it each of 295 nodes made a call for almost every entry. It is
-/// a small part of the seconds in which a leaving engine or a configuration must be noticed.
-constexpr net::Millis kGatherTime{250};
-/// Nodes that come back anew are wanted sooner: until their row is known their beacons say nothing,
-/// and what was reserved at them counts as used.
-constexpr net::Millis kPeerGatherTime{40};
 constexpr net::Millis kMaintenanceInterval{100};
 /// A node that has not reached the store for this long asks callers to go elsewhere.
 constexpr net::Millis kContactTime{3500};
@@ -43,14 +32,8 @@
                  const EdgeProtocol& protocol, const PlatformRecords& records,
                  store::TableStore& store, observe::StructuredLog& log, std::int64_t incarnation)
     : context_(context),
-      incarnation_(incarnation),
       state_(context, std::move(settings), protocol, store, log, incarnation),
-      records_(records),
-      configuration_follower_(context, state_.store, log, records.configuration_table(),
-                              configuration_callbacks(), kGatherTime),
-      engine_follower_(context, state_.store, log, records.engine_table(), engine_callbacks(),
-                       kGatherTime),
-      peer_follower_(context, state_.store, log, kPeerTable, peer_callbacks(), kPeerGatherTime),
+      feeds_(state_, records, incarnation),
       acceptor_(context, state_.settings.callers),
       readiness_(context, state_.settings.readiness,
                  [this](net::TextRequest request) -> net::asio::awaitable<net::TextResponse> {
@@ -112,7 +95,7 @@
 
 bool Gateway::ready() const {
   return !state_.stopping && state_.routes != nullptr && state_.engines_known &&
-         net::Clock::now() - last_contact_ < kContactTime;
+         net::Clock::now() - feeds_.last_contact() < kContactTime;
 }
 
 void Gateway::start() {
@@ -121,10 +104,7 @@
   if (metrics_ != nullptr) metrics_->start();
   state_.beacons.start();
   net::asio::co_spawn(context_, accept(), net::asio::detached);
-  net::asio::co_spawn(context_, configuration_follower_.run(), net::asio::detached);
-  net::asio::co_spawn(context_, engine_follower_.run(), net::asio::detached);
-  net::asio::co_spawn(context_, peer_follower_.run(), net::asio::detached);
-  net::asio::co_spawn(context_, register_self(), net::asio::detached);
+  feeds_.start();
   net::asio::co_spawn(context_, state_.store.keep_probing(), net::asio::detached);
   net::asio::co_spawn(context_, maintain(), net::asio::detached);
   net::asio::co_spawn(context_, state_.sweeper.run(), net::asio::detached);
@@ -134,144 +114,6 @@
   }
 }
 
-net::asio::awaitable<void> Gateway::register_self() {
-  wire::PeerRow self;
-  self.incarnation = incarnation_;
-  self.zone = state_.settings.zone;
-  self.address = state_.settings.peers.address().to_string();
-  self.port = state_.settings.peers.port();
-  store::Row row;
-  row.id = {kPeerTable, "", state_.settings.node};
-  row.value = wire::encode(self);
-  while (!state_.stopping) {
-    store::Transaction transaction;
-    transaction.puts.push_back(row);
-    const auto result = co_await state_.store.transact(std::move(transaction), kStoreTimeout);
-    if (result.status == store::StoreStatus::kDone) co_return;
-    co_await net::sleep_for(context_, kRegisterPause);
-  }
-}
-
-net::asio::awaitable<void> Gateway::unregister_self() {
-  store::Transaction transaction;
-  transaction.removals.push_back({kPeerTable, "", state_.settings.node});
-  co_await state_.store.transact(std::move(transaction), kStoreTimeout);
-}
-
-store::FollowerCallbacks Gateway::peer_callbacks() {
-  store::FollowerCallbacks callbacks;
-  callbacks.on_whole = [this](const std::vector<store::Row>& rows) {
-    for (const auto& row : rows) take_peer(row);
-    state_.peers.note_complete();
-  };
-  callbacks.on_change = [this](const store::Row& row) { take_peer(row); };
-  callbacks.on_contact = [](bool) {};
-  return callbacks;
-}
-
-void Gateway::take_peer(const store::Row& row) {
-  if (row.removed) {
-    state_.peers.remove(row.id.key);
-    return;
-  }
-  try {
-    state_.peers.put(row.id.key, wire::decode<wire::PeerRow>(row.value), net::Clock::now());
-  } catch (const std::exception& error) {
-    state_.log.event("peer_unreadable").with("peer", row.id.key).with("why", error.what());
-  }
-}
-
-void Gateway::note_contact(bool reached) {
-  if (reached) {
-    last_contact_ = net::Clock::now();
-  } else {
-    state_.metrics.store_lost();
-  }
-}
-
-store::FollowerCallbacks Gateway::configuration_callbacks() {
-  store::FollowerCallbacks callbacks;
-  callbacks.on_whole = [this](const std::vector<store::Row>& rows) {
-    for (const auto& row : rows) take_configuration(row);
-  };
-  callbacks.on_change = [this](const store::Row& row) { take_configuration(row); };
-  callbacks.on_contact = [this](bool reached) { note_contact(reached); };
-  return callbacks;
-}
-
-store::FollowerCallbacks Gateway::engine_callbacks() {
-  store::FollowerCallbacks callbacks;
-  callbacks.on_whole = [this](const std::vector<store::Row>& rows) {
-    std::vector<balancing::EngineRecord> engines;
-    for (const auto& row : rows) {
-      try {
-        engines.push_back(records_.decode_engine(row.id.key, row.value));
-      } catch (const std::exception& error) {
-        state_.log.event("engine_unreadable").with("engine", row.id.key).with("why", error.what());
-      }
-    }
-    using Absent = balancing::EngineRegistry::Absent;
-    const bool may_return = engine_follower_.entries_may_return(net::Clock::now());
-    state_.engines.replace(std::move(engines), may_return ? Absent::kLapsed : Absent::kRemoved);
-    state_.engines_known = true;
-    state_.log.event("engines_read").with("count", state_.engines.size());
-  };
-  callbacks.on_change = [this](const store::Row& row) { take_engine(row); };
-  callbacks.on_contact = [this](bool reached) { note_contact(reached); };
-  return callbacks;
-}
-
-void Gateway::take_configuration(const store::Row& row) {
-  if (row.id.key != records_.configuration_key() || row.removed) return;
-  try {
-    auto configuration = records_.decode_configuration(row.value);
-    const auto version = configuration.version;
-    const auto current = state_.routes == nullptr ? 0 : state_.routes->version();
-    if (state_.routes != nullptr && version <= current) return;
-    state_.routes = std::make_shared<const routing::RouteTable>(std::move(configuration));
-    state_.log.event("configuration")
-        .with("version", version)
-        .with("before", current)
-        .with("row_version", row.version)
-        .with("routes", state_.routes->configuration().routes.size());
-  } catch (const std::exception& error) {
-    state_.log.event("configuration_unreadable")
-        .with("row_version", row.version)
-        .with("why", error.what());
-  }
-}
-
-void Gateway::take_engine_removal(const store::Row& row) {
-  if (!engine_follower_.entries_may_return(net::Clock::now())) {
-    state_.engines.remove(row.id.key);
-    return;
-  }
-  state_.log.event("engine_entry_lapsed")
-      .with("engine", row.id.key)
-      .with("row_version", row.version);
-  state_.engines.lapse(row.id.key);
-}
-
-void Gateway::take_engine(const store::Row& row) {
-  if (row.removed) {
-    take_engine_removal(row);
-    return;
-  }
-  try {
-    const bool known = state_.engines.find(row.id.key) != nullptr;
-    auto record = records_.decode_engine(row.id.key, row.value);
-    if (!known) {
-      state_.log.event("engine_added")
-          .with("engine", record.id)
-          .with("service", record.service)
-          .with("row_version", row.version);
-    }
-    state_.engines.put(std::move(record));
-  } catch (const std::exception& error) {
-    state_.log.event("engine_unreadable").with("engine", row.id.key).with("why", error.what());
-  }
-}
-
 net::asio::awaitable<void> Gateway::serve(std::shared_ptr<CallerSession> session) {
   sessions_.insert(session);
   co_await session->run();
@@ -297,10 +139,9 @@
     co_await net::sleep_for(context_, kMaintenanceInterval);
     const auto now = net::Clock::now();
     state_.connections.expire(now);
-    if (!engine_follower_.entries_may_return(now)) state_.engines.remove_lapsed();
+    feeds_.maintain(now);
     state_.store.set_silence_limit(state_.beacons.silence_limit());
     state_.quotas.refresh(now, state_.beacons.silence_limit());
-    share_store_version();
     state_.ledger.budgets.forget_idle(now);
     if (state_.settings.mechanisms.peer_loads) take_peer_loads(now);
     if (state_.settings.mechanisms.peer_failures) take_peer_failures(now);
@@ -338,16 +179,6 @@
   }
 }
 
-void Gateway::share_store_version() {
-  auto newest = state_.peers.newest_store_version();
-  for (auto* follower : {&configuration_follower_, &engine_follower_, &peer_follower_}) {
-    newest = std::max(newest, follower->newest_seen());
-  }
-  state_.newest_store_version = newest;
-  configuration_follower_.note_version(newest);
-  engine_follower_.note_version(newest);
-}
-
 void Gateway::stop() {
   if (state_.stopping) return;
   state_.stopping = true;
@@ -379,7 +210,7 @@
 }
 
 net::asio::awaitable<void> Gateway::finish_stop() {
-  co_await unregister_self();
+  co_await feeds_.unregister_self();
   net::asio::co_spawn(context_, release_tokens(), net::asio::detached);
   co_await net::sleep_for(context_, kEntryNotices);
   net::Error ignored;
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -7,8 +7,7 @@
 #include "net/text_server.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/node_state.hpp"
-#include "serving/platform_records.hpp"
-#include "store/table_follower.hpp"
+#include "serving/store_feeds.hpp"
 
 namespace sailgate::serving {
 
@@ -46,35 +45,18 @@
   net::asio::awaitable<void> release_tokens();
   /// What the claims on shards of programs depend on.
   ledger::EscrowPeers escrow_peers();
-  void take_configuration(const store::Row& row);
-  void take_engine(const store::Row& row);
-  void take_engine_removal(const store::Row& row);
-  void note_contact(bool reached);
-  /// Answers of the store that are older than what some node has seen are not taken over.
-  void share_store_version();
-  store::FollowerCallbacks configuration_callbacks();
-  store::FollowerCallbacks engine_callbacks();
-  store::FollowerCallbacks peer_callbacks();
-  void take_peer(const store::Row& row);
-  net::asio::awaitable<void> register_self();
-  net::asio::awaitable<void> unregister_self();
   net::TextResponse answer_readiness(const net::TextRequest& request) const;
   net::TextResponse answer_metrics() const;
   net::asio::awaitable<net::TextResponse> answer_peer(net::TextRequest request);
 
   net::asio::io_context& context_;
-  std::int64_t incarnation_;
   NodeState state_;
-  const PlatformRecords& records_;
-  store::TableFollower configuration_follower_;
-  store::TableFollower engine_follower_;
-  store::TableFollower peer_follower_;
+  StoreFeeds feeds_;
   net::asio::ip::tcp::acceptor acceptor_;
   net::TextServer readiness_;
   net::TextServer peer_server_;
   std::unique_ptr<net::TextServer> metrics_;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
-  net::TimePoint last_contact_{};
   net::TimePoint stop_began_{};
 };
 
--- /dev/null
+++ b/src/serving/store_feeds.cpp
@@ -0,0 +1,195 @@
+#include "serving/store_feeds.hpp"
+
+#include <algorithm>
+
+#include "wire/codec.hpp"
+
+namespace sailgate::serving {
+
+namespace {
+
+constexpr const char* kPeerTable = "nodes";
+constexpr net::Millis kStoreTimeout{700};
+constexpr net::Millis kRegisterPause{300};
+/// Changes of engines and the configuration are fetched together within this time: engines register
+/// within a few seconds, and without it each of 295 nodes made a call for almost every entry. It is
+/// a small part of the seconds in which a leaving engine or a configuration must be noticed.
+constexpr net::Millis kGatherTime{250};
+/// Nodes that come back anew are wanted sooner: until their row is known their beacons say nothing,
+/// and what was reserved at them counts as used.
+constexpr net::Millis kPeerGatherTime{40};
+
+}  // namespace
+
+StoreFeeds::StoreFeeds(NodeState& state, const PlatformRecords& records, std::int64_t incarnation)
+    : state_(state),
+      records_(records),
+      incarnation_(incarnation),
+      configuration_follower_(state.context, state.store, state.log, records.configuration_table(),
+                              configuration_callbacks(), kGatherTime),
+      engine_follower_(state.context, state.store, state.log, records.engine_table(),
+                       engine_callbacks(), kGatherTime),
+      peer_follower_(state.context, state.store, state.log, kPeerTable, peer_callbacks(),
+                     kPeerGatherTime) {}
+
+void StoreFeeds::start() {
+  net::asio::co_spawn(state_.context, configuration_follower_.run(), net::asio::detached);
+  net::asio::co_spawn(state_.context, engine_follower_.run(), net::asio::detached);
+  net::asio::co_spawn(state_.context, peer_follower_.run(), net::asio::detached);
+  net::asio::co_spawn(state_.context, register_self(), net::asio::detached);
+}
+
+void StoreFeeds::maintain(net::TimePoint now) {
+  if (!engine_follower_.entries_may_return(now)) state_.engines.remove_lapsed();
+  share_store_version();
+}
+
+net::asio::awaitable<void> StoreFeeds::register_self() {
+  wire::PeerRow self;
+  self.incarnation = incarnation_;
+  self.zone = state_.settings.zone;
+  self.address = state_.settings.peers.address().to_string();
+  self.port = state_.settings.peers.port();
+  store::Row row;
+  row.id = {kPeerTable, "", state_.settings.node};
+  row.value = wire::encode(self);
+  while (!state_.stopping) {
+    store::Transaction transaction;
+    transaction.puts.push_back(row);
+    const auto result = co_await state_.store.transact(std::move(transaction), kStoreTimeout);
+    if (result.status == store::StoreStatus::kDone) co_return;
+    co_await net::sleep_for(state_.context, kRegisterPause);
+  }
+}
+
+net::asio::awaitable<void> StoreFeeds::unregister_self() {
+  store::Transaction transaction;
+  transaction.removals.push_back({kPeerTable, "", state_.settings.node});
+  co_await state_.store.transact(std::move(transaction), kStoreTimeout);
+}
+
+store::FollowerCallbacks StoreFeeds::peer_callbacks() {
+  store::FollowerCallbacks callbacks;
+  callbacks.on_whole = [this](const std::vector<store::Row>& rows) {
+    for (const auto& row : rows) take_peer(row);
+    state_.peers.note_complete();
+  };
+  callbacks.on_change = [this](const store::Row& row) { take_peer(row); };
+  callbacks.on_contact = [](bool) {};
+  return callbacks;
+}
+
+void StoreFeeds::take_peer(const store::Row& row) {
+  if (row.removed) {
+    state_.peers.remove(row.id.key);
+    return;
+  }
+  try {
+    state_.peers.put(row.id.key, wire::decode<wire::PeerRow>(row.value), net::Clock::now());
+  } catch (const std::exception& error) {
+    state_.log.event("peer_unreadable").with("peer", row.id.key).with("why", error.what());
+  }
+}
+
+void StoreFeeds::note_contact(bool reached) {
+  if (reached) {
+    last_contact_ = net::Clock::now();
+  } else {
+    state_.metrics.store_lost();
+  }
+}
+
+store::FollowerCallbacks StoreFeeds::configuration_callbacks() {
+  store::FollowerCallbacks callbacks;
+  callbacks.on_whole = [this](const std::vector<store::Row>& rows) {
+    for (const auto& row : rows) take_configuration(row);
+  };
+  callbacks.on_change = [this](const store::Row& row) { take_configuration(row); };
+  callbacks.on_contact = [this](bool reached) { note_contact(reached); };
+  return callbacks;
+}
+
+store::FollowerCallbacks StoreFeeds::engine_callbacks() {
+  store::FollowerCallbacks callbacks;
+  callbacks.on_whole = [this](const std::vector<store::Row>& rows) {
+    std::vector<balancing::EngineRecord> engines;
+    for (const auto& row : rows) {
+      try {
+        engines.push_back(records_.decode_engine(row.id.key, row.value));
+      } catch (const std::exception& error) {
+        state_.log.event("engine_unreadable").with("engine", row.id.key).with("why", error.what());
+      }
+    }
+    using Absent = balancing::EngineRegistry::Absent;
+    const bool may_return = engine_follower_.entries_may_return(net::Clock::now());
+    state_.engines.replace(std::move(engines), may_return ? Absent::kLapsed : Absent::kRemoved);
+    state_.engines_known = true;
+    state_.log.event("engines_read").with("count", state_.engines.size());
+  };
+  callbacks.on_change = [this](const store::Row& row) { take_engine(row); };
+  callbacks.on_contact = [this](bool reached) { note_contact(reached); };
+  return callbacks;
+}
+
+void StoreFeeds::take_configuration(const store::Row& row) {
+  if (row.id.key != records_.configuration_key() || row.removed) return;
+  try {
+    auto configuration = records_.decode_configuration(row.value);
+    const auto version = configuration.version;
+    const auto current = state_.routes == nullptr ? 0 : state_.routes->version();
+    if (state_.routes != nullptr && version <= current) return;
+    state_.routes = std::make_shared<const routing::RouteTable>(std::move(configuration));
+    state_.log.event("configuration")
+        .with("version", version)
+        .with("before", current)
+        .with("row_version", row.version)
+        .with("routes", state_.routes->configuration().routes.size());
+  } catch (const std::exception& error) {
+    state_.log.event("configuration_unreadable")
+        .with("row_version", row.version)
+        .with("why", error.what());
+  }
+}
+
+void StoreFeeds::take_engine_removal(const store::Row& row) {
+  if (!engine_follower_.entries_may_return(net::Clock::now())) {
+    state_.engines.remove(row.id.key);
+    return;
+  }
+  state_.log.event("engine_entry_lapsed")
+      .with("engine", row.id.key)
+      .with("row_version", row.version);
+  state_.engines.lapse(row.id.key);
+}
+
+void StoreFeeds::take_engine(const store::Row& row) {
+  if (row.removed) {
+    take_engine_removal(row);
+    return;
+  }
+  try {
+    const bool known = state_.engines.find(row.id.key) != nullptr;
+    auto record = records_.decode_engine(row.id.key, row.value);
+    if (!known) {
+      state_.log.event("engine_added")
+          .with("engine", record.id)
+          .with("service", record.service)
+          .with("row_version", row.version);
+    }
+    state_.engines.put(std::move(record));
+  } catch (const std::exception& error) {
+    state_.log.event("engine_unreadable").with("engine", row.id.key).with("why", error.what());
+  }
+}
+
+void StoreFeeds::share_store_version() {
+  auto newest = state_.peers.newest_store_version();
+  for (auto* follower : {&configuration_follower_, &engine_follower_, &peer_follower_}) {
+    newest = std::max(newest, follower->newest_seen());
+  }
+  state_.newest_store_version = newest;
+  configuration_follower_.note_version(newest);
+  engine_follower_.note_version(newest);
+}
+
+}  // namespace sailgate::serving
