Beacons fit their datagram whatever they tell

Cause: a zone's summary grows with engines; one over 8,192 bytes is cut by its receiver and counts as lost, so that a zone before some 1,000 busy engines looks dead, and speeds and prompts would make it grow further. Change: encode_beacon leaves out what only saves time, prompts and speeds first; members and tenants always stay. Measured: beacon_codec_test; a zone of 50 nodes before 600 and 3,000 engines fits (it fails with wire::encode).

--- a/src/cluster/beacon_sender.cpp
+++ b/src/cluster/beacon_sender.cpp
@@ -71,7 +71,7 @@
 
 net::asio::awaitable<void> BeaconSender::send() {
   while (true) {
-    const auto bytes = wire::encode(compose_());
+    const auto bytes = encode_beacon(compose_());
     for (const auto* peer : receivers()) send_to(*peer, bytes);
     co_await net::sleep_for(context_, round_time());
   }
@@ -114,7 +114,7 @@
     auto beacon = compose_();
     beacon.__set_summary(
         directory_.summarize_zone(beacon, net::Clock::now(), silence_limit(), usage_window_));
-    const auto bytes = wire::encode(beacon);
+    const auto bytes = encode_beacon(std::move(beacon));
     for (const auto* peer : summary_receivers()) send_to(*peer, bytes);
   }
 }
@@ -132,7 +132,7 @@
   passed_on_at = now;
   auto own = compose_();
   own.__set_summary(beacon.summary);
-  const auto bytes = wire::encode(own);
+  const auto bytes = encode_beacon(std::move(own));
   for (const auto* peer : receivers()) send_to(*peer, bytes);
 }
 
--- a/src/cluster/beacon_sender.hpp
+++ b/src/cluster/beacon_sender.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/random.hpp"
+#include "cluster/beacon_codec.hpp"
 #include "cluster/peer_directory.hpp"
 #include "net/asio.hpp"
 
@@ -38,8 +39,6 @@
   net::Millis silence_limit() const;
 
  private:
-  static constexpr std::size_t kDatagramLimit = 8192;
-
   net::asio::awaitable<void> send();
   net::asio::awaitable<void> send_summaries();
   net::asio::awaitable<void> receive();
@@ -61,7 +60,7 @@
   base::Random random_;
   net::Millis usage_window_{5000};
   std::map<std::string, net::TimePoint> passed_on_at_;  ///< by zone: its summary, by this node
-  std::array<char, kDatagramLimit> datagram_{};
+  std::array<char, kMostBeaconBytes> datagram_{};
 };
 
 }  // namespace sailgate::cluster
--- /dev/null
+++ b/tests/cluster/beacon_codec_test.cpp
@@ -0,0 +1,62 @@
+#include "cluster/beacon_codec.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "wire/codec.hpp"
+
+namespace sailgate {
+
+namespace {
+
+/// A zone of 50 nodes before so many engines, all of which it uses.
+wire::Beacon beacon_of_zone(int engines) {
+  wire::Beacon beacon;
+  beacon.incarnation = 7;
+  wire::ZoneSummary summary;
+  summary.zone = "a";
+  for (int node = 0; node < 50; ++node) {
+    wire::ZoneMember member;
+    member.incarnation = INT64_MAX - node;
+    member.reaches_store = true;
+    summary.members.push_back(member);
+  }
+  for (int engine = 0; engine < engines; ++engine) {
+    const auto key = INT32_MAX - engine * 1001;
+    summary.loads[key] = 5;
+    wire::EngineSpeed speed;
+    speed.permille = 800;
+    speed.samples = 40;
+    summary.speeds[key] = speed;
+  }
+  summary.__isset.speeds = true;
+  wire::TenantUsage usage;
+  usage.window = 100;
+  usage.asked_per_s = 20;
+  summary.tenants[1] = usage;
+  summary.__isset.tenants = true;
+  beacon.__set_summary(summary);
+  return beacon;
+}
+
+}  // namespace
+
+TEST_CASE("a beacon that fits is told whole") {
+  const auto beacon = beacon_of_zone(100);
+  const auto told = wire::decode<wire::Beacon>(cluster::encode_beacon(beacon));
+  REQUIRE(told.summary.speeds.size() == 100);
+  REQUIRE(told.summary.loads.size() == 100);
+}
+
+TEST_CASE("a beacon that is too large leaves out what only saves time") {
+  const int engines = GENERATE(600, 3000);
+  const auto bytes = cluster::encode_beacon(beacon_of_zone(engines));
+  REQUIRE(bytes.size() <= cluster::kMostBeaconBytes);
+  const auto told = wire::decode<wire::Beacon>(bytes);
+  REQUIRE(told.summary.members.size() == 50);
+  REQUIRE(told.summary.tenants.at(1).window == 100);
+  REQUIRE(told.summary.speeds.empty());
+  // 600 engines' loads fit without the speeds.
+  REQUIRE(told.summary.loads.empty() == (engines == 3000));
+}
+
+}  // namespace sailgate
