Engines are chosen by requests per slot and speed, learned from each node's exchanges

Cause: engines of one service differ in speed, for good or for a while, and requests under way alone don't show it. Change: each node learns the time between events and of plain answers against the usual for such a load, tells it in beacons, and goes by the mean weighted by samples. Load is requests per slot and speed; rendezvous draws are weighted by speed; a line leaves an engine when two turns gain twice what its prompt costs to read anew. Not measured yet.

--- a/src/balancing/engine.hpp
+++ b/src/balancing/engine.hpp
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include "balancing/engine_speed.hpp"
+#include "balancing/speed_step.hpp"
 #include "net/asio.hpp"
 
 namespace sailgate::balancing {
@@ -28,6 +30,9 @@
   net::TimePoint failed_at{};    ///< the last of them
   bool left_to_probe = false;    ///< fails for many nodes: another node tries it for all
   net::TimePoint avoid_until{};  ///< after a refusal or failure: other engines come first
+  EngineSpeed own_speed;         ///< as this node's exchanges tell
+  double speed = 1;              ///< over the usual engine's of the service, as all nodes tell
+  SpeedStep speed_step;          ///< of `speed`, for the log
   bool leaving = false;          ///< said so itself, or its entry is gone: no new requests
 
   bool usable() const { return !leaving && !record.draining; }
--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace sailgate::balancing {
@@ -19,7 +20,7 @@
 /// engines opened a connection for one send in five.
 constexpr double kConnectCost = 0.5;
 /// Bounded loads: an engine beyond both bounds is only used when all are beyond them. The first is
-/// a share of its slots, the second a multiple of the service's mean load.
+/// a share of its slots at the usual speed, the second a multiple of the service's mean load.
 constexpr double kSaturation = 0.85;
 constexpr double kSaturationOverMean = 1.25;
 
@@ -28,6 +29,13 @@
 constexpr double kStayLoad = 1.0;
 constexpr double kStayOverMean = 1.5;
 
+/// Turns by which a line's gain from a faster engine is reckoned: the one at hand and one more.
+/// Programs hold several, but nobody knows how many are left.
+constexpr double kTurnsLeft = 2;
+/// The gain must be this multiple of the reading anew: speeds are known to some 15 in 100, and a
+/// move for nothing costs the engines what it was to save.
+constexpr double kGainOverReading = 2;
+
 /// Uniform in [0, 1) for a pair of key and engine.
 double rendezvous_draw(const std::string& key, const std::string& engine_id) {
   const auto seed = XXH64(engine_id.data(), engine_id.size(), 0);
@@ -36,6 +44,10 @@
   return static_cast<double>(hash) / kRange;
 }
 
+/// Draw of a rendezvous order in which each engine is first for a share of the keys that follows
+/// its speed; at the usual speed the draw itself.
+double by_speed(double draw, double speed) { return 1 - std::pow(1 - draw, 1 / speed); }
+
 struct Rank {
   bool avoided;
   bool saturated;
@@ -49,7 +61,8 @@
 };
 
 double load_of(const Engine& engine) {
-  return static_cast<double>(engine.in_flight + engine.peer_in_flight) / engine.record.slots;
+  const double requests = engine.in_flight + engine.peer_in_flight;
+  return requests / (engine.record.slots * engine.speed);
 }
 
 bool avoided(const Engine& engine, const SelectionQuery& query) {
@@ -63,7 +76,8 @@
   // With a key neither load nor connections count: moving a program means reading its prompt anew.
   const bool keyed = !query.affinity_key.empty();
   const double preference =
-      keyed ? kAffinityCost * rendezvous_draw(query.affinity_key, engine.record.id)
+      keyed ? kAffinityCost *
+                  by_speed(rendezvous_draw(query.affinity_key, engine.record.id), engine.speed)
             : load + connect;
   const auto tie = XXH64(engine.record.id.data(), engine.record.id.size(), query.draw);
   return {avoided(engine, query), load >= saturation, preference + zone, tie};
@@ -86,35 +100,46 @@
   return load_of(*engine) < bound ? engine : nullptr;
 }
 
+/// Whether a line's next turns end sooner at the other engine, its prompt read anew there.
+bool worth_moving(const Engine& from, const Engine& to, double turn_over_reading) {
+  const double gain = kTurnsLeft * turn_over_reading * (1 / from.speed - 1 / to.speed);
+  return gain > kGainOverReading / to.speed;
+}
+
 }  // namespace
 
 double mean_load(const std::vector<EnginePointer>& engines) {
-  double sum = 0;
-  int usable = 0;
+  double busy = 0;
+  double speeds = 0;
   for (const auto& engine : engines) {
     if (!engine->usable()) continue;
-    sum += load_of(*engine);
-    ++usable;
+    busy += load_of(*engine) * engine->speed;
+    speeds += engine->speed;
   }
-  return usable == 0 ? 0 : sum / usable;
+  return speeds == 0 ? 0 : busy / speeds;
 }
 
 EnginePointer select_engine(const EngineRegistry& registry, const SelectionQuery& query) {
   const auto& engines = registry.of_service(query.service);
   const double mean = mean_load(engines);
-  if (auto stay = engine_to_stay_at(registry, query, mean)) return stay;
+  const auto stay = engine_to_stay_at(registry, query, mean);
+  const bool may_move = stay != nullptr && query.turn_over_reading > 0 && stay->speed < 1;
+  if (stay != nullptr && !may_move) return stay;
   EnginePointer best;
   Rank best_rank{};
   const double saturation = std::max(kSaturation, kSaturationOverMean * mean);
   for (const auto& engine : engines) {
     if (!engine->usable() || excluded(query, *engine)) continue;
+    if (may_move && !worth_moving(*stay, *engine, query.turn_over_reading)) continue;
     const auto candidate = rank(*engine, query, saturation);
     if (best == nullptr || candidate < best_rank) {
       best = engine;
       best_rank = candidate;
     }
   }
-  return best;
+  if (!may_move) return best;
+  const bool has_room = best != nullptr && !best_rank.avoided && !best_rank.saturated;
+  return has_room ? best : stay;
 }
 
 }  // namespace sailgate::balancing
--- /dev/null
+++ b/src/balancing/engine_speed.cpp
@@ -0,0 +1,54 @@
+#include "balancing/engine_speed.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "net/milliseconds.hpp"
+
+namespace sailgate::balancing {
+
+namespace {
+
+/// Exchanges fade to 1/e within this time: long against the half second for which engines are slow
+/// now and then, short against the programs that a slow engine would make late.
+constexpr double kFadeMillis = 4000;
+constexpr double kPermille = 1000;
+/// One exchange says no more than the bounds of speed: one that hangs is no measure of the engine.
+const double kMostSlowness = std::log(kPermille / kLeastPermille);
+
+}  // namespace
+
+double EngineSpeed::kept(net::TimePoint now) const {
+  return std::exp(-std::max(net::milliseconds_between(noted_at_, now), 0.0) / kFadeMillis);
+}
+
+void EngineSpeed::add(double slowness, net::TimePoint now) {
+  if (!std::isfinite(slowness)) return;
+  const double part = kept(now);
+  slowness_ = slowness_ * part + std::clamp(slowness, -kMostSlowness, kMostSlowness);
+  weight_ = weight_ * part + 1;
+  noted_at_ = std::max(noted_at_, now);
+}
+
+SpeedFigure EngineSpeed::figure(net::TimePoint now) const {
+  SpeedFigure figure;
+  figure.samples = static_cast<int>(std::lround(weight_ * kept(now)));
+  if (figure.samples == 0) return figure;
+  const double speed = kPermille * std::exp(-slowness_ / weight_);
+  figure.permille = std::clamp(static_cast<int>(std::lround(speed)), kLeastPermille, kMostPermille);
+  return figure;
+}
+
+double believed_speed(const SpeedFigure& own, const SpeedFigure& told) {
+  double samples = kUsualSamples;
+  double sum = kPermille * kUsualSamples;
+  for (const auto& figure : {own, told}) {
+    if (figure.samples <= 0) continue;
+    samples += figure.samples;
+    sum += static_cast<double>(std::clamp(figure.permille, kLeastPermille, kMostPermille)) *
+           figure.samples;
+  }
+  return sum / samples / kPermille;
+}
+
+}  // namespace sailgate::balancing
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -53,8 +53,6 @@
   return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
-bool is_success(unsigned status) { return status >= 200 && status < 300; }
-
 /// Whether an answer may go back to the caller: a success carries the engine's signature, and a
 /// failure does not promise what the engine did not say.
 bool is_acceptable(const EngineExchange& exchange) {
@@ -64,6 +62,8 @@
 
 }  // namespace
 
+bool is_success(unsigned status) { return status >= 200 && status < 300; }
+
 DispatchFailure failure_of(ReadOutcome outcome) {
   if (outcome == ReadOutcome::kTimedOut) return DispatchFailure::kTimedOut;
   if (outcome == ReadOutcome::kAborted) return DispatchFailure::kCallerGone;
@@ -172,6 +172,9 @@
     query.affinity_key = call.key_of(description.program).text();
   }
   query.line_engine = call.line_engine;
+  if (state_.settings.mechanisms.speeds) {
+    query.turn_over_reading = state_.exchange_times.turn_over_reading(call.service);
+  }
   query.zone = state_.settings.zone;
   // Without avoidance no engine is avoided any more.
   query.now = state_.settings.mechanisms.avoidance ? net::Clock::now() : net::TimePoint::max();
@@ -188,6 +191,8 @@
       .with("in_flight", engine.in_flight)
       .with("peer_in_flight", engine.peer_in_flight)
       .with("slots", engine.record.slots)
+      .with("speed", engine.speed)
+      .with("line_engine", call.line_engine)
       .with("kept_connection", static_cast<int>(exchange.on_kept_connection()))
       .with("outcome", outcome)
       .with("elapsed_ms", call.elapsed().count());
--- a/src/serving/dispatcher.hpp
+++ b/src/serving/dispatcher.hpp
@@ -79,6 +79,8 @@
 /// Whether an engine's answer tells of a fault of the engine.
 bool is_engine_failure(unsigned status);
 
+bool is_success(unsigned status);
+
 /// Marks a whole answer of an engine, good or bad by its status.
 void note_answer(NodeState& state, balancing::Engine& engine, unsigned status);
 
--- a/src/serving/engine_exchange.hpp
+++ b/src/serving/engine_exchange.hpp
@@ -57,6 +57,8 @@
   bool was_reset() const { return was_reset_; }
   /// What ended the last operation that failed, for the log.
   const std::string& failure() const { return failure_; }
+  /// When it was begun, before a connection was there.
+  net::TimePoint began_at() const { return began_at_; }
   bool on_kept_connection() const { return connection_ != nullptr && connection_->reused; }
 
  private:
@@ -74,6 +76,7 @@
   EngineConnectionPool& pool_;
   const EdgeProtocol& protocol_;
   std::shared_ptr<balancing::Engine> engine_;
+  net::TimePoint began_at_ = net::Clock::now();
   net::TimePoint deadline_;
   EngineConnectionPointer connection_;
   std::shared_ptr<WriteState> write_ = std::make_shared<WriteState>();
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -304,6 +304,7 @@
     state_.ledger.budgets.forget_idle(now);
     if (state_.settings.mechanisms.peer_loads) take_peer_loads(now);
     if (state_.settings.mechanisms.peer_failures) take_peer_failures(now);
+    if (state_.settings.mechanisms.speeds) take_speeds(now);
     state_.metrics.set_escrow_shards(state_.ledger.escrow.spendable_shards().size(),
                                      state_.ledger.escrow.bare_shards().size());
     state_.metrics.set_engines(state_.engines.size());
@@ -320,6 +321,38 @@
   }
 }
 
+void Gateway::take_speeds(net::TimePoint now) {
+  const auto told = state_.peers.figures(now, state_.beacons.silence_limit()).speeds;
+  double slowest = 1;
+  double fastest = 1;
+  for (const auto& engine : state_.engines.all()) {
+    const auto entry = told.find(cluster::engine_key(engine->record.id));
+    balancing::SpeedFigure others;
+    if (entry != told.end()) others = {entry->second.permille, entry->second.samples};
+    engine->speed = balancing::believed_speed(engine->own_speed.figure(now), others);
+    slowest = std::min(slowest, engine->speed);
+    fastest = std::max(fastest, engine->speed);
+    log_speed(*engine, others, now);
+  }
+  state_.metrics.set_engine_speeds(slowest, fastest);
+}
+
+void Gateway::log_speed(balancing::Engine& engine, const balancing::SpeedFigure& told,
+                        net::TimePoint now) {
+  const auto before = engine.speed_step.value();
+  if (!engine.speed_step.moved(engine.speed, now)) return;
+  const auto own = engine.own_speed.figure(now);
+  state_.log.event("engine_speed")
+      .with("engine", engine.record.id)
+      .with("speed", engine.speed)
+      .with("step", engine.speed_step.value())
+      .with("step_before", before)
+      .with("own_permille", own.permille)
+      .with("own_samples", own.samples)
+      .with("told_permille", told.permille)
+      .with("told_samples", told.samples);
+}
+
 void Gateway::take_peer_failures(net::TimePoint now) {
   const auto silence = state_.beacons.silence_limit();
   const auto failures = state_.peers.failures(now, silence);
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -42,6 +42,9 @@
   void take_peer_loads(net::TimePoint now);
   /// Leaves engines that fail for many nodes to one node of each zone.
   void take_peer_failures(net::TimePoint now);
+  /// Takes over how fast engines are, as this node's exchanges and the other nodes tell.
+  void take_speeds(net::TimePoint now);
+  void log_speed(balancing::Engine& engine, const balancing::SpeedFigure& told, net::TimePoint now);
   /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
   net::asio::awaitable<void> release_tokens();
   /// What the claims on shards of programs depend on.
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -52,6 +52,10 @@
   bare_shards_ = &gauge(registry, "sailgate_bare_shards",
                         "Shards of programs that this node owns without an escrow to spend");
   engines_ = &gauge(registry, "sailgate_engines", "Engines known");
+  slowest_engine_ = &gauge(registry, "sailgate_slowest_engine_speed",
+                           "Lowest believed speed of an engine over the usual of its service");
+  fastest_engine_ = &gauge(registry, "sailgate_fastest_engine_speed",
+                           "Highest believed speed of an engine over the usual of its service");
   connections_ =
       &gauge(registry, "sailgate_engine_connections_opened", "Connections opened to engines");
   log_drops_ = &gauge(registry, "sailgate_log_lines_dropped", "Log lines that did not fit");
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -25,6 +25,11 @@
   void first_event(net::Millis after);
   void store_lost() { store_losses_->Increment(); }
   void set_engines(std::size_t count) { engines_->Set(static_cast<double>(count)); }
+  /// Believed speeds over the usual one of the service.
+  void set_engine_speeds(double slowest, double fastest) {
+    slowest_engine_->Set(slowest);
+    fastest_engine_->Set(fastest);
+  }
   /// Shards of programs that this node owns, with an escrow to spend and without.
   void set_escrow_shards(std::size_t spendable, std::size_t bare) {
     escrow_shards_->Set(static_cast<double>(spendable));
@@ -50,6 +55,8 @@
   prometheus::Histogram* first_events_;
   prometheus::Counter* store_losses_;
   prometheus::Gauge* engines_;
+  prometheus::Gauge* slowest_engine_;
+  prometheus::Gauge* fastest_engine_;
   prometheus::Gauge* escrow_shards_;
   prometheus::Gauge* bare_shards_;
   prometheus::Gauge* connections_;
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -6,6 +6,7 @@
 
 #include "balancing/engine_failures.hpp"
 #include "balancing/engine_registry.hpp"
+#include "balancing/exchange_times.hpp"
 #include "base/random.hpp"
 #include "cluster/beacon_sender.hpp"
 #include "cluster/peer_clients.hpp"
@@ -70,6 +71,7 @@
       }
     }
     message.__isset.failures = !message.failures.empty();
+    if (settings.mechanisms.speeds) tell_speeds(message, now);
     const auto tenants = quotas.told(now);
     if (!tenants.empty()) message.__set_tenants(tenants);
     const auto uptime = std::chrono::duration_cast<net::Millis>(now - started_at);
@@ -77,6 +79,18 @@
     return message;
   }
 
+  /// Speeds of the engines that this node used of late.
+  void tell_speeds(wire::Beacon& message, net::TimePoint now) const {
+    for (const auto& engine : engines.all()) {
+      const auto figure = engine->own_speed.figure(now);
+      if (figure.samples == 0) continue;
+      auto& told = message.speeds[cluster::engine_key(engine->record.id)];
+      told.permille = figure.permille;
+      told.samples = figure.samples;
+    }
+    message.__isset.speeds = !message.speeds.empty();
+  }
+
   /// Starts that lie longer ago are not told to peers: all that the process forgot by its start has
   /// left every window by then.
   static constexpr net::Millis kToldUptime{60'000};
@@ -88,6 +102,7 @@
   std::shared_ptr<const routing::RouteTable> routes;  ///< nullptr before the first configuration
   balancing::EngineRegistry engines;
   bool engines_known = false;
+  balancing::ExchangeTimes exchange_times;
   std::int64_t newest_store_version = 0;  ///< seen by this node or a peer
   EngineConnectionPool connections;
   net::TimePoint started_at = net::Clock::now();
--- a/src/serving/plain_call.cpp
+++ b/src/serving/plain_call.cpp
@@ -1,5 +1,7 @@
 #include "serving/plain_call.hpp"
 
+#include "net/milliseconds.hpp"
+
 namespace sailgate::serving {
 
 namespace {
@@ -25,6 +27,7 @@
     call_.exchange = nullptr;
     if (outcome == ReadOutcome::kEnd) {
       note_answer(state_, exchange.engine(), exchange.head().result_int());
+      note_time(exchange);
       auto head = exchange.head();
       exchange.finish();
       const bool head_only = call_.request.method() == net::http::verb::head;
@@ -41,4 +44,11 @@
   co_return co_await answer_failure(call_, failure);
 }
 
+void PlainCall::note_time(EngineExchange& exchange) {
+  if (!state_.settings.mechanisms.speeds || !is_success(exchange.head().result_int())) return;
+  const auto now = net::Clock::now();
+  const double milliseconds = net::milliseconds_between(exchange.began_at(), now);
+  state_.exchange_times.note_plain(exchange.engine(), call_.route->name, milliseconds, now);
+}
+
 }  // namespace sailgate::serving
--- a/src/serving/plain_call.hpp
+++ b/src/serving/plain_call.hpp
@@ -14,6 +14,9 @@
   net::asio::awaitable<CallEnd> run();
 
  private:
+  /// The answer is whole: its time tells of the engine's speed.
+  void note_time(EngineExchange& exchange);
+
   NodeState& state_;
   Call& call_;
   Dispatcher dispatcher_;
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -204,11 +204,15 @@
 
 net::asio::awaitable<StreamCall::RelayEnd> StreamCall::relay(EngineExchange& exchange) {
   EventScanner scanner;
+  const bool prompt_kept = call_.line_engine == exchange.engine().record.id;
+  StreamTiming timing(exchange.began_at(), prompt_kept);
+  const bool resumed = !last_event_id_.empty();
   std::string bytes;
   while (true) {
     bytes.clear();
     const auto outcome = co_await exchange.read_some(bytes);
     if (outcome == ReadOutcome::kEnd) {
+      if (!resumed && !scanner.has_partial()) note_times(exchange, timing);
       co_return scanner.has_partial() ? RelayEnd::kBroken : RelayEnd::kWhole;
     }
     if (outcome == ReadOutcome::kTimedOut) co_return RelayEnd::kTimedOut;
@@ -217,10 +221,19 @@
     auto events = scanner.feed(bytes);
     if (events.empty()) continue;
     if (exceeds_reservation(events.size())) co_return RelayEnd::kTokensSpent;
+    timing.came(events.size(), net::Clock::now());
     if (!co_await pass_on(std::move(events), exchange)) co_return RelayEnd::kCallerGone;
+    timing.taken(net::Clock::now());
   }
 }
 
+void StreamCall::note_times(EngineExchange& exchange, const StreamTiming& timing) {
+  if (!state_.settings.mechanisms.speeds) return;
+  const auto now = net::Clock::now();
+  const auto times = timing.times(now);
+  if (times) state_.exchange_times.note_stream(exchange.engine(), *times, now);
+}
+
 net::asio::awaitable<bool> StreamCall::pass_on(std::vector<StreamEvent> events,
                                                EngineExchange& exchange) {
   if (!begun_) {
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -7,6 +7,7 @@
 #include "ledger/turn.hpp"
 #include "serving/call_handler.hpp"
 #include "serving/event_scanner.hpp"
+#include "serving/stream_timing.hpp"
 
 namespace sailgate::serving {
 
@@ -34,6 +35,8 @@
   net::asio::awaitable<CallEnd> serve();
   net::asio::awaitable<CallEnd> pass_on_whole(EngineExchange& exchange);
   net::asio::awaitable<RelayEnd> relay(EngineExchange& exchange);
+  /// The engine ran the stream whole: its times tell of the engine's speed.
+  void note_times(EngineExchange& exchange, const StreamTiming& timing);
   net::asio::awaitable<bool> pass_on(std::vector<StreamEvent> events, EngineExchange& exchange);
   net::asio::awaitable<CallEnd> complete();
   /// The turn has generated what was reserved for it and is not over: it ends unfinished.
--- /dev/null
+++ b/src/serving/stream_timing.cpp
@@ -0,0 +1,39 @@
+#include "serving/stream_timing.hpp"
+
+#include "net/milliseconds.hpp"
+
+namespace sailgate::serving {
+
+namespace {
+
+/// One gap may be all network: events come in packets.
+constexpr std::size_t kLeastGaps = 2;
+/// Where the caller held the reading up for more than a tenth of the time, the time between events
+/// is the caller's.
+constexpr int kMostHeldShare = 10;
+
+}  // namespace
+
+void StreamTiming::came(std::size_t events, net::TimePoint now) {
+  if (first_ == net::TimePoint{}) {
+    first_ = now;
+  } else {
+    gaps_ += events;
+  }
+  last_ = now;
+}
+
+std::optional<balancing::StreamTimes> StreamTiming::times(net::TimePoint ended) const {
+  if (first_ == net::TimePoint{}) return std::nullopt;
+  balancing::StreamTimes times;
+  times.first_ms = net::milliseconds_between(began_, first_);
+  times.whole_ms = net::milliseconds_between(began_, ended);
+  times.prompt_kept = prompt_kept_;
+  const auto span = last_ - first_;
+  if (gaps_ >= kLeastGaps && held_ * kMostHeldShare <= span) {
+    times.event_ms = net::milliseconds_between(first_, last_) / static_cast<double>(gaps_);
+  }
+  return times;
+}
+
+}  // namespace sailgate::serving
--- a/tests/balancing/engine_selector_test.cpp
+++ b/tests/balancing/engine_selector_test.cpp
@@ -215,3 +215,55 @@
   asked.line_engine = "x";
   REQUIRE(balancing::select_engine(engines, asked)->record.service == "llm");
 }
+
+TEST_CASE("a slot at half the speed holds half as much", "[balancing]") {
+  auto engines = registry();
+  engines.find("a")->speed = 0.5;
+  engines.find("a")->in_flight = 1;
+  engines.find("b")->in_flight = 1;
+  REQUIRE(balancing::select_engine(engines, query())->record.id == "b");
+  engines.find("b")->in_flight = 3;
+  for (const auto* id : {"c", "d"}) engines.find(id)->in_flight = 2;
+  REQUIRE(balancing::select_engine(engines, query())->record.id == "a");
+}
+
+TEST_CASE("the mean load is that of all work over all that engines can do", "[balancing]") {
+  EngineRegistry engines;
+  engines.put(record("fast", "near"));
+  engines.put(record("slow", "near"));
+  engines.find("fast")->in_flight = 4;
+  REQUIRE(balancing::mean_load(engines.of_service("llm")) == Approx(0.5));
+  engines.find("slow")->speed = 0.25;
+  REQUIRE(balancing::mean_load(engines.of_service("llm")) == Approx(0.8));
+  engines.find("slow")->in_flight = 1;
+  REQUIRE(balancing::mean_load(engines.of_service("llm")) == Approx(1.0));
+}
+
+TEST_CASE("keys go to engines in shares by their speed", "[balancing]") {
+  EngineRegistry engines;
+  for (const auto* id : {"a", "b", "c", "d"}) engines.put(record(id, "near"));
+  engines.find("a")->speed = 0.5;
+  engines.find("b")->speed = 2;
+  std::map<std::string, int> chosen;
+  constexpr int kKeys = 9000;
+  for (int i = 0; i < kKeys; ++i) {
+    ++chosen[balancing::select_engine(engines, query("program-" + std::to_string(i)))->record.id];
+  }
+  CHECK(chosen["a"] == Approx(kKeys / 9.0).epsilon(0.1));
+  CHECK(chosen["b"] == Approx(kKeys * 4 / 9.0).epsilon(0.1));
+  CHECK(chosen["c"] == Approx(kKeys * 2 / 9.0).epsilon(0.1));
+}
+
+TEST_CASE("a key whose engine turns slow moves to one other, and others' keys stay",
+          "[balancing]") {
+  EngineRegistry engines;
+  for (const auto* id : {"a", "b", "c", "d"}) engines.put(record(id, "near"));
+  for (int i = 0; i < 1000; ++i) {
+    const auto key = "program-" + std::to_string(i);
+    const auto before = balancing::select_engine(engines, query(key))->record.id;
+    engines.find("a")->speed = 0.25;
+    const auto after = balancing::select_engine(engines, query(key))->record.id;
+    engines.find("a")->speed = 1;
+    if (before != "a") REQUIRE(after == before);
+  }
+}
