Believed speed is the median of some seconds; fleets of uneven engines in virtual time

Cause: a mean that fades over 4 s believed 0.45 of an engine that was slow for 0.6 s at times, and sent its work around. Change: seven readings of 0.7 s, of which the median counts, with the usual speed for four samples; bounds on what one message weighs.

--- a/src/balancing/engine.hpp
+++ b/src/balancing/engine.hpp
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "balancing/engine_speed.hpp"
+#include "balancing/believed_speed.hpp"
 #include "balancing/speed_step.hpp"
 #include "net/asio.hpp"
 
@@ -31,7 +31,8 @@
   bool left_to_probe = false;    ///< fails for many nodes: another node tries it for all
   net::TimePoint avoid_until{};  ///< after a refusal or failure: other engines come first
   EngineSpeed own_speed;         ///< as this node's exchanges tell
-  double speed = 1;              ///< over the usual engine's of the service, as all nodes tell
+  BelievedSpeed told_speed;      ///< as all nodes tell
+  double speed = 1;              ///< over the usual engine's of the service; the choice's input
   SpeedStep speed_step;          ///< of `speed`, for the log
   bool leaving = false;          ///< said so itself, or its entry is gone: no new requests
 
--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -100,9 +100,16 @@
   return load_of(*engine) < bound ? engine : nullptr;
 }
 
+/// Time that one more request takes, over that at an idle engine of the usual speed: requests
+/// beyond the slots wait for a whole batch.
+double turn_time(const Engine& engine) {
+  const double requests = engine.in_flight + engine.peer_in_flight + 1;
+  return std::max(1.0, requests / engine.record.slots) / engine.speed;
+}
+
 /// Whether a line's next turns end sooner at the other engine, its prompt read anew there.
 bool worth_moving(const Engine& from, const Engine& to, double turn_over_reading) {
-  const double gain = kTurnsLeft * turn_over_reading * (1 / from.speed - 1 / to.speed);
+  const double gain = kTurnsLeft * turn_over_reading * (turn_time(from) - turn_time(to));
   return gain > kGainOverReading / to.speed;
 }
 
--- a/src/balancing/engine_speed.cpp
+++ b/src/balancing/engine_speed.cpp
@@ -9,9 +9,7 @@
 
 namespace {
 
-/// Exchanges fade to 1/e within this time: long against the half second for which engines are slow
-/// now and then, short against the programs that a slow engine would make late.
-constexpr double kFadeMillis = 4000;
+constexpr double kFadeMillis = static_cast<double>(kSpeedReading.count());
 constexpr double kPermille = 1000;
 /// One exchange says no more than the bounds of speed: one that hangs is no measure of the engine.
 const double kMostSlowness = std::log(kPermille / kLeastPermille);
@@ -39,16 +37,4 @@
   return figure;
 }
 
-double believed_speed(const SpeedFigure& own, const SpeedFigure& told) {
-  double samples = kUsualSamples;
-  double sum = kPermille * kUsualSamples;
-  for (const auto& figure : {own, told}) {
-    if (figure.samples <= 0) continue;
-    samples += figure.samples;
-    sum += static_cast<double>(std::clamp(figure.permille, kLeastPermille, kMostPermille)) *
-           figure.samples;
-  }
-  return sum / samples / kPermille;
-}
-
 }  // namespace sailgate::balancing
--- a/src/balancing/engine_speed.hpp
+++ b/src/balancing/engine_speed.hpp
@@ -20,9 +20,12 @@
 /// a slow engine gets enough to be seen mending.
 inline constexpr int kLeastPermille = 250;
 inline constexpr int kMostPermille = 4000;
-/// Samples that the usual speed counts for: one slow exchange of an engine that has hardly been
-/// used must not empty it.
-inline constexpr int kUsualSamples = 4;
+/// Samples behind one told speed that count: what the nodes of a zone may have. More would let one
+/// wrong message outweigh all others.
+inline constexpr int kMostSamples = 1000;
+/// Span of one reading of an engine's speed, in which exchanges fade to 1/e: some of them are in it
+/// over all nodes, and a slow half second is in two readings at most.
+inline constexpr net::Millis kSpeedReading{700};
 
 /// What one node learns of one engine. Old exchanges fade. Deterministic, not thread-safe.
 class EngineSpeed {
@@ -41,7 +44,4 @@
   net::TimePoint noted_at_{};
 };
 
-/// Speed that a node goes by: the mean of its own samples, those of the others, and the usual one.
-double believed_speed(const SpeedFigure& own, const SpeedFigure& told);
-
 }  // namespace sailgate::balancing
--- a/src/cluster/told_figures.cpp
+++ b/src/cluster/told_figures.cpp
@@ -1,5 +1,9 @@
 #include "cluster/told_figures.hpp"
 
+#include <algorithm>
+
+#include "balancing/engine_speed.hpp"
+
 namespace sailgate::cluster {
 
 namespace {
@@ -27,9 +31,11 @@
   for (const auto& [engine, speed] : speeds) {
     if (speed.samples <= 0) continue;
     auto& mean = sum[engine];
-    const std::int64_t weighted =
-        std::int64_t{mean.permille} * mean.samples + std::int64_t{speed.permille} * speed.samples;
-    mean.samples += speed.samples;
+    const auto samples = std::min(speed.samples, balancing::kMostSamples);
+    const std::int64_t permille =
+        std::clamp(speed.permille, balancing::kLeastPermille, balancing::kMostPermille);
+    const std::int64_t weighted = std::int64_t{mean.permille} * mean.samples + permille * samples;
+    mean.samples += samples;
     mean.permille = static_cast<std::int32_t>(weighted / mean.samples);
   }
 }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -329,7 +329,8 @@
     const auto entry = told.find(cluster::engine_key(engine->record.id));
     balancing::SpeedFigure others;
     if (entry != told.end()) others = {entry->second.permille, entry->second.samples};
-    engine->speed = balancing::believed_speed(engine->own_speed.figure(now), others);
+    engine->told_speed.take(engine->own_speed.figure(now), others, now);
+    engine->speed = engine->told_speed.value();
     slowest = std::min(slowest, engine->speed);
     fastest = std::max(fastest, engine->speed);
     log_speed(*engine, others, now);
--- a/tests/balancing/engine_selector_test.cpp
+++ b/tests/balancing/engine_selector_test.cpp
@@ -267,3 +267,44 @@
     if (before != "a") REQUIRE(after == before);
   }
 }
+
+TEST_CASE(
+    "a line leaves an engine that turned slow when its next turns gain more than its prompt "
+    "costs",
+    "[balancing]") {
+  auto engines = registry();
+  auto asked = query();
+  asked.line_engine = "a";
+  engines.find("a")->speed = 0.4;
+  // Not known what reading anew costs, or more than two turns gain.
+  REQUIRE(balancing::select_engine(engines, asked)->record.id == "a");
+  asked.turn_over_reading = 0.5;
+  REQUIRE(balancing::select_engine(engines, asked)->record.id == "a");
+  asked.turn_over_reading = 5;
+  REQUIRE(balancing::select_engine(engines, asked)->record.id != "a");
+}
+
+TEST_CASE("a line does not leave for a gain that may be none", "[balancing]") {
+  auto engines = registry();
+  auto asked = query();
+  asked.line_engine = "a";
+  asked.turn_over_reading = 5;
+  engines.find("a")->speed = 0.85;
+  REQUIRE(balancing::select_engine(engines, asked)->record.id == "a");
+}
+
+TEST_CASE("a line stays at a slow engine while the faster ones are full or fail", "[balancing]") {
+  auto engines = registry();
+  auto asked = query();
+  asked.line_engine = "a";
+  asked.turn_over_reading = 5;
+  engines.find("a")->speed = 0.4;
+  // A turn takes 2.5 times as long at the slow engine, and 3.25 times as long at the others.
+  for (const auto* id : {"b", "c", "d"}) engines.find(id)->peer_in_flight = 12;
+  REQUIRE(balancing::select_engine(engines, asked)->record.id == "a");
+  for (const auto* id : {"b", "c", "d"}) {
+    engines.find(id)->peer_in_flight = 0;
+    engines.find(id)->avoid_until = asked.now + net::Millis(100);
+  }
+  REQUIRE(balancing::select_engine(engines, asked)->record.id == "a");
+}
