--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -36,6 +36,10 @@
 /// move for nothing costs the engines what it was to save.
 constexpr double kGainOverReading = 2;
 
+/// Lines look for a faster engine where theirs is slower than this: others that gain as much are
+/// within what is known of speeds.
+constexpr double kTurnedSlow = 0.75;
+
 /// Uniform in [0, 1) for a pair of key and engine.
 double rendezvous_draw(const std::string& key, const std::string& engine_id) {
   const auto seed = XXH64(engine_id.data(), engine_id.size(), 0);
@@ -130,7 +134,8 @@
   const auto& engines = registry.of_service(query.service);
   const double mean = mean_load(engines);
   const auto stay = engine_to_stay_at(registry, query, mean);
-  const bool may_move = stay != nullptr && query.turn_over_reading > 0 && stay->speed < 1;
+  const bool slow = stay != nullptr && stay->speed < kTurnedSlow;
+  const bool may_move = slow && query.turn_over_reading > 0;
   if (stay != nullptr && !may_move) return stay;
   EnginePointer best;
   Rank best_rank{};
--- /dev/null
+++ b/tests/serving/stream_timing_test.cpp
@@ -0,0 +1,44 @@
+#include "serving/stream_timing.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace sailgate;
+using net::Millis;
+using serving::StreamTiming;
+
+namespace {
+
+const net::TimePoint kStart = net::TimePoint{} + std::chrono::hours(1);
+
+}  // namespace
+
+TEST_CASE("times of a stream are those of its events", "[serving]") {
+  StreamTiming timing(kStart, true);
+  REQUIRE_FALSE(timing.times(kStart + Millis(5)));
+  timing.came(1, kStart + Millis(20));
+  timing.came(2, kStart + Millis(100));
+  timing.came(1, kStart + Millis(140));
+  const auto times = timing.times(kStart + Millis(150));
+  REQUIRE(times);
+  REQUIRE(times->first_ms == Approx(20));
+  REQUIRE(times->event_ms == Approx(40));
+  REQUIRE(times->whole_ms == Approx(150));
+  REQUIRE(times->prompt_kept);
+}
+
+TEST_CASE("events that came together tell no time between them", "[serving]") {
+  StreamTiming timing(kStart, false);
+  timing.came(4, kStart + Millis(20));
+  REQUIRE(timing.times(kStart + Millis(20))->event_ms == 0);
+  timing.came(1, kStart + Millis(60));
+  REQUIRE(timing.times(kStart + Millis(60))->event_ms == 0);
+}
+
+TEST_CASE("a caller that is slow to read does not make its engine slow", "[serving]") {
+  StreamTiming timing(kStart, false);
+  timing.came(1, kStart + Millis(20));
+  timing.taken(kStart + Millis(220));
+  timing.came(2, kStart + Millis(221));
+  timing.came(2, kStart + Millis(300));
+  REQUIRE(timing.times(kStart + Millis(300))->event_ms == 0);
+}
