--- a/src/balancing/engine.hpp
+++ b/src/balancing/engine.hpp
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include "balancing/believed_speed.hpp"
+#include "balancing/speed_step.hpp"
 #include "net/asio.hpp"
 
 namespace sailgate::balancing {
@@ -28,6 +30,10 @@
   net::TimePoint failed_at{};    ///< the last of them
   bool left_to_probe = false;    ///< fails for many nodes: another node tries it for all
   net::TimePoint avoid_until{};  ///< after a refusal or failure: other engines come first
+  EngineSpeed own_speed;         ///< as this node's exchanges tell
+  BelievedSpeed told_speed;      ///< as all nodes tell
+  double speed = 1;              ///< over the usual engine's of the service; the choice's input
+  SpeedStep speed_step;          ///< of `speed`, for the log
   bool leaving = false;          ///< said so itself, or its entry is gone: no new requests
 
   bool usable() const { return !leaving && !record.draining; }
