--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "balancing/rendezvous.hpp"
+
 namespace sailgate::balancing {
 
 namespace {
@@ -18,6 +20,14 @@
 /// one request of six slots, loads heard late moved nodes on all the time: 295 nodes before 153
 /// engines opened a connection for one send in five.
 constexpr double kConnectCost = 0.5;
+/// Cost between the first and the last place of a program's order among the engines that keep the
+/// first part of its prompt, in slots' shares. Any of them has that part, so a less busy one is
+/// worth more than the one that other nodes would take; the order keeps nodes that hear of loads
+/// late from all choosing the same.
+constexpr double kPlacedCost = 0.5;
+/// Engines that lack the first part come after all that keep it and may still be used: reading it
+/// takes longer than the wait for a slot.
+constexpr double kAbsentCost = 4.0;
 /// Bounded loads: an engine beyond both bounds is only used when all are beyond them. The first is
 /// a share of its slots, the second a multiple of the service's mean load.
 constexpr double kSaturation = 0.85;
@@ -28,14 +38,6 @@
 constexpr double kStayLoad = 1.0;
 constexpr double kStayOverMean = 1.5;
 
-/// Uniform in [0, 1) for a pair of key and engine.
-double rendezvous_draw(const std::string& key, const std::string& engine_id) {
-  const auto seed = XXH64(engine_id.data(), engine_id.size(), 0);
-  const auto hash = XXH64(key.data(), key.size(), seed);
-  constexpr double kRange = 18446744073709551616.0;
-  return static_cast<double>(hash) / kRange;
-}
-
 struct Rank {
   bool avoided;
   bool saturated;
@@ -56,15 +58,22 @@
   return engine.left_to_probe || query.now < engine.avoid_until;
 }
 
+/// With a key connections don't count: moving a program means reading its prompt anew.
+double keyed_cost(const Engine& engine, const SelectionQuery& query) {
+  const auto& id = engine.record.id;
+  if (query.prompt == nullptr) return kAffinityCost * rendezvous_draw(query.affinity_key, id);
+  if (query.prompt->hold(id)) {
+    return kPlacedCost * rendezvous_draw(query.affinity_key, id) + load_of(engine);
+  }
+  return kAbsentCost + kAffinityCost * rendezvous_draw(query.prompt->order_key, id);
+}
+
 Rank rank(const Engine& engine, const SelectionQuery& query, double saturation) {
   const double load = load_of(engine);
   const double zone = engine.record.zone == query.zone ? 0.0 : kOtherZoneCost;
   const double connect = engine.idle_connections > 0 ? 0.0 : kConnectCost;
-  // With a key neither load nor connections count: moving a program means reading its prompt anew.
   const bool keyed = !query.affinity_key.empty();
-  const double preference =
-      keyed ? kAffinityCost * rendezvous_draw(query.affinity_key, engine.record.id)
-            : load + connect;
+  const double preference = keyed ? keyed_cost(engine, query) : load + connect;
   const auto tie = XXH64(engine.record.id.data(), engine.record.id.size(), query.draw);
   return {avoided(engine, query), load >= saturation, preference + zone, tie};
 }
--- a/src/balancing/engine_selector.hpp
+++ b/src/balancing/engine_selector.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "balancing/engine_registry.hpp"
+#include "balancing/prompt_placement.hpp"
 
 namespace sailgate::balancing {
 
@@ -13,7 +14,8 @@
   std::string service;
   std::string line_engine;   ///< has the whole prompt cached but for the new input; empty: none
   std::string affinity_key;  ///< requests with the same key share long prompts; empty: none
-  std::string zone;          ///< of this node
+  const PromptPlaces* prompt = nullptr;  ///< engines that keep the first part; nullptr: not known
+  std::string zone;                      ///< of this node
   net::TimePoint now;
   std::uint64_t draw = 0;             ///< random tie-break
   std::vector<std::string> excluded;  ///< engines this request was already offered to
@@ -29,7 +31,9 @@
 /// saturation, then cost. Cost sums the share of slots that are busy, a charge for another zone and
 /// one for a new connection. With an affinity key the distance from the top of the key's rendezvous
 /// order takes the place of slots and connections, so that all nodes agree on a key's engine
-/// without talking to each other.
+/// without talking to each other. Where the engines that keep the first part of the prompt are
+/// known, these come first: those of this zone, then the others, each by the key's order and its
+/// load; then the next in the order of that first part.
 ///
 /// @return nullptr when no usable engine is left.
 EnginePointer select_engine(const EngineRegistry& registry, const SelectionQuery& query);
--- /dev/null
+++ b/src/balancing/prompt_placement.cpp
@@ -0,0 +1,185 @@
+#include "balancing/prompt_placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <unordered_map>
+
+#include "balancing/rendezvous.hpp"
+
+namespace sailgate::balancing {
+
+namespace {
+
+/// Prompts an engine keeps on average; see prompts_an_engine().
+constexpr double kMostPromptsAnEngine = 3.0;
+/// Share of an engine's memory for shared prompts: the rest is for the lines that run there.
+constexpr double kMemoryForPrompts = 0.5;
+/// The loss of one engine leaves one that keeps the prompt.
+constexpr int kLeastEngines = 2;
+/// A prompt counts as if so many requests more had asked for it: before anything is known all get
+/// an equal share, and a handful of requests does not outweigh that.
+constexpr double kAssumedRequests = 4;
+/// Prompts that are assumed to be there before any is known.
+constexpr std::size_t kAssumedPrompts = 8;
+/// A prompt's number of engines stays while what is wanted is within this of it: counts vary from
+/// one second to the next, and each change moves some programs.
+constexpr double kEnginesOfSlack = 1.0;
+/// An engine keeps at most so many times the mean number of prompts: by the rendezvous order alone
+/// some would keep three times as many as others, and have as much work.
+constexpr double kCopiesOverMean = 1.25;
+/// Prompts placed; those asked for less often are placed when they are asked for.
+constexpr std::size_t kMostPrompts = 256;
+
+std::string order_key(std::int32_t prompt) { return "prompt/" + std::to_string(prompt); }
+
+std::uint64_t digest(const std::vector<EnginePointer>& engines) {
+  std::uint64_t sum = 0;
+  for (const auto& engine : engines) {
+    const auto& id = engine->record.id;
+    if (engine->usable()) sum += XXH64(id.data(), id.size(), 1);
+  }
+  return sum;
+}
+
+std::size_t usable_engines(const std::vector<EnginePointer>& engines) {
+  return static_cast<std::size_t>(std::count_if(
+      engines.begin(), engines.end(), [](const auto& engine) { return engine->usable(); }));
+}
+
+/// The prompts asked for most often.
+PromptCounts most_frequent(const PromptCounts& counts) {
+  if (counts.size() <= kMostPrompts) return counts;
+  std::vector<std::pair<std::int32_t, std::int32_t>> by_requests;
+  for (const auto& [key, requests] : counts) by_requests.emplace_back(requests, key);
+  std::sort(by_requests.rbegin(), by_requests.rend());
+  by_requests.resize(kMostPrompts);
+  PromptCounts kept;
+  for (const auto& [requests, key] : by_requests) kept[key] = requests;
+  return kept;
+}
+
+/// The first so many engines of an order that keep fewer prompts than the bound; where there are
+/// none, the first of the order.
+std::set<std::string> take_first(const std::vector<std::string>& order, int wanted, int bound,
+                                 std::unordered_map<std::string, int>& copies) {
+  std::set<std::string> taken;
+  for (const auto& engine : order) {
+    if (static_cast<int>(taken.size()) >= wanted) break;
+    if (copies[engine] >= bound) continue;
+    ++copies[engine];
+    taken.insert(engine);
+  }
+  if (taken.empty() && !order.empty()) taken.insert(order.front());
+  return taken;
+}
+
+}  // namespace
+
+double prompts_an_engine(std::int64_t memory_tokens, double prompt_tokens) {
+  if (memory_tokens <= 0 || prompt_tokens <= 0) return kMostPromptsAnEngine;
+  const double room = kMemoryForPrompts * static_cast<double>(memory_tokens) / prompt_tokens;
+  return std::clamp(room, 1.0, kMostPromptsAnEngine);
+}
+
+std::size_t PromptPlacement::copies() const {
+  std::size_t sum = 0;
+  for (const auto& [key, engines] : engines_wanted_) sum += static_cast<std::size_t>(engines);
+  return sum;
+}
+
+double PromptPlacement::wanted(std::int32_t requests, std::size_t engines) const {
+  const auto prompts = static_cast<double>(std::max(counted_prompts_, kAssumedPrompts));
+  const double share = (requests + kAssumedRequests) / (all_requests_ + kAssumedRequests * prompts);
+  return prompts_an_engine_ * static_cast<double>(engines) * share;
+}
+
+int PromptPlacement::bounded(double wanted, std::size_t engines) const {
+  const auto most = std::max(static_cast<int>(engines), 1);
+  return std::clamp(static_cast<int>(std::lround(wanted)), std::min(kLeastEngines, most), most);
+}
+
+std::vector<PlacesChange> PromptPlacement::update(const PromptCounts& counts,
+                                                  const std::vector<EnginePointer>& engines,
+                                                  double prompts_an_engine) {
+  const auto counted = most_frequent(counts);
+  const auto usable = usable_engines(engines);
+  prompts_an_engine_ = prompts_an_engine;
+  counted_prompts_ = counted.size();
+  all_requests_ = 0;
+  for (const auto& [key, requests] : counted) all_requests_ += requests;
+  std::vector<PlacesChange> changes;
+  std::map<std::int32_t, int> now_wanted;
+  for (const auto& [key, requests] : counted) {
+    const auto known = engines_wanted_.find(key);
+    const int before = known == engines_wanted_.end() ? 0 : known->second;
+    const double share = wanted(requests, usable);
+    const bool stays = before > 0 && std::abs(share - before) < kEnginesOfSlack;
+    const int after = bounded(stays ? before : share, usable);
+    now_wanted[key] = after;
+    if (after != before) changes.push_back({key, before, after, requests, all_requests_});
+  }
+  for (const auto& [key, before] : engines_wanted_) {
+    if (now_wanted.count(key) == 0) changes.push_back({key, before, 0, 0, all_requests_});
+  }
+  const auto engines_now = digest(engines);
+  const bool same = changes.empty() && engines_now == engines_digest_;
+  engines_wanted_ = std::move(now_wanted);
+  engines_digest_ = engines_now;
+  if (!same) place_all(engines);
+  return changes;
+}
+
+std::vector<std::string> PromptPlacement::order(const std::string& key,
+                                                const std::vector<EnginePointer>& engines) {
+  std::map<std::string, std::vector<std::pair<double, std::string>>> zones;
+  for (const auto& engine : engines) {
+    if (!engine->usable()) continue;
+    const auto& record = engine->record;
+    zones[record.zone].emplace_back(rendezvous_draw(key, record.id), record.id);
+  }
+  // Zones take turns, by their sizes: a prompt with a few engines has some in each zone.
+  std::vector<std::pair<double, std::string>> places;
+  for (auto& [zone, ordered] : zones) {
+    std::sort(ordered.begin(), ordered.end());
+    const double first = rendezvous_draw(key, zone);
+    const auto size = static_cast<double>(ordered.size());
+    for (std::size_t rank = 0; rank < ordered.size(); ++rank) {
+      places.emplace_back((static_cast<double>(rank) + first) / size, ordered[rank].second);
+    }
+  }
+  std::sort(places.begin(), places.end());
+  std::vector<std::string> ids;
+  ids.reserve(places.size());
+  for (auto& [position, id] : places) ids.push_back(std::move(id));
+  return ids;
+}
+
+void PromptPlacement::place_all(const std::vector<EnginePointer>& engines) {
+  places_.clear();
+  const auto usable = std::max<std::size_t>(usable_engines(engines), 1);
+  const double mean = static_cast<double>(copies()) / static_cast<double>(usable);
+  const int bound = static_cast<int>(kCopiesOverMean * mean) + 1;
+  std::unordered_map<std::string, int> copies;
+  for (const auto& [key, count] : engines_wanted_) {
+    auto& places = places_[key];
+    places.order_key = order_key(key);
+    places.engines = take_first(order(places.order_key, engines), count, bound, copies);
+  }
+}
+
+const PromptPlaces& PromptPlacement::places(std::int32_t prompt,
+                                            const std::vector<EnginePointer>& engines) {
+  const auto known = places_.find(prompt);
+  if (known != places_.end()) return known->second;
+  if (places_.size() >= 2 * kMostPrompts) place_all(engines);
+  auto& places = places_[prompt];
+  const auto usable = usable_engines(engines);
+  const int count = bounded(wanted(0, usable), usable);
+  places.order_key = order_key(prompt);
+  std::unordered_map<std::string, int> copies;
+  places.engines = take_first(order(places.order_key, engines), count, 1, copies);
+  return places;
+}
+
+}  // namespace sailgate::balancing
--- /dev/null
+++ b/src/balancing/prompt_placement.hpp
@@ -0,0 +1,77 @@
+/// @file Which engines keep each shared prompt.
+///
+/// Answers programs that begin with one of a few long shared prompts. Placed by the program alone,
+/// every engine reads every prompt and its memory cannot keep them beside its running requests;
+/// placed at one engine a prompt, the engine of a prompt in demand is overrun.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "balancing/engine_registry.hpp"
+#include "balancing/prompt_demand.hpp"
+
+namespace sailgate::balancing {
+
+/// Engines of one shared prompt.
+struct PromptPlaces {
+  std::string order_key;          ///< of the rendezvous order in which other engines come next
+  std::set<std::string> engines;  ///< that keep the prompt
+
+  bool hold(const std::string& engine) const { return engines.count(engine) > 0; }
+};
+
+/// The number of engines of a prompt changed.
+struct PlacesChange {
+  std::int32_t prompt = 0;
+  int before = 0;  ///< 0: the prompt is new
+  int after = 0;   ///< 0: nobody asks for it any more
+  std::int32_t requests = 0;
+  std::int32_t all_requests = 0;
+};
+
+/// Prompts that an engine keeps on average where its memory allows: one copy of a prompt for each
+/// zone and a few for the prompts in demand, so that the load of an engine is that of several
+/// prompts. @param memory_tokens of an engine, @param prompt_tokens mean of the prompts; 0:
+/// unknown.
+double prompts_an_engine(std::int64_t memory_tokens, double prompt_tokens);
+
+/// Places of the prompts of one service. A function of the counts, the engines and, within one
+/// engine a prompt, of the places before: all nodes with the same counts agree, whatever they knew
+/// before, to one engine. Deterministic, not thread-safe.
+class PromptPlacement {
+ public:
+  /// Takes over what is asked for and which engines there are.
+  /// @param counts of the service's prompts, over all nodes.
+  std::vector<PlacesChange> update(const PromptCounts& counts,
+                                   const std::vector<EnginePointer>& engines,
+                                   double prompts_an_engine);
+
+  /// Places of a prompt; one that was not counted yet gets an equal share of the engines.
+  const PromptPlaces& places(std::int32_t prompt, const std::vector<EnginePointer>& engines);
+
+  std::size_t prompts() const { return engines_wanted_.size(); }
+  /// Sum over the prompts.
+  std::size_t copies() const;
+
+ private:
+  /// Engines in the order in which they are to keep a prompt.
+  static std::vector<std::string> order(const std::string& key,
+                                        const std::vector<EnginePointer>& engines);
+  /// Share of all copies, from the requests that were counted.
+  double wanted(std::int32_t requests, std::size_t engines) const;
+  int bounded(double wanted, std::size_t engines) const;
+  void place_all(const std::vector<EnginePointer>& engines);
+
+  double prompts_an_engine_ = 0;
+  std::int32_t all_requests_ = 0;
+  std::size_t counted_prompts_ = 0;
+  std::uint64_t engines_digest_ = 0;
+  std::map<std::int32_t, int> engines_wanted_;  ///< of each prompt that was counted
+  std::map<std::int32_t, PromptPlaces> places_;
+};
+
+}  // namespace sailgate::balancing
--- /dev/null
+++ b/src/balancing/rendezvous.hpp
@@ -0,0 +1,18 @@
+/// @file Rendezvous order: any node puts engines in the same order for a key, without asking.
+#pragma once
+
+#include <xxhash.h>
+
+#include <string>
+
+namespace sailgate::balancing {
+
+/// Uniform in [0, 1) for a pair of key and engine.
+inline double rendezvous_draw(const std::string& key, const std::string& engine_id) {
+  const auto seed = XXH64(engine_id.data(), engine_id.size(), 0);
+  const auto hash = XXH64(key.data(), key.size(), seed);
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(hash) / kRange;
+}
+
+}  // namespace sailgate::balancing
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -46,7 +46,8 @@
 /// A service and what its engines are like.
 struct Service {
   std::string name;
-  int tokens_per_event = 0;  ///< tokens in one event of a stream; 0 for plain services
+  int tokens_per_event = 0;               ///< tokens in one event of a stream; 0 for plain services
+  std::int64_t engine_memory_tokens = 0;  ///< of prompts and running requests; 0: not told
 };
 
 /// Bounds on what a caller may send.
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -170,6 +170,7 @@
   const bool long_prompt = description.prompt_tokens >= kLongPrompt;
   if (long_prompt && state_.settings.mechanisms.affinity) {
     query.affinity_key = call.key_of(description.program).text();
+    query.prompt = prompt_places(call);
   }
   query.line_engine = call.line_engine;
   query.zone = state_.settings.zone;
@@ -180,6 +181,18 @@
   return balancing::select_engine(state_.engines, query);
 }
 
+const balancing::PromptPlaces* Dispatcher::prompt_places(const Call& call) {
+  const auto& description = call.description;
+  if (!state_.settings.mechanisms.prompts || description.shared_prefix.empty()) return nullptr;
+  const auto prompt = balancing::prompt_key(call.service, description.shared_prefix);
+  if (call.offered.empty()) {
+    state_.prompt_demand.note(prompt, description.shared_prefix_tokens, net::Clock::now());
+  }
+  const auto placement = state_.prompt_placements.find(call.service);
+  if (placement == state_.prompt_placements.end()) return nullptr;
+  return &placement->second.places(prompt, state_.engines.of_service(call.service));
+}
+
 void Dispatcher::log_offer(const Call& call, const EngineExchange& exchange, const char* outcome) {
   const auto& engine = exchange.engine();
   state_.log.event("offer")
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -21,6 +21,11 @@
 /// and what was reserved at them counts as used.
 constexpr net::Millis kPeerGatherTime{40};
 constexpr net::Millis kMaintenanceInterval{100};
+/// Engines of shared prompts are settled anew this often: a tenth of the window in which requests
+/// count, and ten times the interval at which peers tell theirs.
+constexpr net::Millis kPromptInterval{500};
+/// Lines a service and time about prompts whose number of engines changed; each tells how many did.
+constexpr std::size_t kMostPlacesLines = 4;
 /// A node that has not reached the store for this long asks callers to go elsewhere.
 constexpr net::Millis kContactTime{3500};
 /// The entry asks for readiness once a second and believes the second refusal.
@@ -304,6 +309,7 @@
     state_.ledger.budgets.forget_idle(now);
     if (state_.settings.mechanisms.peer_loads) take_peer_loads(now);
     if (state_.settings.mechanisms.peer_failures) take_peer_failures(now);
+    if (state_.settings.mechanisms.prompts) place_prompts(now);
     state_.metrics.set_escrow_shards(state_.ledger.escrow.spendable_shards().size(),
                                      state_.ledger.escrow.bare_shards().size());
     state_.metrics.set_engines(state_.engines.size());
@@ -338,6 +344,48 @@
   }
 }
 
+void Gateway::place_prompts(net::TimePoint now) {
+  if (state_.routes == nullptr || now < prompts_placed_at_ + kPromptInterval) return;
+  prompts_placed_at_ = now;
+  auto counts = state_.prompt_demand.told(now);
+  cluster::add_counts(state_.peers.figures(now, state_.beacons.silence_limit()).prompts, counts);
+  std::size_t prompts = 0;
+  std::size_t copies = 0;
+  for (const auto& service : state_.routes->configuration().services) {
+    balancing::PromptCounts of_service;
+    for (const auto& [key, requests] : counts) {
+      if (balancing::is_prompt_of(key, service.name)) of_service[key] = requests;
+    }
+    const auto tokens = state_.prompt_demand.mean_tokens(service.name, now);
+    auto& placement = state_.prompt_placements[service.name];
+    const auto changes =
+        placement.update(of_service, state_.engines.of_service(service.name),
+                         balancing::prompts_an_engine(service.engine_memory_tokens, tokens));
+    log_places(service, tokens, changes);
+    prompts += placement.prompts();
+    copies += placement.copies();
+  }
+  state_.metrics.set_prompts(prompts, copies);
+}
+
+void Gateway::log_places(const routing::Service& service, double prompt_tokens,
+                         const std::vector<balancing::PlacesChange>& changes) {
+  std::size_t lines = 0;
+  for (const auto& change : changes) {
+    if (lines++ == kMostPlacesLines) break;
+    state_.log.event("prompt_engines")
+        .with("service", service.name)
+        .with("memory_tokens", service.engine_memory_tokens)
+        .with("prompt_tokens", static_cast<std::int64_t>(prompt_tokens))
+        .with("prompt", change.prompt)
+        .with("before", change.before)
+        .with("after", change.after)
+        .with("requests", change.requests)
+        .with("all_requests", change.all_requests)
+        .with("changes", changes.size());
+  }
+}
+
 void Gateway::share_store_version() {
   auto newest = state_.peers.newest_store_version();
   for (auto* follower : {&configuration_follower_, &engine_follower_, &peer_follower_}) {
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -42,6 +42,9 @@
   void take_peer_loads(net::TimePoint now);
   /// Leaves engines that fail for many nodes to one node of each zone.
   void take_peer_failures(net::TimePoint now);
+  /// Settles which engines keep each shared prompt, from what all nodes are asked for.
+  void place_prompts(net::TimePoint now);
+  void log_places(const std::string& service, const std::vector<balancing::PlacesChange>& changes);
   /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
   net::asio::awaitable<void> release_tokens();
   /// What the claims on shards of programs depend on.
@@ -76,6 +79,7 @@
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
   net::TimePoint last_contact_{};
   net::TimePoint stop_began_{};
+  net::TimePoint prompts_placed_at_{};
 };
 
 }  // namespace sailgate::serving
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -52,6 +52,9 @@
   bare_shards_ = &gauge(registry, "sailgate_bare_shards",
                         "Shards of programs that this node owns without an escrow to spend");
   engines_ = &gauge(registry, "sailgate_engines", "Engines known");
+  prompts_ = &gauge(registry, "sailgate_prompts", "Shared prompts that engines are set for");
+  prompt_engines_ = &gauge(registry, "sailgate_prompt_engines",
+                           "Engines that keep a shared prompt, summed over the prompts");
   connections_ =
       &gauge(registry, "sailgate_engine_connections_opened", "Connections opened to engines");
   log_drops_ = &gauge(registry, "sailgate_log_lines_dropped", "Log lines that did not fit");
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -30,6 +30,11 @@
     escrow_shards_->Set(static_cast<double>(spendable));
     bare_shards_->Set(static_cast<double>(bare));
   }
+  /// Shared prompts that have engines of their own, and the sum of these engines over the prompts.
+  void set_prompts(std::size_t count, std::size_t engines) {
+    prompts_->Set(static_cast<double>(count));
+    prompt_engines_->Set(static_cast<double>(engines));
+  }
   void set_connections_opened(std::uint64_t count) {
     connections_->Set(static_cast<double>(count));
   }
@@ -52,6 +57,8 @@
   prometheus::Gauge* engines_;
   prometheus::Gauge* escrow_shards_;
   prometheus::Gauge* bare_shards_;
+  prometheus::Gauge* prompts_;
+  prometheus::Gauge* prompt_engines_;
   prometheus::Gauge* connections_;
   prometheus::Gauge* log_drops_;
 };
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -6,6 +6,7 @@
 
 #include "balancing/engine_failures.hpp"
 #include "balancing/engine_registry.hpp"
+#include "balancing/prompt_placement.hpp"
 #include "base/random.hpp"
 #include "cluster/beacon_sender.hpp"
 #include "cluster/peer_clients.hpp"
@@ -72,6 +73,8 @@
     message.__isset.failures = !message.failures.empty();
     const auto tenants = quotas.told(now);
     if (!tenants.empty()) message.__set_tenants(tenants);
+    const auto prompts = prompt_demand.told(now);
+    if (!prompts.empty()) message.__set_prompts(prompts);
     const auto uptime = std::chrono::duration_cast<net::Millis>(now - started_at);
     if (uptime < kToldUptime) message.__set_uptime_ms(static_cast<std::int32_t>(uptime.count()));
     return message;
@@ -88,6 +91,8 @@
   std::shared_ptr<const routing::RouteTable> routes;  ///< nullptr before the first configuration
   balancing::EngineRegistry engines;
   bool engines_known = false;
+  balancing::PromptDemand prompt_demand;
+  std::map<std::string, balancing::PromptPlacement> prompt_placements;  ///< by service
   std::int64_t newest_store_version = 0;  ///< seen by this node or a peer
   EngineConnectionPool connections;
   net::TimePoint started_at = net::Clock::now();
