--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -44,7 +44,8 @@
   void take_peer_failures(net::TimePoint now);
   /// Settles which engines keep each shared prompt, from what all nodes are asked for.
   void place_prompts(net::TimePoint now);
-  void log_places(const std::string& service, const std::vector<balancing::PlacesChange>& changes);
+  void log_places(const routing::Service& service, double prompt_tokens,
+                  const std::vector<balancing::PlacesChange>& changes);
   /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
   net::asio::awaitable<void> release_tokens();
   /// What the claims on shards of programs depend on.
