--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -44,6 +44,10 @@
   /// Takes over how fast engines are, as this node's exchanges and the other nodes tell.
   void take_speeds(net::TimePoint now);
   void log_speed(balancing::Engine& engine, const balancing::SpeedFigure& told, net::TimePoint now);
+  /// Settles which engines keep each shared prompt, from what all nodes are asked for.
+  void place_prompts(net::TimePoint now);
+  void log_places(const routing::Service& service, double prompt_tokens,
+                  const std::vector<balancing::PlacesChange>& changes);
   /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
   net::asio::awaitable<void> release_tokens();
   /// What the claims on shards of programs depend on.
@@ -61,6 +65,7 @@
   std::unique_ptr<net::TextServer> metrics_;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
   net::TimePoint stop_began_{};
+  net::TimePoint prompts_placed_at_{};
 };
 
 }  // namespace sailgate::serving
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -56,6 +56,9 @@
                            "Lowest believed speed of an engine over the usual of its service");
   fastest_engine_ = &gauge(registry, "sailgate_fastest_engine_speed",
                            "Highest believed speed of an engine over the usual of its service");
+  prompts_ = &gauge(registry, "sailgate_prompts", "Shared prompts that engines are set for");
+  prompt_engines_ = &gauge(registry, "sailgate_prompt_engines",
+                           "Engines that keep a shared prompt, summed over the prompts");
   connections_ =
       &gauge(registry, "sailgate_engine_connections_opened", "Connections opened to engines");
   log_drops_ = &gauge(registry, "sailgate_log_lines_dropped", "Log lines that did not fit");
