Programs that may begin share what overloaded engines can still take

Answers more work than the engines of a service can take, from one tenant or all. So far one bound on the mean load decided, for whom the refusal fell was chance, and so was the time to come back. Now src/admission/ decides: engines that fail count as lost capacity, tenants above their max-min fair share of the last 3 s are refused before the others, and refused callers get places in an order.

--- a/src/base/random.hpp
+++ b/src/base/random.hpp
@@ -14,6 +14,9 @@
   /// @return a value in [0, bound); 0 when bound is 0.
   std::uint64_t below(std::uint64_t bound) { return bound == 0 ? 0 : engine_() % bound; }
 
+  /// @return a value in [0, 1).
+  double fraction() { return static_cast<double>(engine_() >> 32U) / 4294967296.0; }
+
   /// @return true in `percent` of 100 cases.
   bool chance(std::uint64_t percent) { return below(100) < percent; }
 
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -304,6 +304,7 @@
     state_.ledger.budgets.forget_idle(now);
     if (state_.settings.mechanisms.peer_loads) take_peer_loads(now);
     if (state_.settings.mechanisms.peer_failures) take_peer_failures(now);
+    if (state_.settings.mechanisms.fairness) take_peer_begun(now);
     state_.metrics.set_escrow_shards(state_.ledger.escrow.spendable_shards().size(),
                                      state_.ledger.escrow.bare_shards().size());
     state_.metrics.set_engines(state_.engines.size());
@@ -320,6 +321,11 @@
   }
 }
 
+void Gateway::take_peer_begun(net::TimePoint now) {
+  auto told = state_.peers.figures(now, state_.beacons.silence_limit());
+  state_.admission.hear(std::move(told.begun), state_.quotas.membership().heard, now);
+}
+
 void Gateway::take_peer_failures(net::TimePoint now) {
   const auto silence = state_.beacons.silence_limit();
   const auto failures = state_.peers.failures(now, silence);
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -42,6 +42,8 @@
   void take_peer_loads(net::TimePoint now);
   /// Leaves engines that fail for many nodes to one node of each zone.
   void take_peer_failures(net::TimePoint now);
+  /// Programs that the other nodes let begin.
+  void take_peer_begun(net::TimePoint now);
   /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
   net::asio::awaitable<void> release_tokens();
   /// What the claims on shards of programs depend on.
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -35,6 +35,10 @@
                    .Name("sailgate_requests_total")
                    .Help("Requests by how they ended")
                    .Register(registry);
+  programs_ = &prometheus::BuildCounter()
+                   .Name("sailgate_programs_total")
+                   .Help("Programs by rank and by what they were refused for, if they were")
+                   .Register(registry);
   tenant_requests_ = &prometheus::BuildCounter()
                           .Name("sailgate_tenant_requests_total")
                           .Help("Requests of a tenant by whether its limit let them through")
@@ -70,6 +74,11 @@
       .Increment();
 }
 
+void GatewayMetrics::program_decided(admission::Refusal refusal, int rank) {
+  programs_->Add({{"refused_for", admission::name_of(refusal)}, {"rank", std::to_string(rank)}})
+      .Increment();
+}
+
 void GatewayMetrics::first_event(net::Millis after) { first_events_->Observe(seconds(after)); }
 
 std::string GatewayMetrics::text() const {
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 
+#include "admission/admission.hpp"
 #include "net/asio.hpp"
 
 namespace sailgate::serving {
@@ -22,6 +23,8 @@
   void request_ended(const std::string& outcome, net::Millis duration);
   /// A tenant's request was let through, or refused at its limit.
   void tenant_request(const std::string& tenant, bool admitted);
+  /// A program was let begin, or refused for the load of its service.
+  void program_decided(admission::Refusal refusal, int rank);
   void first_event(net::Millis after);
   void store_lost() { store_losses_->Increment(); }
   void set_engines(std::size_t count) { engines_->Set(static_cast<double>(count)); }
@@ -46,6 +49,7 @@
   /// nor memory grows with the configuration.
   static constexpr std::size_t kMostTenants = 200;
   std::set<std::string> named_tenants_;
+  prometheus::Family<prometheus::Counter>* programs_;
   prometheus::Histogram* durations_;
   prometheus::Histogram* first_events_;
   prometheus::Counter* store_losses_;
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "admission/program_admission.hpp"
 #include "balancing/engine_failures.hpp"
 #include "balancing/engine_registry.hpp"
 #include "base/random.hpp"
@@ -48,7 +49,8 @@
         sweeper(
             loop, store, store.clock(), structured_log, [this] { return peers.peers().size() + 1; },
             static_cast<std::uint64_t>(incarnation)),
-        random(static_cast<std::uint64_t>(incarnation)) {
+        random(static_cast<std::uint64_t>(incarnation)),
+        admission(random.fraction()) {
     store.set_relaying(settings.mechanisms.relay);
     beacons.set_usage_window(settings.quota_bounds.window);
   }
@@ -72,6 +74,8 @@
     message.__isset.failures = !message.failures.empty();
     const auto tenants = quotas.told(now);
     if (!tenants.empty()) message.__set_tenants(tenants);
+    const auto begun = admission.told(now);
+    if (!begun.empty()) message.__set_begun(begun);
     const auto uptime = std::chrono::duration_cast<net::Millis>(now - started_at);
     if (uptime < kToldUptime) message.__set_uptime_ms(static_cast<std::int32_t>(uptime.count()));
     return message;
@@ -101,6 +105,7 @@
   ledger::ExpirySweeper sweeper;
   GatewayMetrics metrics;
   base::Random random;
+  admission::ProgramAdmission admission;
   bool stopping = false;
   int active_requests = 0;
 };
--- /dev/null
+++ b/src/serving/program_gate.cpp
@@ -0,0 +1,68 @@
+#include "serving/program_gate.hpp"
+
+#include "admission/load_bounds.hpp"
+#include "balancing/engine_selector.hpp"
+
+namespace sailgate::serving {
+
+namespace {
+
+/// Time to come back where returns have no order: some times the age of what nodes know of loads,
+/// and up to this part more by chance, in parts of a hundred.
+constexpr net::Millis kOverloadReturn{800};
+constexpr std::uint64_t kReturnSpread = 50;
+
+admission::ProgramRequest request_of(const NodeState& state, const Call& call) {
+  admission::ProgramRequest request;
+  request.rank = call.priority();
+  request.tenant = cluster::tenant_key(call.tenant_name());
+  request.time_left = call.time_left();
+  request.time_needed = state.admission.first_turn_time(call.service);
+  return request;
+}
+
+/// Without shares and an order of return: one bound on the load of each rank.
+std::optional<net::Millis> hold_to_bound(NodeState& state, const Call& call) {
+  const auto load = balancing::mean_load(state.engines.of_service(call.service));
+  if (admission::may_begin(load, call.priority())) return std::nullopt;
+  const auto wait = kOverloadReturn * (100 + state.random.below(kReturnSpread)) / 100;
+  state.log.event("refused_for_load")
+      .with("id", call.description.request_id)
+      .with("program", call.description.program)
+      .with("load", load)
+      .with("rank", call.priority())
+      .with("retry_after_ms", wait.count());
+  return wait;
+}
+
+}  // namespace
+
+std::optional<net::Millis> hold_program(NodeState& state, const Call& call) {
+  if (!state.settings.mechanisms.overload) return std::nullopt;
+  if (!state.settings.mechanisms.fairness) return hold_to_bound(state, call);
+  const auto now = net::Clock::now();
+  const auto& engines = state.engines.of_service(call.service);
+  const auto service = admission::measure_load(engines, now, state.admission.age(now));
+  const auto request = request_of(state, call);
+  const auto decision = state.admission.admit(service, request, now);
+  state.metrics.program_decided(decision.refusal, request.rank);
+  if (decision.admitted()) return std::nullopt;
+  const auto wait = state.admission.return_time(call.service, request, now);
+  state.log.event("refused_for_load")
+      .with("id", call.description.request_id)
+      .with("program", call.description.program)
+      .with("reason", admission::name_of(decision.refusal))
+      .with("load", service.load)
+      .with("slots", service.slots)
+      .with("lost_slots", service.lost_slots)
+      .with("heard_ms", service.age.count())
+      .with("rank", request.rank)
+      .with("tenant", call.tenant_name())
+      .with("tenant_begun", decision.begun)
+      .with("fair_share", decision.level)
+      .with("time_left_ms", request.time_left.count())
+      .with("retry_after_ms", wait.count());
+  return wait;
+}
+
+}  // namespace sailgate::serving
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 
-#include "balancing/engine_selector.hpp"
-#include "balancing/overload.hpp"
+#include "serving/program_gate.hpp"
 
 namespace sailgate::serving {
 
@@ -24,8 +23,6 @@
 /// Callers heed a time to come back of up to this part of the time they have left.
 constexpr int kReturnShare = 3;
 constexpr net::Millis kShortestReturn{50};
-/// Time to come back when engines are overloaded: some times the age of what nodes know of loads.
-constexpr net::Millis kOverloadReturn{800};
 /// Time to come back when only some of the store's rows cannot be reached.
 constexpr net::Millis kLongestReturn{1000};
 /// Callers that were refused while the store is away come back spread over this part of the time
@@ -42,6 +39,9 @@
   }
   auto end = co_await serve();
   end_turn(nullptr, "");
+  if (first_turn_ && std::string_view(end.outcome) == "answered") {
+    state_.admission.note_first_turn(call_.service, call_.elapsed());
+  }
   co_return end;
 }
 
@@ -108,17 +108,12 @@
   // A line of turns whose engine the program's home knows has begun, whichever node it reaches.
   // Where no home was asked nobody can tell, so that nothing is refused.
   const bool begins = call_.route->retained || (reserved_ > 0 && call_.line_engine.empty());
-  if (!begins || !state_.settings.mechanisms.overload) co_return std::nullopt;
-  const auto load = balancing::mean_load(state_.engines.of_service(call_.service));
-  if (balancing::may_begin(load, call_.priority())) co_return std::nullopt;
-  const auto wait = kOverloadReturn * (100 + state_.random.below(kReturnSpread)) / 100;
-  state_.log.event("refused_for_load")
-      .with("id", description.request_id)
-      .with("program", description.program)
-      .with("load", load)
-      .with("rank", call_.priority())
-      .with("retry_after_ms", wait.count());
-  co_return co_await refuse(call_, Kind::kOverloaded, wait);
+  if (!begins) co_return std::nullopt;
+  if (const auto wait = hold_program(state_, call_)) {
+    co_return co_await refuse(call_, Kind::kOverloaded, *wait);
+  }
+  first_turn_ = true;
+  co_return std::nullopt;
 }
 
 std::int64_t StreamCall::tokens_per_event() const {
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -59,6 +59,7 @@
   bool ended_ = false;          ///< the turn's keeper was told
   std::int64_t events_ = 0;
   bool begun_ = false;
+  bool first_turn_ = false;  ///< it began a program
 };
 
 }  // namespace sailgate::serving
--- a/tests/balancing/overload_test.cpp
+++ b/tests/admission/load_bounds_test.cpp
@@ -1,18 +1,18 @@
-#include "balancing/overload.hpp"
+#include "admission/load_bounds.hpp"
 
 #include <catch2/catch.hpp>
 #include <deque>
 #include <vector>
 
-using sailgate::balancing::may_begin;
+using sailgate::admission::may_begin;
 
-TEST_CASE("programs begin while engines can take them", "[balancing]") {
+TEST_CASE("programs begin while engines can take them", "[admission]") {
   REQUIRE(may_begin(0, 0));
   REQUIRE(may_begin(1.4, 9));
   REQUIRE_FALSE(may_begin(2.5, 0));
 }
 
-TEST_CASE("less urgent programs are refused first", "[balancing]") {
+TEST_CASE("less urgent programs are refused first", "[admission]") {
   REQUIRE(may_begin(1.95, 0));
   REQUIRE_FALSE(may_begin(1.95, 1));
 }
@@ -109,7 +109,7 @@
 }  // namespace
 
 TEST_CASE("refusing programs that have not begun serves more of them in time in a burst",
-          "[balancing]") {
+          "[admission]") {
   const auto all_taken = burst(false);
   const auto some_refused = burst(true);
   const double before = static_cast<double>(all_taken.in_time) / all_taken.asked;
