--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -152,6 +152,7 @@
     if (state_.settings.mechanisms.peer_failures) take_peer_failures(now);
     if (state_.settings.mechanisms.speeds) take_speeds(now);
     if (state_.settings.mechanisms.prompts) place_prompts(now);
+    if (state_.settings.mechanisms.fairness) take_peer_begun(now);
     state_.metrics.set_escrow_shards(state_.ledger.escrow.spendable_shards().size(),
                                      state_.ledger.escrow.bare_shards().size());
     state_.metrics.set_engines(state_.engines.size());
@@ -201,6 +202,11 @@
       .with("told_samples", told.samples);
 }
 
+void Gateway::take_peer_begun(net::TimePoint now) {
+  auto told = state_.peers.figures(now, state_.beacons.silence_limit());
+  state_.admission.hear(std::move(told.begun), state_.quotas.membership().heard, now);
+}
+
 void Gateway::take_peer_failures(net::TimePoint now) {
   const auto silence = state_.beacons.silence_limit();
   const auto failures = state_.peers.failures(now, silence);
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -48,6 +48,8 @@
   void place_prompts(net::TimePoint now);
   void log_places(const routing::Service& service, double prompt_tokens,
                   const std::vector<balancing::PlacesChange>& changes);
+  /// Programs that the other nodes let begin.
+  void take_peer_begun(net::TimePoint now);
   /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
   net::asio::awaitable<void> release_tokens();
   /// What the claims on shards of programs depend on.
