--- a/src/balancing/engine.hpp
+++ b/src/balancing/engine.hpp
@@ -26,7 +26,9 @@
   int idle_connections = 0;      ///< kept by this node
   int consecutive_failures = 0;  ///< since the last good answer
   net::TimePoint failed_at{};    ///< the last of them
+  net::TimePoint answered_at{};  ///< the last good answer to this node
   bool left_to_probe = false;    ///< fails for many nodes: another node tries it for all
+  bool zone_silent = false;      ///< nothing of its zone is heard: other engines come first
   net::TimePoint avoid_until{};  ///< after a refusal or failure: other engines come first
   bool leaving = false;          ///< said so itself, or its entry is gone: no new requests
 
--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -53,7 +53,7 @@
 }
 
 bool avoided(const Engine& engine, const SelectionQuery& query) {
-  return engine.left_to_probe || query.now < engine.avoid_until;
+  return engine.left_to_probe || engine.zone_silent || query.now < engine.avoid_until;
 }
 
 Rank rank(const Engine& engine, const SelectionQuery& query, double saturation) {
--- a/src/cluster/store_relay.cpp
+++ b/src/cluster/store_relay.cpp
@@ -15,6 +15,8 @@
 constexpr net::Millis kProbeInterval{200};
 constexpr net::Millis kProbeTimePerPeer{4};
 constexpr net::Millis kProbeTimeout{150};
+/// An answer that is not older than this needs no verification.
+constexpr net::Millis kFreshAnswer{400};
 /// Probes read parts of this table in turn: single parts may be out of service.
 constexpr const char* kProbeTable = "nodes";
 constexpr std::uint64_t kProbedParts = 251;
@@ -147,6 +149,18 @@
   }
 }
 
+void StoreRelay::verify() {
+  if (verifying_ || reachability_.unanswered(net::Clock::now()) < kFreshAnswer) return;
+  verifying_ = true;
+  net::asio::co_spawn(context_, probe_twice(), net::asio::detached);
+}
+
+net::asio::awaitable<void> StoreRelay::probe_twice() {
+  co_await probe();
+  if (reachability_.failures_in_a_row() > 0) co_await probe();
+  verifying_ = false;
+}
+
 std::optional<Peer> StoreRelay::relay_for_now() {
   if (direct_works_ || !relaying_) return std::nullopt;
   const auto now = net::Clock::now();
--- a/src/cluster/store_relay.hpp
+++ b/src/cluster/store_relay.hpp
@@ -40,6 +40,10 @@
   net::asio::awaitable<void> keep_probing();
   /// Whether some call to the store, direct or not, was answered lately.
   bool answers() const { return reachability_.answers(net::Clock::now()); }
+  const store::Reachability& reachability() const { return reachability_; }
+  /// Makes two calls beside the others, unless that is under way or one was just answered: with
+  /// few requests it would take seconds to find out that the store is lost.
+  void verify();
   /// How much longer no call is expected to be answered; 0 while some are.
   net::Millis expected_outage() const { return reachability_.expected_outage(net::Clock::now()); }
 
@@ -62,6 +66,7 @@
   void note_direct(const store::StoreResult& result);
   void note_end(const store::StoreResult& result);
   net::asio::awaitable<void> probe();
+  net::asio::awaitable<void> probe_twice();
   net::Millis probe_interval() const;
   net::asio::awaitable<store::StoreResult> relayed(Peer peer, const char* path, std::string body,
                                                    net::Millis timeout);
@@ -78,6 +83,7 @@
   store::Reachability reachability_;
   store::StoreClock clock_;
   std::uint64_t probes_ = 0;
+  bool verifying_ = false;
   bool relaying_ = true;
 };
 
--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -82,7 +82,8 @@
   }
   stream.expires_never();
   auto request = parser.release();
-  if (!request.keep_alive() || state_.stopping) channel_.close_after_answer();
+  const bool sends_elsewhere = state_.stopping || state_.readiness.steps_aside();
+  if (!request.keep_alive() || sends_elsewhere) channel_.close_after_answer();
   co_return co_await handler_.handle(channel_, std::move(request), net::Clock::now());
 }
 
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -123,6 +123,7 @@
 void note_success(balancing::Engine& engine) {
   engine.consecutive_failures = 0;
   engine.avoid_until = {};
+  engine.answered_at = net::Clock::now();
 }
 
 std::shared_ptr<const net::TextRequest> Dispatcher::engine_request(
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include "net/endpoint.hpp"
 #include "net/socket_state.hpp"
+#include "readiness/fleet_view.hpp"
 #include "wire/codec.hpp"
 
 namespace sailgate::serving {
@@ -21,7 +22,8 @@
 /// and what was reserved at them counts as used.
 constexpr net::Millis kPeerGatherTime{40};
 constexpr net::Millis kMaintenanceInterval{100};
-/// A node that has not reached the store for this long asks callers to go elsewhere.
+/// Without the readiness mechanism: a node that has not reached the store for this long asks
+/// callers to go elsewhere.
 constexpr net::Millis kContactTime{3500};
 /// The entry asks for readiness once a second and believes the second refusal.
 constexpr net::Millis kEntryNotices{3200};
@@ -33,6 +35,11 @@
 /// Longest that tokens are given back at once.
 constexpr net::Millis kReleaseTime{800};
 constexpr net::Millis kAcceptPause{20};
+/// Other zones are heard several times a second: after this silence the store is asked as well, so
+/// that both are known when a decision is due.
+constexpr net::Millis kSilenceToVerify{400};
+/// A connection to another zone that takes longer would not serve callers in time either.
+constexpr net::Millis kZoneTryTime{250};
 /// An owner of programs that was not heard of for so long is taken to be lost: its escrow with it,
 /// so a pause of its process should not be enough.
 constexpr net::Millis kOwnerSilence{2000};
@@ -111,8 +118,9 @@
 }
 
 bool Gateway::ready() const {
-  return !state_.stopping && state_.routes != nullptr && state_.engines_known &&
-         net::Clock::now() - last_contact_ < kContactTime;
+  if (state_.stopping || state_.routes == nullptr || !state_.engines_known) return false;
+  if (state_.settings.mechanisms.readiness) return !state_.readiness.steps_aside();
+  return net::Clock::now() - last_contact_ < kContactTime;
 }
 
 void Gateway::start() {
@@ -304,6 +312,10 @@
     state_.ledger.budgets.forget_idle(now);
     if (state_.settings.mechanisms.peer_loads) take_peer_loads(now);
     if (state_.settings.mechanisms.peer_failures) take_peer_failures(now);
+    if (state_.settings.mechanisms.readiness) {
+      take_readiness(now);
+      take_zone_reach(now);
+    }
     state_.metrics.set_escrow_shards(state_.ledger.escrow.spendable_shards().size(),
                                      state_.ledger.escrow.bare_shards().size());
     state_.metrics.set_engines(state_.engines.size());
@@ -338,6 +350,79 @@
   }
 }
 
+void Gateway::take_readiness(net::TimePoint now) {
+  auto view = readiness::view_of(state_.peers, now, state_.beacons.silence_limit());
+  if (view.other_zones.known > 0 && view.other_zones.newest_news >= kSilenceToVerify) {
+    state_.store.verify();
+  }
+  const auto& reachability = state_.store.reachability();
+  view.store_failures = reachability.failures_in_a_row();
+  view.store_unanswered = reachability.unanswered(now);
+  auto& tracker = state_.readiness;
+  if (tracker.note(view, now)) {
+    log_readiness(view);
+    state_.metrics.set_steps_aside(tracker.steps_aside());
+    idle_closed_ = false;
+  }
+  const bool noticed = tracker.aside_for(now) >= readiness::kEntryNotices;
+  if (!noticed || idle_closed_ || state_.stopping) return;
+  idle_closed_ = true;
+  close_idle_sessions();
+}
+
+void Gateway::log_readiness(const readiness::ReadinessView& view) {
+  const auto& tracker = state_.readiness;
+  state_.log.event(tracker.steps_aside() ? "steps_aside" : "takes_callers_again")
+      .with("why", readiness::name_of(tracker.latest().reason))
+      .with("whole_zone", static_cast<int>(tracker.latest().whole_zone))
+      .with("store_failures", view.store_failures)
+      .with("store_unanswered_ms", view.store_unanswered.count())
+      .with("zone_heard", view.own_zone.heard)
+      .with("zone_reach_store", view.own_zone.reach_store)
+      .with("zone_aside", view.own_zone.step_aside)
+      .with("others_known", view.other_zones.known)
+      .with("others_heard", view.other_zones.heard)
+      .with("others_reach_store", view.other_zones.reach_store)
+      .with("others_news_ms", view.other_zones.newest_news.count());
+}
+
+void Gateway::close_idle_sessions() {
+  const auto sessions = sessions_;
+  for (const auto& session : sessions) session->close_if_idle();
+}
+
+net::asio::awaitable<void> Gateway::try_zone(balancing::EnginePointer engine) {
+  net::beast::tcp_stream stream(context_);
+  stream.expires_after(kZoneTryTime);
+  net::Error error;
+  co_await stream.async_connect(engine->record.endpoint, net::awaiting(error));
+  if (!error) zone_reach_.note_sign(engine->record.zone, net::Clock::now());
+}
+
+void Gateway::take_zone_reach(net::TimePoint now) {
+  for (const auto& [zone, at] : readiness::newest_signs(state_.peers)) {
+    zone_reach_.note_sign(zone, at);
+  }
+  for (const auto& engine : state_.engines.all()) {
+    const auto& zone = engine->record.zone;
+    if (zone == state_.settings.zone) continue;
+    if (engine->answered_at != net::TimePoint{}) zone_reach_.note_sign(zone, engine->answered_at);
+  }
+  for (const auto& engine : state_.engines.all()) {
+    const auto& zone = engine->record.zone;
+    if (zone == state_.settings.zone) continue;
+    if (engine->usable() && zone_reach_.should_try(zone, now)) {
+      net::asio::co_spawn(context_, try_zone(engine), net::asio::detached);
+    }
+    const bool silent = !zone_reach_.reachable(zone, now);
+    if (silent == engine->zone_silent) continue;
+    engine->zone_silent = silent;
+    state_.log.event(silent ? "engine_zone_silent" : "engine_zone_heard")
+        .with("engine", engine->record.id)
+        .with("zone", zone);
+  }
+}
+
 void Gateway::share_store_version() {
   auto newest = state_.peers.newest_store_version();
   for (auto* follower : {&configuration_follower_, &engine_follower_, &peer_follower_}) {
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <unordered_set>
 
+#include "balancing/zone_reach.hpp"
 #include "net/text_server.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/node_state.hpp"
@@ -42,6 +43,15 @@
   void take_peer_loads(net::TimePoint now);
   /// Leaves engines that fail for many nodes to one node of each zone.
   void take_peer_failures(net::TimePoint now);
+  /// Decides whether callers are sent elsewhere.
+  void take_readiness(net::TimePoint now);
+  void log_readiness(const readiness::ReadinessView& view);
+  /// Puts the engines of zones that are not heard last.
+  void take_zone_reach(net::TimePoint now);
+  /// Tries a connection to an engine of a silent zone.
+  net::asio::awaitable<void> try_zone(balancing::EnginePointer engine);
+  /// Callers whose connection is idle come back by a new one.
+  void close_idle_sessions();
   /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
   net::asio::awaitable<void> release_tokens();
   /// What the claims on shards of programs depend on.
@@ -76,6 +86,8 @@
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
   net::TimePoint last_contact_{};
   net::TimePoint stop_began_{};
+  balancing::ZoneReach zone_reach_;
+  bool idle_closed_ = false;  ///< since this node steps aside
 };
 
 }  // namespace sailgate::serving
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -52,6 +52,8 @@
   bare_shards_ = &gauge(registry, "sailgate_bare_shards",
                         "Shards of programs that this node owns without an escrow to spend");
   engines_ = &gauge(registry, "sailgate_engines", "Engines known");
+  steps_aside_ =
+      &gauge(registry, "sailgate_steps_aside", "1 while this node sends callers elsewhere");
   connections_ =
       &gauge(registry, "sailgate_engine_connections_opened", "Connections opened to engines");
   log_drops_ = &gauge(registry, "sailgate_log_lines_dropped", "Log lines that did not fit");
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -30,6 +30,7 @@
     escrow_shards_->Set(static_cast<double>(spendable));
     bare_shards_->Set(static_cast<double>(bare));
   }
+  void set_steps_aside(bool aside) { steps_aside_->Set(aside ? 1 : 0); }
   void set_connections_opened(std::uint64_t count) {
     connections_->Set(static_cast<double>(count));
   }
@@ -50,6 +51,7 @@
   prometheus::Histogram* first_events_;
   prometheus::Counter* store_losses_;
   prometheus::Gauge* engines_;
+  prometheus::Gauge* steps_aside_;
   prometheus::Gauge* escrow_shards_;
   prometheus::Gauge* bare_shards_;
   prometheus::Gauge* connections_;
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -16,6 +16,7 @@
 #include "ledger/expiry_sweeper.hpp"
 #include "ledger/program_ledger.hpp"
 #include "observe/structured_log.hpp"
+#include "readiness/readiness_tracker.hpp"
 #include "routing/route_table.hpp"
 #include "serving/edge_protocol.hpp"
 #include "serving/engine_connection_pool.hpp"
@@ -72,6 +73,7 @@
     message.__isset.failures = !message.failures.empty();
     const auto tenants = quotas.told(now);
     if (!tenants.empty()) message.__set_tenants(tenants);
+    if (readiness.steps_aside()) message.__set_steps_aside(true);
     const auto uptime = std::chrono::duration_cast<net::Millis>(now - started_at);
     if (uptime < kToldUptime) message.__set_uptime_ms(static_cast<std::int32_t>(uptime.count()));
     return message;
@@ -99,6 +101,7 @@
   cluster::BeaconSender beacons;
   cluster::TurnKeeper turns;
   ledger::ExpirySweeper sweeper;
+  readiness::ReadinessTracker readiness;  ///< always ready without its mechanism
   GatewayMetrics metrics;
   base::Random random;
   bool stopping = false;
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -31,6 +31,9 @@
 /// Callers that were refused while the store is away come back spread over this part of the time
 /// that it is expected to be away, in parts of a hundred.
 constexpr std::uint64_t kReturnSpread = 50;
+/// Callers sent to other nodes arrive there spread over this time: a part of what they would wait
+/// there if they all came at once.
+constexpr net::Millis kElsewhereSpread{150};
 
 }  // namespace
 
@@ -63,12 +66,18 @@
 net::asio::awaitable<CallEnd> StreamCall::refuse_for_now() {
   const auto outage = state_.store.expected_outage();
   const auto spread = static_cast<std::int64_t>(state_.random.below(kReturnSpread));
-  const auto expected = outage.count() > 0 ? outage + outage * spread / 100 : kLongestReturn;
+  auto expected = outage.count() > 0 ? outage + outage * spread / 100 : kLongestReturn;
+  if (state_.readiness.store_lost()) {
+    // Another node can serve it, however long this one stays cut off.
+    const auto elsewhere = state_.readiness.time_to_elsewhere(net::Clock::now());
+    expected = elsewhere + kElsewhereSpread * spread / static_cast<std::int64_t>(kReturnSpread);
+  }
   const auto longest = std::max(call_.time_left() / kReturnShare, kShortestReturn);
   const auto wait = std::clamp(expected, kShortestReturn, longest);
   state_.log.event("refused_for_store")
       .with("id", call_.description.request_id)
       .with("expected_outage_ms", outage.count())
+      .with("steps_aside", static_cast<int>(state_.readiness.steps_aside()))
       .with("retry_after_ms", wait.count())
       .with("held_ms", call_.elapsed().count());
   co_return co_await refuse(call_, Kind::kStoreUnavailable, wait);
@@ -80,7 +89,8 @@
   // A turn that could not become durable at its end would be run for nothing, at the budget's cost.
   // Holding it for a store that is away served nobody: with 0.9 s of it, callers that leave early
   // (40 in 100, after 0.9 s) left without an answer, 3 in 100 of a day's worth.
-  if (call_.route->retained && !state_.store.answers()) co_return co_await refuse_for_now();
+  const bool away = !state_.store.answers() || state_.readiness.store_lost();
+  if (call_.route->retained && away) co_return co_await refuse_for_now();
   start_ = co_await state_.turns.begin(request, deadline);
   call_.home = start_.keeper;
   call_.line_engine = start_.engine;
--- a/src/store/reachability.cpp
+++ b/src/store/reachability.cpp
@@ -15,6 +15,7 @@
   if (answered) {
     if (!answers(now)) note_return(now);
     failures_in_a_row_ = 0;
+    answered_at_ = now;
     return;
   }
   if (failures_in_a_row_ == 0) failing_since_ = now;
@@ -25,6 +26,10 @@
   return failures_in_a_row_ < kFailuresInARow || now < failing_since_ + kFailingTime;
 }
 
+net::Millis Reachability::unanswered(net::TimePoint now) const {
+  return std::chrono::duration_cast<net::Millis>(now - answered_at_);
+}
+
 void Reachability::note_return(net::TimePoint now) {
   ++outages_;
   outage_time_ += std::chrono::duration_cast<net::Millis>(now - failing_since_);
--- a/src/store/reachability.hpp
+++ b/src/store/reachability.hpp
@@ -12,6 +12,9 @@
   void note(bool answered, net::TimePoint now);
   /// False when several calls in a row have failed for some time.
   bool answers(net::TimePoint now) const;
+  int failures_in_a_row() const { return failures_in_a_row_; }
+  /// Time since the last answer.
+  net::Millis unanswered(net::TimePoint now) const;
   /// How much longer the store is expected to be away; 0 while it answers.
   ///
   /// While an outage is younger than those before it were in the mean, it is expected to last as
@@ -23,6 +26,7 @@
 
   int failures_in_a_row_ = 0;
   net::TimePoint failing_since_{};
+  net::TimePoint answered_at_{};
   int outages_ = 0;             ///< that have ended
   net::Millis outage_time_{0};  ///< of all of them
 };
