--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -72,7 +72,7 @@
 }
 
 bool avoided(const Engine& engine, const SelectionQuery& query) {
-  return engine.left_to_probe || query.now < engine.avoid_until;
+  return engine.left_to_probe || engine.zone_silent || query.now < engine.avoid_until;
 }
 
 /// With a key connections don't count: moving a program means reading its prompt anew.
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -2,8 +2,11 @@
 #pragma once
 
 #include <memory>
+#include <string>
 #include <unordered_set>
+#include <vector>
 
+#include "balancing/zone_reach.hpp"
 #include "net/text_server.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/node_state.hpp"
@@ -50,6 +53,18 @@
                   const std::vector<balancing::PlacesChange>& changes);
   /// Programs that the other nodes let begin.
   void take_peer_begun(net::TimePoint now);
+  /// Decides whether callers are sent elsewhere.
+  void take_readiness(net::TimePoint now);
+  void log_readiness(const readiness::ReadinessView& view);
+  /// Puts the engines of zones that are not heard last.
+  void take_zone_reach(net::TimePoint now);
+  /// Puts the engines of one other zone last, or not.
+  void use_zone(const std::string& zone, const std::vector<balancing::EnginePointer>& engines,
+                net::TimePoint now);
+  /// Tries a connection to an engine of a silent zone.
+  net::asio::awaitable<void> try_zone(balancing::EnginePointer engine);
+  /// Callers whose connection is idle come back by a new one.
+  void close_idle_sessions();
   /// Gives the tokens held ahead to the homes that come after this one, beside the stop itself.
   net::asio::awaitable<void> release_tokens();
   /// What the claims on shards of programs depend on.
@@ -68,6 +83,8 @@
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
   net::TimePoint stop_began_{};
   net::TimePoint prompts_placed_at_{};
+  balancing::ZoneReach zone_reach_;
+  bool idle_closed_ = false;  ///< since this node steps aside
 };
 
 }  // namespace sailgate::serving
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -63,6 +63,8 @@
   prompts_ = &gauge(registry, "sailgate_prompts", "Shared prompts that engines are set for");
   prompt_engines_ = &gauge(registry, "sailgate_prompt_engines",
                            "Engines that keep a shared prompt, summed over the prompts");
+  steps_aside_ =
+      &gauge(registry, "sailgate_steps_aside", "1 while this node sends callers elsewhere");
   connections_ =
       &gauge(registry, "sailgate_engine_connections_opened", "Connections opened to engines");
   log_drops_ = &gauge(registry, "sailgate_log_lines_dropped", "Log lines that did not fit");
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -43,6 +43,7 @@
     prompts_->Set(static_cast<double>(count));
     prompt_engines_->Set(static_cast<double>(engines));
   }
+  void set_steps_aside(bool aside) { steps_aside_->Set(aside ? 1 : 0); }
   void set_connections_opened(std::uint64_t count) {
     connections_->Set(static_cast<double>(count));
   }
@@ -66,6 +67,7 @@
   prometheus::Gauge* engines_;
   prometheus::Gauge* slowest_engine_;
   prometheus::Gauge* fastest_engine_;
+  prometheus::Gauge* steps_aside_;
   prometheus::Gauge* escrow_shards_;
   prometheus::Gauge* bare_shards_;
   prometheus::Gauge* prompts_;
