--- a/src/balancing/prompt_placement.cpp
+++ b/src/balancing/prompt_placement.cpp
@@ -30,8 +30,8 @@
 /// of what is wanted. A prompt counted 100 times varies by a tenth.
 constexpr double kEnginesOfChange = 3.0;
 constexpr double kShareOfChange = 1.0 / 3;
-/// An engine keeps at most so many times the mean number of prompts: by the rendezvous order alone
-/// some would keep three times as many as others, and have as much work.
+/// An engine keeps at most so many times the mean number of prompts, as long as others keep fewer:
+/// by the rendezvous order alone some would have three times the work of others.
 constexpr double kCopiesOverMean = 1.25;
 /// Prompts placed; those asked for less often are placed when they are asked for.
 constexpr std::size_t kMostPrompts = 256;
@@ -80,22 +80,70 @@
   return gap > 0 ? before + 1 : before - 1;
 }
 
-/// The first so many engines of an order that keep fewer prompts than the bound; where there are
-/// none, the first of the order.
-std::set<std::string> take_first(const std::vector<std::string>& order, int wanted, int bound,
-                                 std::unordered_map<std::string, int>& copies) {
+/// Engines by zone, each zone's in rendezvous order of the key.
+std::map<std::string, std::vector<std::string>> ordered_zones(
+    const std::string& key, const std::vector<EnginePointer>& engines) {
+  std::map<std::string, std::vector<std::pair<double, std::string>>> draws;
+  for (const auto& engine : engines) {
+    if (!engine->usable()) continue;
+    const auto& record = engine->record;
+    draws[record.zone].emplace_back(rendezvous_draw(key, record.id), record.id);
+  }
+  std::map<std::string, std::vector<std::string>> zones;
+  for (auto& [zone, ordered] : draws) {
+    std::sort(ordered.begin(), ordered.end());
+    for (auto& [draw, id] : ordered) zones[zone].push_back(std::move(id));
+  }
+  return zones;
+}
+
+}  // namespace
+
+PromptPlacement::Order PromptPlacement::order(const std::string& key,
+                                              const std::vector<EnginePointer>& engines) {
+  Order order;
+  order.zones = ordered_zones(key, engines);
+  // Zones take turns, by their sizes: a prompt with a few engines has some in each zone.
+  std::vector<std::pair<double, std::string>> turns;
+  for (const auto& [zone, ids] : order.zones) {
+    const double first = rendezvous_draw(key, zone);
+    const auto size = static_cast<double>(ids.size());
+    for (std::size_t rank = 0; rank < ids.size(); ++rank) {
+      turns.emplace_back((static_cast<double>(rank) + first) / size, zone);
+    }
+  }
+  std::sort(turns.begin(), turns.end());
+  for (auto& [turn, zone] : turns) order.turns.push_back(std::move(zone));
+  return order;
+}
+
+std::set<std::string> PromptPlacement::take(const Order& order, int wanted, int bound,
+                                            Copies& copies) {
+  std::map<std::string, int> by_zone;
+  const auto turns = std::min(order.turns.size(), static_cast<std::size_t>(wanted));
+  for (std::size_t turn = 0; turn < turns; ++turn) ++by_zone[order.turns[turn]];
   std::set<std::string> taken;
-  for (const auto& engine : order) {
-    if (static_cast<int>(taken.size()) >= wanted) break;
-    if (copies[engine] >= bound) continue;
-    ++copies[engine];
-    taken.insert(engine);
+  for (const auto& [zone, count] : by_zone) {
+    // Where too few are below the bound it is raised.
+    int most = bound;
+    while (!take_of_zone(order.zones.at(zone), count, most, copies, taken)) ++most;
   }
-  if (taken.empty() && !order.empty()) taken.insert(order.front());
   return taken;
 }
 
-}  // namespace
+bool PromptPlacement::take_of_zone(const std::vector<std::string>& ids, int wanted, int most,
+                                   Copies& copies, std::set<std::string>& taken) {
+  const auto holds = [&](const std::string& id) { return taken.count(id) > 0; };
+  auto left = wanted - static_cast<int>(std::count_if(ids.begin(), ids.end(), holds));
+  for (const auto& id : ids) {
+    if (left <= 0) return true;
+    if (holds(id) || copies[id] >= most) continue;
+    ++copies[id];
+    taken.insert(id);
+    --left;
+  }
+  return left <= 0;
+}
 
 double prompts_an_engine(std::int64_t memory_tokens, double prompt_tokens) {
   if (memory_tokens <= 0 || prompt_tokens <= 0) return kMostPromptsAnEngine;
@@ -151,41 +199,16 @@
   return changes;
 }
 
-std::vector<std::string> PromptPlacement::order(const std::string& key,
-                                                const std::vector<EnginePointer>& engines) {
-  std::map<std::string, std::vector<std::pair<double, std::string>>> zones;
-  for (const auto& engine : engines) {
-    if (!engine->usable()) continue;
-    const auto& record = engine->record;
-    zones[record.zone].emplace_back(rendezvous_draw(key, record.id), record.id);
-  }
-  // Zones take turns, by their sizes: a prompt with a few engines has some in each zone.
-  std::vector<std::pair<double, std::string>> places;
-  for (auto& [zone, ordered] : zones) {
-    std::sort(ordered.begin(), ordered.end());
-    const double first = rendezvous_draw(key, zone);
-    const auto size = static_cast<double>(ordered.size());
-    for (std::size_t rank = 0; rank < ordered.size(); ++rank) {
-      places.emplace_back((static_cast<double>(rank) + first) / size, ordered[rank].second);
-    }
-  }
-  std::sort(places.begin(), places.end());
-  std::vector<std::string> ids;
-  ids.reserve(places.size());
-  for (auto& [position, id] : places) ids.push_back(std::move(id));
-  return ids;
-}
-
 void PromptPlacement::place_all(const std::vector<EnginePointer>& engines) {
   places_.clear();
   const auto usable = std::max<std::size_t>(usable_engines(engines), 1);
   const double mean = static_cast<double>(copies()) / static_cast<double>(usable);
-  const int bound = static_cast<int>(kCopiesOverMean * mean) + 1;
-  std::unordered_map<std::string, int> copies;
+  const int bound = std::max(static_cast<int>(kCopiesOverMean * mean), 1);
+  Copies taken;
   for (const auto& [key, count] : engines_wanted_) {
     auto& places = places_[key];
     places.order_key = order_key(key);
-    places.engines = take_first(order(places.order_key, engines), count, bound, copies);
+    places.engines = take(order(places.order_key, engines), count, bound, taken);
   }
 }
 
@@ -198,8 +221,8 @@
   const auto usable = usable_engines(engines);
   const int count = bounded(wanted(0, usable), usable);
   places.order_key = order_key(prompt);
-  std::unordered_map<std::string, int> copies;
-  places.engines = take_first(order(places.order_key, engines), count, 1, copies);
+  Copies copies;
+  places.engines = take(order(places.order_key, engines), count, 1, copies);
   return places;
 }
 
--- a/src/balancing/prompt_placement.hpp
+++ b/src/balancing/prompt_placement.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "balancing/engine_registry.hpp"
@@ -58,9 +59,21 @@
   std::size_t copies() const;
 
  private:
-  /// Engines in the order in which they are to keep a prompt.
-  static std::vector<std::string> order(const std::string& key,
-                                        const std::vector<EnginePointer>& engines);
+  /// Order in which engines are to keep a prompt.
+  struct Order {
+    std::map<std::string, std::vector<std::string>> zones;  ///< engines of each zone
+    std::vector<std::string> turns;                         ///< zones, one entry an engine
+  };
+  /// Prompts that were placed so far at each engine.
+  using Copies = std::unordered_map<std::string, int>;
+
+  static Order order(const std::string& key, const std::vector<EnginePointer>& engines);
+  /// The first so many engines of the order that keep fewer prompts than the bound, by zones.
+  static std::set<std::string> take(const Order& order, int wanted, int bound, Copies& copies);
+  /// Adds engines of one zone that keep fewer than `most` prompts.
+  /// @return whether so many of the zone are taken now.
+  static bool take_of_zone(const std::vector<std::string>& ids, int wanted, int most,
+                           Copies& copies, std::set<std::string>& taken);
   /// Share of all copies, from the requests that were counted.
   double wanted(std::int32_t requests, std::size_t engines) const;
   int bounded(double wanted, std::size_t engines) const;
