--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -31,6 +31,7 @@
   RouteKind kind = RouteKind::kUnsafe;
   net::Millis timeout{0};    ///< longest time a request may be held
   net::Millis objective{0};  ///< an answer within it earns its full worth
+  net::Millis event_gap{0};  ///< streams: longest pause between events that is in time; 0: not told
   int priority = 0;          ///< 0 is the most urgent
   int most_engines = 1;      ///< that may work on one attempt of a caller at the same time
   bool resumable = false;    ///< a stream may go on at another engine
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -42,6 +42,12 @@
   durations_ = &histogram(registry, "sailgate_request_seconds", "From the request to its end");
   first_events_ =
       &histogram(registry, "sailgate_first_event_seconds", "From the request to the first event");
+  held_turns_ = &prometheus::BuildCounter()
+                     .Name("sailgate_held_turns_total")
+                     .Help("Turns that waited for the table store, by how that ended")
+                     .Register(registry);
+  held_times_ = &histogram(registry, "sailgate_held_turn_seconds",
+                           "Time that turns waited for the table store");
   store_losses_ = &prometheus::BuildCounter()
                        .Name("sailgate_store_losses_total")
                        .Help("Times the table store was lost")
@@ -70,6 +76,11 @@
       .Increment();
 }
 
+void GatewayMetrics::held_turn_ended(const std::string& how, net::Millis waited) {
+  held_turns_->Add({{"outcome", how}}).Increment();
+  held_times_->Observe(seconds(waited));
+}
+
 void GatewayMetrics::first_event(net::Millis after) { first_events_->Observe(seconds(after)); }
 
 std::string GatewayMetrics::text() const {
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -24,6 +24,8 @@
   void tenant_request(const std::string& tenant, bool admitted);
   void first_event(net::Millis after);
   void store_lost() { store_losses_->Increment(); }
+  /// A turn that waited for the store began, was refused or lost its caller.
+  void held_turn_ended(const std::string& how, net::Millis waited);
   void set_engines(std::size_t count) { engines_->Set(static_cast<double>(count)); }
   /// Shards of programs that this node owns, with an escrow to spend and without.
   void set_escrow_shards(std::size_t spendable, std::size_t bare) {
@@ -46,6 +48,8 @@
   /// nor memory grows with the configuration.
   static constexpr std::size_t kMostTenants = 200;
   std::set<std::string> named_tenants_;
+  prometheus::Family<prometheus::Counter>* held_turns_;
+  prometheus::Histogram* held_times_;
   prometheus::Histogram* durations_;
   prometheus::Histogram* first_events_;
   prometheus::Counter* store_losses_;
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -17,10 +17,13 @@
 #include "ledger/program_ledger.hpp"
 #include "observe/structured_log.hpp"
 #include "routing/route_table.hpp"
+#include "serving/caller_patience.hpp"
 #include "serving/edge_protocol.hpp"
 #include "serving/engine_connection_pool.hpp"
 #include "serving/gateway_metrics.hpp"
+#include "serving/held_turns.hpp"
 #include "serving/node_settings.hpp"
+#include "serving/turn_times.hpp"
 
 namespace sailgate::serving {
 
@@ -101,6 +104,10 @@
   ledger::ExpirySweeper sweeper;
   GatewayMetrics metrics;
   base::Random random;
+  HeldTurns held_turns;
+  CallerPatience caller_patience;
+  TurnTimes turn_times;         ///< of whole turns at engines
+  TurnTimes first_event_times;  ///< of turns
   bool stopping = false;
   int active_requests = 0;
 };
--- /dev/null
+++ b/src/serving/outage_decision.cpp
@@ -0,0 +1,46 @@
+#include "serving/outage_decision.hpp"
+
+#include <algorithm>
+
+namespace sailgate::serving {
+
+namespace {
+
+/// The way to the caller and the last steps of a turn: what is planned to end so close to the
+/// caller's bound may not.
+constexpr net::Millis kMargin{100};
+/// A shorter wait helps nobody: the store's return is noticed later than that.
+constexpr net::Millis kShortestHold{50};
+/// Callers heed a time to come back of up to this part of the time they have left.
+constexpr int kReturnShare = 3;
+constexpr net::Millis kShortestReturn{50};
+
+}  // namespace
+
+net::Millis longest_wait(const TurnInOutage& turn) {
+  const auto for_first_event = turn.wait_left - turn.first_event;
+  const auto for_end = turn.time_left - turn.run_time;
+  return std::max(net::Millis(0), std::min(for_first_event, for_end) - kMargin);
+}
+
+OutageDecision decide_in_outage(const TurnInOutage& turn) {
+  if (turn.expected_rest.count() == 0) return {OutageStep::kBegin, {}, "store_answers"};
+  if (turn.run_time + kMargin > turn.time_left) return {OutageStep::kRefuse, {}, "too_late"};
+  if (turn.expected_rest <= turn.run_time) return {OutageStep::kBegin, {}, "store_back_by_end"};
+  const auto longest = longest_wait(turn);
+  if (longest < kShortestHold) return {OutageStep::kRefuse, {}, "no_time_to_wait"};
+  if (turn.expected_rest > longest) return {OutageStep::kRefuse, {}, "outage_too_long"};
+  if (turn.held >= kMostHeld) return {OutageStep::kRefuse, {}, "too_many_held"};
+  if (turn.held_bytes + turn.bytes > kMostHeldBytes) {
+    return {OutageStep::kRefuse, {}, "too_much_held"};
+  }
+  return {OutageStep::kHold, longest, "store_back_in_time"};
+}
+
+net::Millis return_time(net::Millis expected_rest, net::Millis time_left, std::uint64_t draw) {
+  const auto longest = std::max(time_left / kReturnShare, kShortestReturn);
+  const auto spread = expected_rest + expected_rest * static_cast<std::int64_t>(draw) / 100;
+  return std::clamp(spread, kShortestReturn, longest);
+}
+
+}  // namespace sailgate::serving
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -1,6 +1,7 @@
 #include "serving/stream_call.hpp"
 
 #include <algorithm>
+#include <string_view>
 
 #include "balancing/engine_selector.hpp"
 #include "balancing/overload.hpp"
@@ -14,16 +15,13 @@
 /// Most engines that a resumable stream goes on at after its first one.
 constexpr int kMostResumptions = 3;
 constexpr unsigned kOk = 200;
-/// A finished turn is kept trying to become durable this long while its caller waits: callers give
-/// a stream up after two seconds without an event.
-constexpr net::Millis kRecordTime{1800};
+/// A finished turn is kept trying to become durable while its caller waits, until so long before
+/// the caller gives the stream up.
+constexpr net::Millis kRecordMargin{200};
 /// Reading and reserving leave the engine at least this much of the request's time.
 constexpr net::Millis kEngineTime{80};
 /// A turn waits this long for a store that answers slowly: some tries of a call.
 constexpr net::Millis kStoreHold{900};
-/// Callers heed a time to come back of up to this part of the time they have left.
-constexpr int kReturnShare = 3;
-constexpr net::Millis kShortestReturn{50};
 /// Time to come back when engines are overloaded: some times the age of what nodes know of loads.
 constexpr net::Millis kOverloadReturn{800};
 /// Time to come back when only some of the store's rows cannot be reached.
@@ -31,10 +29,25 @@
 /// Callers that were refused while the store is away come back spread over this part of the time
 /// that it is expected to be away, in parts of a hundred.
 constexpr std::uint64_t kReturnSpread = 50;
+/// Callers give a stream up after a pause of the longest of: this,
+constexpr net::Millis kLeastEventPatience{2000};
+/// some times the objective,
+constexpr int kObjectivesWaited = 4;
+/// some times the pause that is in time.
+constexpr int kGapsWaited = 8;
+/// A held turn looks so often for the store, its caller and a stop: a small part of an objective.
+constexpr net::Millis kHoldPoll{10};
 
 }  // namespace
 
 net::asio::awaitable<CallEnd> StreamCall::run() {
+  const auto end = co_await prepare_and_serve();
+  const bool left = !begun_ && call_.channel.gone();
+  if (left) state_.caller_patience.note(call_.elapsed(), true, net::Clock::now());
+  co_return end;
+}
+
+net::asio::awaitable<CallEnd> StreamCall::prepare_and_serve() {
   if (const auto refused = co_await prepare()) co_return *refused;
   if (const auto refused = co_await hold_to_load()) {
     end_turn(nullptr, "");
@@ -60,39 +73,114 @@
   return request;
 }
 
-net::asio::awaitable<CallEnd> StreamCall::refuse_for_now() {
+net::asio::awaitable<CallEnd> StreamCall::refuse_for_now(const char* why) {
   const auto outage = state_.store.expected_outage();
-  const auto spread = static_cast<std::int64_t>(state_.random.below(kReturnSpread));
-  const auto expected = outage.count() > 0 ? outage + outage * spread / 100 : kLongestReturn;
-  const auto longest = std::max(call_.time_left() / kReturnShare, kShortestReturn);
-  const auto wait = std::clamp(expected, kShortestReturn, longest);
+  const auto expected = outage.count() > 0 ? outage : kLongestReturn;
+  const auto draw = state_.random.below(kReturnSpread);
+  const auto wait = return_time(expected, call_.time_left(), outage.count() > 0 ? draw : 0);
   state_.log.event("refused_for_store")
       .with("id", call_.description.request_id)
+      .with("why", why)
       .with("expected_outage_ms", outage.count())
       .with("retry_after_ms", wait.count())
+      .with("waited_ms", held_for_.count())
       .with("held_ms", call_.elapsed().count());
   co_return co_await refuse(call_, Kind::kStoreUnavailable, wait);
 }
 
+net::Millis StreamCall::event_patience() const {
+  const auto& route = *call_.route;
+  return std::max({kLeastEventPatience, route.objective * kObjectivesWaited,
+                   route.event_gap * kGapsWaited});
+}
+
+TurnInOutage StreamCall::in_outage() const {
+  TurnInOutage turn;
+  turn.expected_rest = state_.store.expected_outage();
+  turn.run_time = state_.turn_times.most();
+  turn.first_event = state_.first_event_times.most();
+  turn.time_left = call_.time_left();
+  const auto stays = state_.caller_patience.bound(net::Clock::now());
+  turn.wait_left = std::min(event_patience(), stays) - call_.elapsed();
+  turn.held = state_.held_turns.count();
+  turn.held_bytes = state_.held_turns.bytes();
+  turn.bytes = call_.request.body().size();
+  return turn;
+}
+
+net::asio::awaitable<std::optional<CallEnd>> StreamCall::outlast_outage() {
+  if (state_.store.answers()) co_return std::nullopt;
+  if (!state_.settings.mechanisms.holding) co_return co_await refuse_for_now("store_away");
+  const auto turn = in_outage();
+  const auto decision = decide_in_outage(turn);
+  if (decision.step == OutageStep::kRefuse) co_return co_await refuse_for_now(decision.why);
+  state_.log.event(decision.step == OutageStep::kHold ? "turn_held" : "turn_begun_in_outage")
+      .with("id", call_.description.request_id)
+      .with("why", decision.why)
+      .with("expected_outage_ms", turn.expected_rest.count())
+      .with("longest_ms", decision.longest.count())
+      .with("run_ms", turn.run_time.count())
+      .with("time_left_ms", turn.time_left.count())
+      .with("wait_left_ms", turn.wait_left.count())
+      .with("held", turn.held);
+  if (decision.step == OutageStep::kBegin) co_return std::nullopt;
+  co_return co_await wait_for_store(decision.longest);
+}
+
+net::asio::awaitable<std::optional<CallEnd>> StreamCall::wait_for_store(net::Millis longest) {
+  const auto began = net::Clock::now();
+  const auto ticket = state_.held_turns.add(call_.deadline, call_.request.body().size());
+  const char* how = nullptr;
+  while (how == nullptr) {
+    co_await net::sleep_for(state_.context, kHoldPoll);
+    const auto now = net::Clock::now();
+    if (call_.channel.gone()) {
+      how = "caller_gone";
+    } else if (state_.stopping) {
+      how = "stopping";
+    } else if (state_.store.answers() && state_.held_turns.may_begin(ticket, now)) {
+      how = "begun";
+    } else if (now >= began + longest) {
+      how = "in_vain";
+    }
+  }
+  state_.held_turns.remove(ticket);
+  held_for_ = std::chrono::duration_cast<net::Millis>(net::Clock::now() - began);
+  const bool gone = call_.channel.gone();
+  if (!gone) state_.caller_patience.note(call_.elapsed(), false, net::Clock::now());
+  state_.metrics.held_turn_ended(how, held_for_);
+  state_.log.event("held_turn_ended")
+      .with("id", call_.description.request_id)
+      .with("how", how)
+      .with("waited_ms", held_for_.count())
+      .with("held", state_.held_turns.count());
+  if (gone) co_return CallEnd{"caller_gone", false};
+  if (std::string_view(how) == "begun") co_return std::nullopt;
+  co_return co_await refuse_for_now(how);
+}
+
 net::asio::awaitable<std::optional<CallEnd>> StreamCall::prepare() {
   const auto request = turn_request();
-  const auto deadline = std::min(call_.deadline - kEngineTime, call_.received_at + kStoreHold);
   // A turn that could not become durable at its end would be run for nothing, at the budget's cost.
-  // Holding it for a store that is away served nobody: with 0.9 s of it, callers that leave early
-  // (40 in 100, after 0.9 s) left without an answer, 3 in 100 of a day's worth.
-  if (call_.route->retained && !state_.store.answers()) co_return co_await refuse_for_now();
+  if (call_.route->retained) {
+    if (auto ended = co_await outlast_outage()) co_return ended;
+  }
+  const auto deadline =
+      std::min(call_.deadline - kEngineTime, call_.received_at + held_for_ + kStoreHold);
   start_ = co_await state_.turns.begin(request, deadline);
   call_.home = start_.keeper;
   call_.line_engine = start_.engine;
   if (start_.lookup == ledger::LookupOutcome::kAbsent) {
     co_return co_await refuse(call_, Kind::kUnknownTurn);
   }
-  if (start_.lookup == ledger::LookupOutcome::kUnavailable) co_return co_await refuse_for_now();
+  if (start_.lookup == ledger::LookupOutcome::kUnavailable) {
+    co_return co_await refuse_for_now("turn_not_read");
+  }
   if (start_.reservation == ledger::ReserveOutcome::kExhausted) {
     co_return co_await refuse(call_, Kind::kBudgetExceeded);
   }
   if (start_.reservation == ledger::ReserveOutcome::kUnavailable) {
-    co_return co_await refuse_for_now();
+    co_return co_await refuse_for_now("tokens_not_reserved");
   }
   reserved_ = start_.reserved;
   reserved_whole_ = start_.reserved == request.tokens;
@@ -226,6 +314,7 @@
   if (!begun_) {
     begun_ = true;
     state_.metrics.first_event(call_.elapsed());
+    state_.first_event_times.observe(call_.elapsed() - held_for_);
     auto head = exchange.head();
     if (!co_await call_.channel.begin_chunked(std::move(head))) co_return false;
   }
@@ -242,12 +331,16 @@
 }
 
 net::asio::awaitable<CallEnd> StreamCall::complete() {
+  state_.turn_times.observe(call_.elapsed() - held_for_);
   ledger::TurnPointer turn;
   if (call_.route->retained) {
     const auto key = call_.key_of(call_.description.request_id);
     turn = std::make_shared<const ledger::Turn>(
         ledger::Turn{key.text(), call_.request.body(), output_, start_.previous});
-    const auto deadline = std::min(call_.deadline, net::Clock::now() + kRecordTime);
+    const bool holding = state_.settings.mechanisms.holding;
+    const auto patience = holding ? event_patience() : kLeastEventPatience;
+    const auto deadline =
+        std::min(call_.deadline, net::Clock::now() + patience - kRecordMargin);
     if (!co_await state_.ledger.turns.record(turn, call_.route->retention, deadline)) {
       co_return CallEnd{"turn_not_durable", false};
     }
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -7,6 +7,7 @@
 #include "ledger/turn.hpp"
 #include "serving/call_handler.hpp"
 #include "serving/event_scanner.hpp"
+#include "serving/outage_decision.hpp"
 
 namespace sailgate::serving {
 
@@ -25,9 +26,20 @@
   /// How the relay of one engine's stream ended.
   enum class RelayEnd { kWhole, kBroken, kTimedOut, kCallerGone, kTokensSpent };
 
+  net::asio::awaitable<CallEnd> prepare_and_serve();
   net::asio::awaitable<std::optional<CallEnd>> prepare();
   cluster::TurnRequest turn_request() const;
-  net::asio::awaitable<CallEnd> refuse_for_now();
+  net::asio::awaitable<CallEnd> refuse_for_now(const char* why);
+  /// What is known of this turn and of the store, while the store is away.
+  TurnInOutage in_outage() const;
+  /// While the store is away: lets the turn begin, has it wait, or refuses it. @return nullopt: it
+  /// may begin.
+  net::asio::awaitable<std::optional<CallEnd>> outlast_outage();
+  /// Waits until the store is back and it is this turn's time, at most so long. @return nullopt: it
+  /// may begin.
+  net::asio::awaitable<std::optional<CallEnd>> wait_for_store(net::Millis longest);
+  /// How long the caller waits for an event before it leaves.
+  net::Millis event_patience() const;
   /// Refuses the first turn of a program while its engines are overloaded. @return nullopt: it may
   /// go on.
   net::asio::awaitable<std::optional<CallEnd>> hold_to_load();
@@ -59,6 +71,7 @@
   bool ended_ = false;          ///< the turn's keeper was told
   std::int64_t events_ = 0;
   bool begun_ = false;
+  net::Millis held_for_{0};  ///< waited for the store
 };
 
 }  // namespace sailgate::serving
