--- a/src/cluster/store_relay.cpp
+++ b/src/cluster/store_relay.cpp
@@ -15,6 +15,9 @@
 constexpr net::Millis kProbeInterval{200};
 constexpr net::Millis kProbeTimePerPeer{4};
 constexpr net::Millis kProbeTimeout{150};
+/// A probe that others overlap is waited for longer: a store that takes 240 ms to answer is slow,
+/// not away.
+constexpr net::Millis kLongProbeTimeout{500};
 /// Probes read parts of this table in turn: single parts may be out of service.
 constexpr const char* kProbeTable = "nodes";
 constexpr std::uint64_t kProbedParts = 251;
@@ -130,12 +133,12 @@
   return std::max(kProbeInterval, kProbeTimePerPeer * peers);
 }
 
-net::asio::awaitable<void> StoreRelay::probe() {
+net::asio::awaitable<void> StoreRelay::probe(net::Millis timeout) {
   store::RangeRead range;
   range.table = kProbeTable;
   range.part = std::to_string(probes_++ % kProbedParts);
   range.limit = 1;
-  const auto result = co_await direct_.read(std::move(range), kProbeTimeout);
+  const auto result = co_await direct_.read(std::move(range), timeout);
   note_direct(result);
 }
 
@@ -143,7 +146,12 @@
   while (true) {
     co_await net::sleep_for(context_, probe_interval());
     const bool well = direct_works_ && reachability_.answers(net::Clock::now());
-    if (!well) co_await probe();
+    if (well) continue;
+    if (overlapping_) {
+      net::asio::co_spawn(context_, probe(kLongProbeTimeout), net::asio::detached);
+    } else {
+      co_await probe(kProbeTimeout);
+    }
   }
 }
 
--- a/src/cluster/store_relay.hpp
+++ b/src/cluster/store_relay.hpp
@@ -53,6 +53,8 @@
   const store::StoreClock& clock() const { return clock_; }
   /// Whether calls may go through a peer.
   void set_relaying(bool relaying) { relaying_ = relaying; }
+  /// Whether a probe may begin while the one before is still waited for.
+  void set_overlapping(bool overlapping) { overlapping_ = overlapping; }
   void set_silence_limit(net::Millis limit) { silence_limit_ = limit; }
 
  private:
@@ -61,7 +63,7 @@
   /// Notes how a direct call ended.
   void note_direct(const store::StoreResult& result);
   void note_end(const store::StoreResult& result);
-  net::asio::awaitable<void> probe();
+  net::asio::awaitable<void> probe(net::Millis timeout);
   net::Millis probe_interval() const;
   net::asio::awaitable<store::StoreResult> relayed(Peer peer, const char* path, std::string body,
                                                    net::Millis timeout);
@@ -79,6 +81,7 @@
   store::StoreClock clock_;
   std::uint64_t probes_ = 0;
   bool relaying_ = true;
+  bool overlapping_ = true;
 };
 
 }  // namespace sailgate::cluster
--- a/src/ledger/turn_ledger.hpp
+++ b/src/ledger/turn_ledger.hpp
@@ -35,6 +35,9 @@
   /// @return the last one. @throws std::invalid_argument when there are no segments.
   TurnPointer remember_chain(const wire::TurnRow& row, TurnPointer earlier);
 
+  /// Whether a call for a row may begin while earlier ones for it are still waited for.
+  void set_overlapping(bool overlapping) { rows_.set_overlapping(overlapping); }
+
   /// Makes a finished turn durable, with its chain, for at least `retention`. @return whether it
   /// is.
   net::asio::awaitable<bool> record(TurnPointer turn, net::Millis retention,
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -53,6 +53,8 @@
             static_cast<std::uint64_t>(incarnation)),
         random(static_cast<std::uint64_t>(incarnation)) {
     store.set_relaying(settings.mechanisms.relay);
+    store.set_overlapping(settings.mechanisms.holding);
+    ledger.turns.set_overlapping(settings.mechanisms.holding);
     beacons.set_usage_window(settings.quota_bounds.window);
   }
 
--- a/src/serving/outage_decision.cpp
+++ b/src/serving/outage_decision.cpp
@@ -35,7 +35,8 @@
   if (turn.run_time + kMargin > turn.time_left) return {OutageStep::kRefuse, {}, "too_late"};
   const auto longest = longest_wait(turn);
   if (longest < kShortestHold) return {OutageStep::kRefuse, {}, "no_time_to_wait"};
-  if (turn.expected_rest > longest * kRestsForOneWait) return {OutageStep::kRefuse, {}, "outage_too_long"};
+  if (turn.expected_rest > longest * kRestsForOneWait)
+    return {OutageStep::kRefuse, {}, "outage_too_long"};
   if (turn.held >= kMostHeld) return {OutageStep::kRefuse, {}, "too_many_held"};
   if (turn.held_bytes + turn.bytes > kMostHeldBytes) {
     return {OutageStep::kRefuse, {}, "too_much_held"};
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -90,8 +90,8 @@
 
 net::Millis StreamCall::event_patience() const {
   const auto& route = *call_.route;
-  return std::max({kLeastEventPatience, route.objective * kObjectivesWaited,
-                   route.event_gap * kGapsWaited});
+  return std::max(
+      {kLeastEventPatience, route.objective * kObjectivesWaited, route.event_gap * kGapsWaited});
 }
 
 TurnInOutage StreamCall::in_outage() const {
@@ -339,8 +339,7 @@
         ledger::Turn{key.text(), call_.request.body(), output_, start_.previous});
     const bool holding = state_.settings.mechanisms.holding;
     const auto patience = holding ? event_patience() : kLeastEventPatience;
-    const auto deadline =
-        std::min(call_.deadline, net::Clock::now() + patience - kRecordMargin);
+    const auto deadline = std::min(call_.deadline, net::Clock::now() + patience - kRecordMargin);
     if (!co_await state_.ledger.turns.record(turn, call_.route->retention, deadline)) {
       co_return CallEnd{"turn_not_durable", false};
     }
--- a/src/serving/turn_times.hpp
+++ b/src/serving/turn_times.hpp
@@ -27,7 +27,7 @@
  private:
   static constexpr int kFirstSamples = 8;  ///< averaged evenly, before old ones fade
   static constexpr double kGain = 1.0 / kFirstSamples;
-  static constexpr double kDeviations = 2;    ///< holds about nine turns of ten
+  static constexpr double kDeviations = 2;      ///< holds about nine turns of ten
   static constexpr net::Millis kPresumed{300};  ///< a short answer of a model
 
   int count_ = 0;
--- a/src/store/latency_estimate.hpp
+++ b/src/store/latency_estimate.hpp
@@ -23,8 +23,8 @@
   /// Time after which an answer is more likely lost than late.
   net::Millis patience() const;
   /// Time by which most answers of late have come: from then on it is worth asking once more while
-  /// the first answer may still come. Follows a store that turns slow, or fast again, with the third
-  /// answer.
+  /// the first answer may still come. Follows a store that turns slow, or fast again, with the
+  /// third answer.
   net::Millis usual() const;
 
  private:
--- a/src/store/unchanging_rows.cpp
+++ b/src/store/unchanging_rows.cpp
@@ -11,6 +11,7 @@
 
 /// A try is waited for at least so long: answers that come later are of no use to most turns.
 constexpr net::Millis kShortestLimit{300};
+constexpr net::Millis kLongestLimit{700};
 /// A try that begins at the deadline is waited for this long.
 constexpr net::Millis kShortestTry{15};
 /// Further tries begin at least so often while the store is silent: its return is not missed.
@@ -52,8 +53,10 @@
 
 }  // namespace
 
-net::Millis UnchangingRows::limit_of_try(net::TimePoint deadline) const {
-  const auto limit = std::max(kShortestLimit, latency_.patience());
+net::Millis UnchangingRows::limit_of_try(const Race& race, net::TimePoint deadline) const {
+  const auto patience = latency_.patience();
+  const auto alone = std::min(patience * (1 + race.rounds), kLongestLimit);
+  const auto limit = overlapping_ ? std::max(kShortestLimit, patience) : alone;
   return std::min(limit, std::max(left_until(deadline), kShortestTry));
 }
 
@@ -111,6 +114,7 @@
   race.failures += std::exchange(race.failed, 0);
   if (race.failures < parts) return false;
   race.failures = 0;
+  ++race.rounds;
   return true;
 }
 
@@ -121,9 +125,10 @@
   co_await race->ended.async_wait(net::awaiting(ignored));
 }
 
-bool UnchangingRows::may_begin_try(const Race& race, net::TimePoint deadline) {
+bool UnchangingRows::may_begin_try(const Race& race, net::TimePoint deadline) const {
   if (!race.begun) return true;
-  return left_until(deadline).count() > 0 && race.under_way.size() < kMostUnderWay;
+  const auto most = overlapping_ ? kMostUnderWay : 1;
+  return left_until(deadline).count() > 0 && race.under_way.size() < most;
 }
 
 net::asio::awaitable<bool> UnchangingRows::put(std::string table, std::string key,
@@ -141,7 +146,7 @@
         companion.id.part = part;
         transaction.puts.push_back(std::move(companion));
       }
-      const auto limit = limit_of_try(deadline);
+      const auto limit = limit_of_try(*race, deadline);
       net::asio::co_spawn(context_, try_put(race, std::move(transaction), limit),
                           net::asio::detached);
     }
@@ -166,7 +171,7 @@
       range.part = next_part(*race, unread);
       range.from_key = key;
       range.limit = 1;
-      const auto limit = limit_of_try(deadline);
+      const auto limit = limit_of_try(*race, deadline);
       net::asio::co_spawn(context_, try_read(race, std::move(range), limit), net::asio::detached);
     }
     co_await wait(race, gaps.next_gap());
--- a/src/store/unchanging_rows.hpp
+++ b/src/store/unchanging_rows.hpp
@@ -44,6 +44,9 @@
   /// Absent is said only when every candidate part was read.
   net::asio::awaitable<RowFound> find(std::string table, std::string key, net::TimePoint deadline);
 
+  /// Whether a try may begin while others are under way.
+  void set_overlapping(bool overlapping) { overlapping_ = overlapping; }
+
  private:
   /// The tries of one call, of which several may be under way.
   struct Race {
@@ -54,13 +57,14 @@
     std::vector<std::string> under_way;  ///< parts
     std::size_t failed = 0;              ///< tries, since the last look
     std::size_t failures = 0;            ///< tries, since the last pause
+    int rounds = 0;                      ///< in which as many tries failed as there are parts
     std::vector<std::pair<std::string, StoreResult>> answers;  ///< with their parts
   };
   using RacePointer = std::shared_ptr<Race>;
 
   net::asio::awaitable<void> try_put(RacePointer race, Transaction transaction, net::Millis limit);
   net::asio::awaitable<void> try_read(RacePointer race, RangeRead range, net::Millis limit);
-  static bool may_begin_try(const Race& race, net::TimePoint deadline);
+  bool may_begin_try(const Race& race, net::TimePoint deadline) const;
   /// Part of the next try, of those in this order, which changes; it is under way then.
   static std::string next_part(Race& race, std::vector<std::string>& parts);
   /// Whether so many tries have failed that a pause is due.
@@ -68,7 +72,7 @@
   /// Waits until a try ends, at most so long.
   net::asio::awaitable<void> wait(RacePointer race, net::Millis longest);
   /// How long a try is waited for: others may begin meanwhile.
-  net::Millis limit_of_try(net::TimePoint deadline) const;
+  net::Millis limit_of_try(const Race& race, net::TimePoint deadline) const;
   void take(Race& race, const std::string& part, StoreResult result, net::TimePoint sent_at);
 
   net::asio::io_context& context_;
@@ -76,6 +80,7 @@
   LatencyEstimate& latency_;
   PartHealth health_;
   base::Random random_;
+  bool overlapping_ = true;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  ///< tries may outlive their call
 };
 
--- a/tests/serving/held_turns_test.cpp
+++ b/tests/serving/held_turns_test.cpp
@@ -22,8 +22,7 @@
 
 TEST_CASE("held turns begin in order of least time left, a few at a time", "[serving][outage]") {
   rc::prop("whatever their deadlines", [] {
-    const auto deadlines =
-        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3000));
+    const auto deadlines = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3000));
     HeldTurns held;
     std::vector<HeldTurns::Ticket> waiting;
     for (const auto deadline : deadlines) waiting.push_back(held.add(at(deadline), 10));
--- a/tests/store/slow_store_test.cpp
+++ b/tests/store/slow_store_test.cpp
@@ -68,7 +68,8 @@
   CHECK(all / 40 < net::Millis(80));
 }
 
-TEST_CASE_METHOD(SlowFixture, "a store that was slow and then loses answers delays a write by little",
+TEST_CASE_METHOD(SlowFixture,
+                 "a store that was slow and then loses answers delays a write by little",
                  "[store][slow]") {
   for (int i = 0; i < 20; ++i) put();
   table.set_answer_time(net::Millis(240));
@@ -80,3 +81,19 @@
   CAPTURE(all.count());
   CHECK(all / 10 < net::Millis(100));
 }
+
+TEST_CASE_METHOD(SlowFixture, "without overlapping a call is made at a time", "[store][slow]") {
+  rows.set_overlapping(false);
+  table.set_answer_time(net::Millis(240));
+  put();
+  REQUIRE(table.most_at_once() == 1);
+}
+
+TEST_CASE_METHOD(SlowFixture, "few calls for a row are under way at once", "[store][slow]") {
+  table.set_lost_percent(100);
+  const auto deadline = net::Clock::now() + net::Millis(1200);
+  REQUIRE_FALSE(run(context, rows.put("t", "key", "v", {}, deadline)));
+  REQUIRE(net::Clock::now() < deadline + net::Millis(100));
+  REQUIRE(table.most_at_once() <= 4);
+  REQUIRE(table.calls() <= 10);
+}
--- a/tests/support/slow_table.hpp
+++ b/tests/support/slow_table.hpp
@@ -1,6 +1,7 @@
 /// @file A table store that answers late or loses answers, as callers with time limits see it.
 #pragma once
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -35,12 +36,15 @@
   void set_answer_time(net::Millis time) { answer_time_ = time; }
   void set_lost_percent(std::uint64_t percent) { lost_percent_ = percent; }
   int calls() const { return calls_; }
+  int most_at_once() const { return most_at_once_; }
   bool has(const std::string& table, const std::string& key) const { return rows_.has(table, key); }
 
  private:
   net::asio::awaitable<store::StoreResult> answer(store::StoreResult result, net::Millis timeout) {
     const bool lost = random_.chance(lost_percent_) || answer_time_ >= timeout;
+    most_at_once_ = std::max(most_at_once_, ++under_way_);
     co_await net::sleep_for(context_, lost ? timeout : answer_time_);
+    --under_way_;
     co_return lost ? store::StoreResult{} : std::move(result);
   }
 
@@ -50,6 +54,8 @@
   net::Millis answer_time_{4};
   std::uint64_t lost_percent_ = 0;
   int calls_ = 0;
+  int under_way_ = 0;
+  int most_at_once_ = 0;
 };
 
 }  // namespace sailgate::test
