--- a/src/store/unchanging_rows.cpp
+++ b/src/store/unchanging_rows.cpp
@@ -68,7 +68,9 @@
   if (result.status == StoreStatus::kDone) {
     race.answers.emplace_back(part, std::move(result));
   } else {
-    ++race.failed;
+    // A refusal is followed by the next try at once; silence was followed by one when it began.
+    const bool silent = result.status == StoreStatus::kUnknown;
+    (silent ? race.failures : race.failed) += 1;
   }
 }
 
@@ -80,7 +82,8 @@
   auto result = co_await store_.transact(std::move(transaction), limit);
   race->under_way.erase(std::find(race->under_way.begin(), race->under_way.end(), part));
   if (!alive.expired()) take(*race, part, std::move(result), sent_at);
-  race->ended.cancel();
+  const bool silence = race->answers.empty() && race->failed == 0 && !race->under_way.empty();
+  if (!silence) race->ended.cancel();
 }
 
 net::asio::awaitable<void> UnchangingRows::try_read(RacePointer race, RangeRead range,
@@ -93,7 +96,8 @@
   if (!result.rows.empty() && result.rows.front().id.key != key) result.rows.clear();
   race->under_way.erase(std::find(race->under_way.begin(), race->under_way.end(), part));
   if (!alive.expired()) take(*race, part, std::move(result), sent_at);
-  race->ended.cancel();
+  const bool silence = race->answers.empty() && race->failed == 0 && !race->under_way.empty();
+  if (!silence) race->ended.cancel();
 }
 
 std::string UnchangingRows::next_part(Race& race, std::vector<std::string>& parts) {
