--- a/src/cluster/store_relay.hpp
+++ b/src/cluster/store_relay.hpp
@@ -57,6 +57,8 @@
   const store::StoreClock& clock() const { return clock_; }
   /// Whether calls may go through a peer.
   void set_relaying(bool relaying) { relaying_ = relaying; }
+  /// Whether a probe may begin while the one before is still waited for.
+  void set_overlapping(bool overlapping) { overlapping_ = overlapping; }
   void set_silence_limit(net::Millis limit) { silence_limit_ = limit; }
 
  private:
@@ -65,8 +67,8 @@
   /// Notes how a direct call ended.
   void note_direct(const store::StoreResult& result);
   void note_end(const store::StoreResult& result);
-  net::asio::awaitable<void> probe();
   net::asio::awaitable<void> probe_twice();
+  net::asio::awaitable<void> probe(net::Millis timeout);
   net::Millis probe_interval() const;
   net::asio::awaitable<store::StoreResult> relayed(Peer peer, const char* path, std::string body,
                                                    net::Millis timeout);
@@ -85,6 +87,7 @@
   std::uint64_t probes_ = 0;
   bool verifying_ = false;
   bool relaying_ = true;
+  bool overlapping_ = true;
 };
 
 }  // namespace sailgate::cluster
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -27,6 +27,8 @@
   void program_decided(admission::Refusal refusal, int rank);
   void first_event(net::Millis after);
   void store_lost() { store_losses_->Increment(); }
+  /// A turn that waited for the store began, was refused or lost its caller.
+  void held_turn_ended(const std::string& how, net::Millis waited);
   void set_engines(std::size_t count) { engines_->Set(static_cast<double>(count)); }
   /// Believed speeds over the usual one of the service.
   void set_engine_speeds(double slowest, double fastest) {
@@ -61,6 +63,8 @@
   static constexpr std::size_t kMostTenants = 200;
   std::set<std::string> named_tenants_;
   prometheus::Family<prometheus::Counter>* programs_;
+  prometheus::Family<prometheus::Counter>* held_turns_;
+  prometheus::Histogram* held_times_;
   prometheus::Histogram* durations_;
   prometheus::Histogram* first_events_;
   prometheus::Counter* store_losses_;
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -21,10 +21,13 @@
 #include "observe/structured_log.hpp"
 #include "readiness/readiness_tracker.hpp"
 #include "routing/route_table.hpp"
+#include "serving/caller_patience.hpp"
 #include "serving/edge_protocol.hpp"
 #include "serving/engine_connection_pool.hpp"
 #include "serving/gateway_metrics.hpp"
+#include "serving/held_turns.hpp"
 #include "serving/node_settings.hpp"
+#include "serving/turn_times.hpp"
 
 namespace sailgate::serving {
 
@@ -55,6 +58,8 @@
         random(static_cast<std::uint64_t>(incarnation)),
         admission(random.fraction()) {
     store.set_relaying(settings.mechanisms.relay);
+    store.set_overlapping(settings.mechanisms.holding);
+    ledger.turns.set_overlapping(settings.mechanisms.holding);
     beacons.set_usage_window(settings.quota_bounds.window);
   }
 
@@ -129,6 +134,10 @@
   GatewayMetrics metrics;
   base::Random random;
   admission::ProgramAdmission admission;
+  HeldTurns held_turns;
+  CallerPatience caller_patience;
+  TurnTimes turn_times;         ///< of whole turns at engines
+  TurnTimes first_event_times;  ///< of turns
   bool stopping = false;
   int active_requests = 0;
 };
