--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -205,6 +205,14 @@
   peer->second.suspected_until = now + kSuspicion;
 }
 
+void PeerDirectory::suspect_zone(const std::string& zone, net::TimePoint now) {
+  for (auto& [node, peer] : peers_) {
+    if (peer.zone != zone) continue;
+    peer.suspected_at = now;
+    peer.suspected_until = now + kSuspicion;
+  }
+}
+
 bool PeerDirectory::is_live(const Peer& peer, net::TimePoint now, net::Millis silence) {
   if (now >= peer.last_heard + silence || now < peer.suspected_until) return false;
   const bool suspected = peer.suspected_at != net::TimePoint{};
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -59,6 +59,8 @@
                                    net::Millis window) const;
   /// A call to the peer failed.
   void suspect(const std::string& node, net::TimePoint now);
+  /// Nothing of a zone is heard: calls to any of its nodes would fail, each after a time-out.
+  void suspect_zone(const std::string& zone, net::TimePoint now);
 
   /// Heard of lately and not suspected. After a failed call a sign of life must have come since:
   /// without that, calls to a dead peer would fail again and again until its silence is noticed.
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -427,6 +427,7 @@
     engine->zone_silent = silent;
   }
   if (!changed) return;
+  if (silent) state_.peers.suspect_zone(zone, now);
   state_.log.event(silent ? "zone_silent" : "zone_heard")
       .with("zone", zone)
       .with("engines", engines.size())
--- a/tests/cluster/peer_directory_test.cpp
+++ b/tests/cluster/peer_directory_test.cpp
@@ -171,6 +171,18 @@
   REQUIRE(PeerDirectory::is_live(*directory.find(1), later, kSilence));
 }
 
+TEST_CASE_METHOD(Fixture, "the nodes of a zone that is not heard need a sign of life",
+                 "[cluster]") {
+  directory.on_beacon(beacon(1), now);
+  directory.on_beacon(beacon(2), now);
+  directory.suspect_zone("there", now + net::Millis(10));
+  const auto later = now + net::Millis(700);
+  REQUIRE(PeerDirectory::is_live(*directory.find(1), later, kSilence));
+  REQUIRE_FALSE(PeerDirectory::is_live(*directory.find(2), later, kSilence));
+  directory.on_beacon(beacon(2), now + net::Millis(690));
+  REQUIRE(PeerDirectory::is_live(*directory.find(2), later, kSilence));
+}
+
 TEST_CASE_METHOD(Fixture, "a summary tells of another zone's nodes", "[cluster]") {
   PeerDirectory there("far", "there");
   there.put("far-2", row(3, "there"), now);
