--- a/tests/readiness/readiness_tracker_test.cpp
+++ b/tests/readiness/readiness_tracker_test.cpp
@@ -241,7 +241,7 @@
   world.others_reach_store = [](Millis at) { return within(at, kCutAt, kCutEnd) ? 0 : 100; };
   fleet.run(world, kCutEnd + Millis(5000));
   REQUIRE(fleet.aside() == 0);
-  // Measured: 0.012 of the time of all nodes.
+  // Measured with seed 1: 0.064 of the time of all nodes.
   REQUIRE(fleet.part_aside() < 0.125);
 }
 
