--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -36,6 +36,7 @@
   double shortage = 0;  ///< 0: room for everybody of the rank, 1: for nobody
   int begun = 0;        ///< of the tenant, of late
   double level = 0;     ///< fair share of each tenant in that time; 0 where it was not needed
+  double unheard = 0;   ///< programs that others are taken to have begun since they were heard of
 
   bool admitted() const { return refusal == Refusal::kNone; }
 };
--- a/src/admission/program_admission.cpp
+++ b/src/admission/program_admission.cpp
@@ -64,8 +64,10 @@
   auto begun = own(now);
   for (const auto& [tenant, count] : heard_) begun[tenant] += count;
   auto estimated = service;
-  if (service.slots > 0) estimated.load += begins_unheard_of(now) / service.slots;
-  const auto decision = decide(estimated, begun, request);
+  const double unheard = begins_unheard_of(now);
+  if (service.slots > 0) estimated.load += unheard / service.slots;
+  auto decision = decide(estimated, begun, request);
+  decision.unheard = unheard;
   if (decision.admitted() && !request.under_way) {
     own_.try_emplace(request.tenant, kShareSpan).first->second.add(now);
   }
--- a/src/serving/program_gate.cpp
+++ b/src/serving/program_gate.cpp
@@ -53,6 +53,7 @@
       .with("program", call.description.program)
       .with("reason", admission::name_of(decision.refusal))
       .with("load", service.load)
+      .with("unheard", decision.unheard)
       .with("slots", service.slots)
       .with("lost_slots", service.lost_slots)
       .with("heard_ms", service.age.count())
