--- /dev/null
+++ b/tests/cluster/store_relay_test.cpp
@@ -0,0 +1,52 @@
+#include "cluster/store_relay.hpp"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <memory>
+
+#include "support/run.hpp"
+#include "support/slow_table.hpp"
+
+using namespace sailgate;
+
+namespace {
+
+/// A node alone, whose store was silent until now and answers slowly from now on.
+struct SlowReturnFixture {
+  net::asio::io_context context;
+  std::unique_ptr<std::FILE, int (*)(std::FILE*)> log_file{std::tmpfile(), std::fclose};
+  observe::StructuredLog log{fileno(log_file.get())};
+  test::SlowTable table{context, 1};
+  cluster::PeerDirectory directory{"node-1", "zone"};
+  cluster::PeerClients clients{context};
+  cluster::StoreRelay relay{context, table, directory, clients, log, 1};
+
+  SlowReturnFixture() {
+    table.set_lost_percent(100);
+    while (relay.answers()) {
+      test::run(context, relay.read(store::RangeRead{"nodes", "1", "", "", 1}, net::Millis(60)));
+    }
+    table.set_lost_percent(0);
+    table.set_answer_time(net::Millis(240));
+  }
+  /// @return whether the store was taken for back within this time.
+  bool back_within(net::Millis time) {
+    net::asio::co_spawn(context, relay.keep_probing(), net::asio::detached);
+    const auto until = net::Clock::now() + time;
+    test::run_until(context, [&] { return relay.answers() || net::Clock::now() > until; });
+    return relay.answers();
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(SlowReturnFixture, "a store that answers slowly is not taken for away",
+                 "[cluster][slow]") {
+  REQUIRE(back_within(net::Millis(800)));
+}
+
+TEST_CASE_METHOD(SlowReturnFixture, "probes that wait for each other give a slow store up",
+                 "[cluster][slow]") {
+  relay.set_overlapping(false);
+  REQUIRE_FALSE(back_within(net::Millis(1200)));
+}
