--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -50,7 +50,10 @@
 
 /// Draw of a rendezvous order in which each engine is first for a share of the keys that follows
 /// its speed; at the usual speed the draw itself.
-double by_speed(double draw, double speed) { return 1 - std::pow(1 - draw, 1 / speed); }
+double by_speed(double draw, double speed) {
+  if (speed == 1) return draw;
+  return 1 - std::pow(1 - draw, 1 / speed);
+}
 
 struct Rank {
   bool avoided;
@@ -133,7 +136,7 @@
 EnginePointer select_engine(const EngineRegistry& registry, const SelectionQuery& query) {
   const auto& engines = registry.of_service(query.service);
   const double mean = mean_load(engines);
-  const auto stay = engine_to_stay_at(registry, query, mean);
+  auto stay = engine_to_stay_at(registry, query, mean);
   const bool slow = stay != nullptr && stay->speed < kTurnedSlow;
   const bool may_move = slow && query.turn_over_reading > 0;
   if (stay != nullptr && !may_move) return stay;
