--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -59,14 +59,18 @@
   bool avoided;
   bool saturated;
   double cost;
-  std::uint64_t tie;
 
   bool operator<(const Rank& other) const {
-    return std::tie(avoided, saturated, cost, tie) <
-           std::tie(other.avoided, other.saturated, other.cost, other.tie);
+    return std::tie(avoided, saturated, cost) <
+           std::tie(other.avoided, other.saturated, other.cost);
   }
 };
 
+/// Order of engines of the same rank.
+std::uint64_t tie_break(const Engine& engine, const SelectionQuery& query) {
+  return XXH64(engine.record.id.data(), engine.record.id.size(), query.draw);
+}
+
 double load_of(const Engine& engine) {
   const double requests = engine.in_flight + engine.peer_in_flight;
   return requests / (engine.record.slots * engine.speed);
@@ -86,8 +90,7 @@
       keyed ? kAffinityCost *
                   by_speed(rendezvous_draw(query.affinity_key, engine.record.id), engine.speed)
             : load + connect;
-  const auto tie = XXH64(engine.record.id.data(), engine.record.id.size(), query.draw);
-  return {avoided(engine, query), load >= saturation, preference + zone, tie};
+  return {avoided(engine, query), load >= saturation, preference + zone};
 }
 
 bool excluded(const SelectionQuery& query, const Engine& engine) {
@@ -140,21 +143,24 @@
   const bool slow = stay != nullptr && stay->speed < kTurnedSlow;
   const bool may_move = slow && query.turn_over_reading > 0;
   if (stay != nullptr && !may_move) return stay;
-  EnginePointer best;
+  const EnginePointer* best = nullptr;
   Rank best_rank{};
   const double saturation = std::max(kSaturation, kSaturationOverMean * mean);
   for (const auto& engine : engines) {
     if (!engine->usable() || excluded(query, *engine)) continue;
     if (may_move && !worth_moving(*stay, *engine, query.turn_over_reading)) continue;
     const auto candidate = rank(*engine, query, saturation);
-    if (best == nullptr || candidate < best_rank) {
-      best = engine;
-      best_rank = candidate;
-    }
+    if (best != nullptr && best_rank < candidate) continue;
+    // Only among equals does the hash of the engine's name matter.
+    const bool better = best == nullptr || candidate < best_rank ||
+                        tie_break(*engine, query) < tie_break(**best, query);
+    if (!better) continue;
+    best = &engine;
+    best_rank = candidate;
   }
-  if (!may_move) return best;
   const bool has_room = best != nullptr && !best_rank.avoided && !best_rank.saturated;
-  return has_room ? best : stay;
+  if (best == nullptr || (may_move && !has_room)) return stay;
+  return *best;
 }
 
 }  // namespace sailgate::balancing
