--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -322,6 +322,8 @@
 }
 
 void Gateway::take_speeds(net::TimePoint now) {
+  if (now < speeds_taken_at_ + balancing::kSpeedReading) return;
+  speeds_taken_at_ = now;
   const auto told = state_.peers.figures(now, state_.beacons.silence_limit()).speeds;
   double slowest = 1;
   double fastest = 1;
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -78,6 +78,7 @@
   std::unique_ptr<net::TextServer> metrics_;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
   net::TimePoint last_contact_{};
+  net::TimePoint speeds_taken_at_{};
   net::TimePoint stop_began_{};
 };
 
