--- a/src/balancing/prompt_demand.cpp
+++ b/src/balancing/prompt_demand.cpp
@@ -30,8 +30,9 @@
 }
 
 std::int64_t PromptDemand::part_number(net::TimePoint now) {
-  constexpr auto kPart = kWindow / kParts;
-  return std::chrono::duration_cast<net::Millis>(now.time_since_epoch()) / kPart;
+  constexpr auto kPart = kWindow / static_cast<int>(kParts);
+  const auto since = std::chrono::duration_cast<net::Millis>(now.time_since_epoch());
+  return since.count() / kPart.count();
 }
 
 void PromptDemand::note(std::int32_t prompt, std::int64_t tokens, net::TimePoint now) {
