--- a/src/balancing/prompt_placement.cpp
+++ b/src/balancing/prompt_placement.cpp
@@ -34,7 +34,7 @@
 /// by the rendezvous order alone some would have three times the work of others.
 constexpr double kCopiesOverMean = 1.25;
 /// Prompts placed; those asked for less often are placed when they are asked for.
-constexpr std::size_t kMostPrompts = 256;
+constexpr std::size_t kMostPrompts = 64;
 
 std::string order_key(std::int32_t prompt) { return "prompt/" + std::to_string(prompt); }
 
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -167,8 +167,7 @@
   balancing::SelectionQuery query;
   query.service = call.service;
   const auto& description = call.description;
-  const bool long_prompt = description.prompt_tokens >= kLongPrompt;
-  if (long_prompt && state_.settings.mechanisms.affinity) {
+  if (description.prompt_tokens >= kLongPrompt && state_.settings.mechanisms.affinity) {
     query.affinity_key = call.key_of(description.program).text();
     query.prompt = prompt_places(call);
   }
@@ -184,6 +183,7 @@
 const balancing::PromptPlaces* Dispatcher::prompt_places(const Call& call) {
   const auto& description = call.description;
   if (!state_.settings.mechanisms.prompts || description.shared_prefix.empty()) return nullptr;
+  if (description.prompt_tokens < kLongPrompt) return nullptr;
   const auto prompt = balancing::prompt_key(call.service, description.shared_prefix);
   if (call.offered.empty()) {
     state_.prompt_demand.note(prompt, description.shared_prefix_tokens, net::Clock::now());
@@ -195,12 +195,15 @@
 
 void Dispatcher::log_offer(const Call& call, const EngineExchange& exchange, const char* outcome) {
   const auto& engine = exchange.engine();
+  const auto* places = prompt_places(call);
   state_.log.event("offer")
       .with("id", call.description.request_id)
       .with("engine", engine.record.id)
       .with("in_flight", engine.in_flight)
       .with("peer_in_flight", engine.peer_in_flight)
       .with("slots", engine.record.slots)
+      .with("keeps_prompt",
+            places == nullptr ? -1 : static_cast<int>(places->hold(engine.record.id)))
       .with("kept_connection", static_cast<int>(exchange.on_kept_connection()))
       .with("outcome", outcome)
       .with("elapsed_ms", call.elapsed().count());
