--- a/src/balancing/engine_selector.cpp
+++ b/src/balancing/engine_selector.cpp
@@ -46,7 +46,7 @@
 /// move for nothing costs the engines what it was to save.
 constexpr double kGainOverReading = 2;
 
-/// Lines look for a faster engine where theirs has turned slower than this. Engines that are slower
+/// Lines look for a faster engine where theirs has turned this slow. Engines that are slower
 /// for good get fewer programs instead: at half the speed a program with its pauses and ways takes
 /// some 1.4 times its time, which callers allow, and lines that leave press into the memory of the
 /// faster engines. At 0.75, where a quarter of the engines has half the usual speed, the busiest
@@ -155,7 +155,7 @@
   const auto& engines = registry.of_service(query.service);
   const double mean = mean_load(engines);
   auto stay = engine_to_stay_at(registry, query, mean);
-  const bool slow = stay != nullptr && stay->speed < kTurnedSlow;
+  const bool slow = stay != nullptr && stay->speed <= kTurnedSlow;
   const bool may_move = slow && query.turn_over_reading > 0;
   if (stay != nullptr && !may_move) return stay;
   const EnginePointer* best = nullptr;
