--- a/src/admission/unheard_begins.hpp
+++ b/src/admission/unheard_begins.hpp
@@ -20,7 +20,7 @@
 /// What this node let begin beyond its usual, times the other nodes: callers reach nodes alike.
 /// With it, of 1,200 callers that come at once to 12 nodes beside the usual load, 60 in 100 end in
 /// time instead of 43; at three times the usual work for 6 s, 68 instead of 60 to 63 (in virtual
-/// time).
+/// time, refused callers back from 0.4 s on).
 /// @param recent programs that this node let begin within kNewsAge. @param usual in a time as long,
 /// of late. @param others other nodes that callers reach; its own requests a node knows.
 inline double unheard_begins(double recent, double usual, std::size_t others) {
