--- a/src/admission/service_load.cpp
+++ b/src/admission/service_load.cpp
@@ -1,5 +1,7 @@
 #include "admission/service_load.hpp"
 
+#include <utility>
+
 #include "balancing/engine_failures.hpp"
 
 namespace sailgate::admission {
--- a/src/serving/program_gate.cpp
+++ b/src/serving/program_gate.cpp
@@ -12,8 +12,9 @@
 constexpr net::Millis kOverloadReturn{800};
 constexpr std::uint64_t kReturnSpread = 50;
 
-admission::ProgramRequest request_of(const NodeState& state, const Call& call) {
+admission::ProgramRequest request_of(const NodeState& state, const Call& call, bool begins) {
   admission::ProgramRequest request;
+  request.under_way = !begins;
   request.rank = call.priority();
   request.tenant = cluster::tenant_key(call.tenant_name());
   request.time_left = call.time_left();
@@ -37,15 +38,17 @@
 
 }  // namespace
 
-std::optional<net::Millis> hold_program(NodeState& state, const Call& call) {
+std::optional<net::Millis> hold_program(NodeState& state, const Call& call, bool begins) {
   if (!state.settings.mechanisms.overload) return std::nullopt;
-  if (!state.settings.mechanisms.fairness) return hold_to_bound(state, call);
+  if (!state.settings.mechanisms.fairness) {
+    return begins ? hold_to_bound(state, call) : std::nullopt;
+  }
   const auto now = net::Clock::now();
   const auto& engines = state.engines.of_service(call.service);
   const auto service = admission::measure_load(engines, now, state.admission.age(now));
-  const auto request = request_of(state, call);
+  const auto request = request_of(state, call, begins);
   const auto decision = state.admission.admit(service, request, now);
-  state.metrics.program_decided(decision.refusal, request.rank);
+  if (begins) state.metrics.program_decided(decision.refusal, request.rank);
   if (decision.admitted()) return std::nullopt;
   const auto wait = state.admission.return_time(call.service, request, now);
   state.log.event("refused_for_load")
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -108,11 +108,10 @@
   // A line of turns whose engine the program's home knows has begun, whichever node it reaches.
   // Where no home was asked nobody can tell, so that nothing is refused.
   const bool begins = call_.route->retained || (reserved_ > 0 && call_.line_engine.empty());
-  if (!begins) co_return std::nullopt;
-  if (const auto wait = hold_program(state_, call_)) {
+  if (const auto wait = hold_program(state_, call_, begins)) {
     co_return co_await refuse(call_, Kind::kOverloaded, *wait);
   }
-  first_turn_ = true;
+  first_turn_ = begins;
   co_return std::nullopt;
 }
 
