--- a/src/balancing/prompt_placement.cpp
+++ b/src/balancing/prompt_placement.cpp
@@ -80,66 +80,63 @@
   return gap > 0 ? before + 1 : before - 1;
 }
 
-/// Engines by zone, each zone's in rendezvous order of the key.
-std::map<std::string, std::vector<std::string>> ordered_zones(
-    const std::string& key, const std::vector<EnginePointer>& engines) {
-  std::map<std::string, std::vector<std::pair<double, std::string>>> draws;
+}  // namespace
+
+PromptPlacement::Order PromptPlacement::order(const std::string& key,
+                                              const std::vector<EnginePointer>& engines) {
+  std::map<std::string, std::vector<std::pair<double, const std::string*>>> draws;
   for (const auto& engine : engines) {
     if (!engine->usable()) continue;
     const auto& record = engine->record;
-    draws[record.zone].emplace_back(rendezvous_draw(key, record.id), record.id);
+    draws[record.zone].emplace_back(rendezvous_draw(key, record.id), &record.id);
   }
-  std::map<std::string, std::vector<std::string>> zones;
-  for (auto& [zone, ordered] : draws) {
-    std::sort(ordered.begin(), ordered.end());
-    for (auto& [draw, id] : ordered) zones[zone].push_back(std::move(id));
+  Order zones;
+  for (auto& [name, drawn] : draws) {
+    std::sort(drawn.begin(), drawn.end());
+    OrderedZone zone;
+    zone.first = rendezvous_draw(key, name);
+    for (const auto& [draw, id] : drawn) zone.engines.push_back(id);
+    zones.push_back(std::move(zone));
   }
   return zones;
 }
 
-}  // namespace
-
-PromptPlacement::Order PromptPlacement::order(const std::string& key,
-                                              const std::vector<EnginePointer>& engines) {
-  Order order;
-  order.zones = ordered_zones(key, engines);
-  // Zones take turns, by their sizes: a prompt with a few engines has some in each zone.
-  std::vector<std::pair<double, std::string>> turns;
-  for (const auto& [zone, ids] : order.zones) {
-    const double first = rendezvous_draw(key, zone);
-    const auto size = static_cast<double>(ids.size());
-    for (std::size_t rank = 0; rank < ids.size(); ++rank) {
-      turns.emplace_back((static_cast<double>(rank) + first) / size, zone);
+void PromptPlacement::share_out(Order& zones, int wanted) {
+  const auto turn = [](const OrderedZone& zone) {
+    return (zone.wanted + zone.first) / static_cast<double>(zone.engines.size());
+  };
+  for (int taken = 0; taken < wanted; ++taken) {
+    OrderedZone* next = nullptr;
+    for (auto& zone : zones) {
+      if (zone.wanted == static_cast<int>(zone.engines.size())) continue;
+      if (next == nullptr || turn(zone) < turn(*next)) next = &zone;
     }
+    if (next == nullptr) return;
+    ++next->wanted;
   }
-  std::sort(turns.begin(), turns.end());
-  for (auto& [turn, zone] : turns) order.turns.push_back(std::move(zone));
-  return order;
-}
-
-std::set<std::string> PromptPlacement::take(const Order& order, int wanted, int bound,
-                                            Copies& copies) {
-  std::map<std::string, int> by_zone;
-  const auto turns = std::min(order.turns.size(), static_cast<std::size_t>(wanted));
-  for (std::size_t turn = 0; turn < turns; ++turn) ++by_zone[order.turns[turn]];
-  std::set<std::string> taken;
-  for (const auto& [zone, count] : by_zone) {
+}
+
+PromptPlaces::Engines PromptPlacement::take(Order zones, int wanted, int bound, Copies& copies) {
+  share_out(zones, wanted);
+  PromptPlaces::Engines taken;
+  for (const auto& zone : zones) {
     // Where too few are below the bound it is raised.
     int most = bound;
-    while (!take_of_zone(order.zones.at(zone), count, most, copies, taken)) ++most;
+    while (!take_of_zone(zone, most, copies, taken)) ++most;
   }
   return taken;
 }
 
-bool PromptPlacement::take_of_zone(const std::vector<std::string>& ids, int wanted, int most,
-                                   Copies& copies, std::set<std::string>& taken) {
-  const auto holds = [&](const std::string& id) { return taken.count(id) > 0; };
-  auto left = wanted - static_cast<int>(std::count_if(ids.begin(), ids.end(), holds));
-  for (const auto& id : ids) {
+bool PromptPlacement::take_of_zone(const OrderedZone& zone, int most, Copies& copies,
+                                   PromptPlaces::Engines& taken) {
+  const auto holds = [&](const std::string* id) { return taken.count(*id) > 0; };
+  const auto held = std::count_if(zone.engines.begin(), zone.engines.end(), holds);
+  auto left = zone.wanted - static_cast<int>(held);
+  for (const auto* id : zone.engines) {
     if (left <= 0) return true;
-    if (holds(id) || copies[id] >= most) continue;
-    ++copies[id];
-    taken.insert(id);
+    if (holds(id) || copies[*id] >= most) continue;
+    ++copies[*id];
+    taken.insert(*id);
     --left;
   }
   return left <= 0;
--- a/src/balancing/prompt_placement.hpp
+++ b/src/balancing/prompt_placement.hpp
@@ -7,9 +7,9 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "balancing/engine_registry.hpp"
@@ -19,8 +19,10 @@
 
 /// Engines of one shared prompt.
 struct PromptPlaces {
-  std::string order_key;          ///< of the rendezvous order in which other engines come next
-  std::set<std::string> engines;  ///< that keep the prompt
+  using Engines = std::unordered_set<std::string>;
+
+  std::string order_key;  ///< of the rendezvous order in which other engines come next
+  Engines engines;        ///< that keep the prompt
 
   bool hold(const std::string& engine) const { return engines.count(engine) > 0; }
 };
@@ -59,21 +61,24 @@
   std::size_t copies() const;
 
  private:
-  /// Order in which engines are to keep a prompt.
-  struct Order {
-    std::map<std::string, std::vector<std::string>> zones;  ///< engines of each zone
-    std::vector<std::string> turns;                         ///< zones, one entry an engine
+  /// Engines of a zone in the order in which they are to keep a prompt.
+  struct OrderedZone {
+    double first = 0;  ///< in [0, 1): the zone with the least is the first to take a copy
+    int wanted = 0;    ///< engines that are to keep the prompt
+    std::vector<const std::string*> engines;
   };
+  using Order = std::vector<OrderedZone>;
   /// Prompts that were placed so far at each engine.
   using Copies = std::unordered_map<std::string, int>;
 
   static Order order(const std::string& key, const std::vector<EnginePointer>& engines);
-  /// The first so many engines of the order that keep fewer prompts than the bound, by zones.
-  static std::set<std::string> take(const Order& order, int wanted, int bound, Copies& copies);
-  /// Adds engines of one zone that keep fewer than `most` prompts.
-  /// @return whether so many of the zone are taken now.
-  static bool take_of_zone(const std::vector<std::string>& ids, int wanted, int most,
-                           Copies& copies, std::set<std::string>& taken);
+  /// Zones take turns, by their sizes: a prompt with a few engines has some in each zone.
+  static void share_out(Order& zones, int wanted);
+  /// The first so many engines of the order that keep fewer prompts than the bound.
+  static PromptPlaces::Engines take(Order zones, int wanted, int bound, Copies& copies);
+  /// Adds engines of a zone that keep fewer than `most` prompts. @return whether these are enough.
+  static bool take_of_zone(const OrderedZone& zone, int most, Copies& copies,
+                           PromptPlaces::Engines& taken);
   /// Share of all copies, from the requests that were counted.
   double wanted(std::int32_t requests, std::size_t engines) const;
   int bounded(double wanted, std::size_t engines) const;
--- a/tests/balancing/prompt_placement_test.cpp
+++ b/tests/balancing/prompt_placement_test.cpp
@@ -80,9 +80,9 @@
 }
 
 /// Engines that keep each prompt.
-std::map<int, std::set<std::string>> keepers(PromptPlacement& placement,
-                                             const EngineRegistry& engines) {
-  std::map<int, std::set<std::string>> by_prompt;
+std::map<int, balancing::PromptPlaces::Engines> keepers(PromptPlacement& placement,
+                                                        const EngineRegistry& engines) {
+  std::map<int, balancing::PromptPlaces::Engines> by_prompt;
   for (int prompt = 0; prompt < kPrompts; ++prompt) {
     by_prompt[prompt] = placement.places(key(prompt), engines.of_service("llm")).engines;
   }
@@ -96,8 +96,8 @@
   int copies = 0;
 };
 
-Moves moves_between(const std::map<int, std::set<std::string>>& before,
-                    const std::map<int, std::set<std::string>>& after,
+Moves moves_between(const std::map<int, balancing::PromptPlaces::Engines>& before,
+                    const std::map<int, balancing::PromptPlaces::Engines>& after,
                     const EngineRegistry& engines) {
   Moves moves;
   for (const auto& [prompt, old] : before) {
