--- a/apps/sailgate_bench/local_deployment.cpp
+++ b/apps/sailgate_bench/local_deployment.cpp
@@ -2,6 +2,7 @@
 
 #include <cpprest/json.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -22,7 +23,20 @@
 constexpr std::int32_t kStandinPortOffset = 10;
 /// Few enough that each node sees all of them in each sweep.
 constexpr int kFamilyParts = 16;
-constexpr const char* kStandinHost = "127.0.0.1";
+
+/// 127.128.0.0/9 by process id, so that two deployments at a time do not meet. @param last part of
+/// the address.
+std::string own_host(std::size_t last) {
+  const auto id = static_cast<unsigned>(getpid());
+  constexpr unsigned kFirstPart = 128;
+  constexpr unsigned kParts = 128;
+  constexpr unsigned kHosts = 256;
+  return "127." + std::to_string(kFirstPart + id / kHosts % kParts) + "." +
+         std::to_string(id % kHosts) + "." + std::to_string(last);
+}
+
+/// Last part of the address of all stand-ins; nodes count from 1.
+constexpr std::size_t kStandins = 250;
 
 }  // namespace
 
@@ -54,7 +68,7 @@
   for (std::size_t zone = 0; zone < shape_.zones; ++zone) {
     for (std::size_t i = 0; i < shape_.nodes_per_zone; ++i) {
       Node node;
-      node.host = "127.0." + std::to_string(zone + 1) + "." + std::to_string(i + 1);
+      node.host = own_host(nodes_.size() + 1);
       node.zone = "zone" + std::to_string(zone + 1);
       node.settings_file = work_ + "/node-" + node.host + ".toml";
       nodes_.push_back(std::move(node));
@@ -80,11 +94,11 @@
                                            const std::vector<std::string>& options) {
   const auto port = std::to_string(next_port_++);
   std::vector<std::string> arguments{
-      programs_ + "/sailgate-standin", kind, "--host", kStandinHost, "--port", port};
+      programs_ + "/sailgate-standin", kind, "--host", own_host(kStandins), "--port", port};
   arguments.insert(arguments.end(), options.begin(), options.end());
   standins_.push_back(
       std::make_unique<ChildProcess>(arguments, work_ + "/" + kind + "-" + port + ".log"));
-  auto address = std::string(kStandinHost) + ":" + port;
+  auto address = own_host(kStandins) + ":" + port;
   wait_until_answering(address, {"faults"}, kStandinTimeout);
   return address;
 }
--- a/tests/processes/deployment_test.cpp
+++ b/tests/processes/deployment_test.cpp
@@ -112,7 +112,7 @@
   REQUIRE(foreign.response.status == 404);
 
   // Bytes that are no HTTP, too long, or cut off.
-  const std::string host = "127.0.1.1";
+  const std::string host = node.substr(0, node.find(':'));
   send_raw(host, shape.base_port, "nonsense\r\n\r\n");
   send_raw(host, shape.base_port, std::string("\x7f\xff\xff\xff", 4) + "junk");
   send_raw(host, shape.base_port, "POST /v1/programs HTTP/1.1\r\nContent-Length: 50\r\n\r\n{");
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -14,6 +14,7 @@
 #include "quota/limit.hpp"
 #include "soak/soak_caller.hpp"
 #include "soak/soak_engine.hpp"
+#include "support/loopback_endpoints.hpp"
 #include "table_client.hpp"
 
 namespace sailgate::soak {
@@ -22,8 +23,6 @@
 
 using bench::LinkMode;
 
-constexpr int kFirstPort = 23100;
-constexpr int kTablePort = 23090;
 constexpr std::size_t kEngines = 4;
 constexpr int kCallers = 8;
 /// Callers that a busy tenant has besides its usual ones.
@@ -66,8 +65,8 @@
       : options_(options),
         random_(options.seed),
         engines_(context_, checker_, options.seed, kEngines),
-        table_address_("127.0.0.1:" + std::to_string(kTablePort)),
-        table_(context_, {net::asio::ip::address_v4::loopback(), kTablePort}) {
+        table_endpoint_(test::own_endpoint()),
+        table_(context_, table_endpoint_) {
     std::filesystem::create_directories(options_.work_directory);
   }
 
@@ -114,7 +113,8 @@
   void start_table() {
     standin_ = std::make_unique<bench::ChildProcess>(
         std::vector<std::string>{options_.programs_directory + "/sailgate-standin", "table-service",
-                                 "--host", "127.0.0.1", "--port", std::to_string(kTablePort)},
+                                 "--host", table_endpoint_.address().to_string(), "--port",
+                                 std::to_string(table_endpoint_.port())},
         options_.work_directory + "/table.log");
   }
 
@@ -123,17 +123,17 @@
     node.name = "node-" + std::to_string(index);
     node.zone = static_cast<std::size_t>(index) % kZones;
     node.store_link = links_.count();
-    const auto ip = "127.0.2." + std::to_string(index + 1);
-    const auto address = net::asio::ip::make_address(ip);
-    node.callers = {address, static_cast<std::uint16_t>(kFirstPort)};
-    node.readiness = {address, static_cast<std::uint16_t>(kFirstPort + 1)};
+    node.callers = test::own_endpoint();
+    node.readiness = test::own_endpoint();
+    const auto metrics = test::own_endpoint();
+    const auto peers = test::own_endpoint();
     node.settings_file = options_.work_directory + "/" + node.name + ".toml";
     std::ofstream file(node.settings_file);
-    file << "node = \"" << node.name << "\"\nzone = \"zone" << node.zone << "\"\nip = \"" << ip
-         << "\"\nport_range = [" << kFirstPort + 10 << ", " << kFirstPort + 20
-         << "]\n[listen]\nfront = \"" << text_of(node.callers) << "\"\nready = \""
+    file << "node = \"" << node.name << "\"\nzone = \"zone" << node.zone << "\"\nip = \""
+         << node.callers.address().to_string() << "\"\nport_range = [" << metrics.port() << ", "
+         << peers.port() << "]\n[listen]\nfront = \"" << text_of(node.callers) << "\"\nready = \""
          << text_of(node.readiness) << "\"\n[bounds]\ngrace_s = 8\n[provider]\naddr = \""
-         << links_.add(table_address_) << "\"\n";
+         << links_.add(text_of(table_endpoint_)) << "\"\n";
     file.close();
     nodes_.push_back(std::move(node));
   }
@@ -267,7 +267,7 @@
   }
 
   net::asio::awaitable<void> set_table(std::string faults) {
-    net::HttpClient client(context_, {net::asio::ip::address_v4::loopback(), kTablePort});
+    net::HttpClient client(context_, table_endpoint_);
     net::TextRequest request;
     request.method(net::http::verb::post);
     request.target("/faults");
@@ -417,7 +417,7 @@
   SoakChecker checker_;
   base::Random random_;
   SoakEngines engines_;
-  std::string table_address_;
+  net::Endpoint table_endpoint_;
   platform::TableClient table_;
   bench::FaultProxies links_;
   std::vector<std::size_t> engine_links_;  ///< by engine
