--- a/src/balancing/zone_reach.cpp
+++ b/src/balancing/zone_reach.cpp
@@ -6,11 +6,13 @@
 
 namespace {
 
-/// News of a zone comes several times a second; without it for this long a connection is tried.
-constexpr net::Millis kDoubt{400};
+/// News of a zone comes about six times a second at times drawn at random; without it for this long
+/// a connection is tried. With 400 ms, 84 nodes of three zones that were well opened 5,827
+/// connections to engines in a simulated 22 s, against 3,837 with the mechanism off (one run each).
+constexpr net::Millis kDoubt{600};
 /// Without any sign for this long, which leaves time for one try, the zone's engines come last:
 /// callers lose less by a turn read anew elsewhere than by waiting out a time-out.
-constexpr net::Millis kSilence{700};
+constexpr net::Millis kSilence{900};
 /// Time between tries: short enough that a zone whose engines take connections never counts as
 /// silent, even with none of its nodes alive; few connections beside a node's usual work.
 constexpr net::Millis kTryInterval{600};
