Store calls tell how they ended: status, rows and bytes by table, a line at the first refusal

Change: two more statuses, a metered store under the relay, counters, one line for each change of a refusal. The schedule of removals is a type of its own, so that a test can play it. No decision changes.

--- a/src/ledger/expiry_sweeper.cpp
+++ b/src/ledger/expiry_sweeper.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "ledger/sweep_schedule.hpp"
 #include "store/row_parts.hpp"
 
 namespace sailgate::ledger {
@@ -10,10 +11,6 @@
 
 using store::StoreStatus;
 
-/// Nothing expires sooner after a start.
-constexpr net::Millis kFirstLook{180'000};
-/// All nodes together look at every part once in this time.
-constexpr net::Millis kCycle{60'000};
 /// Rows are kept this much longer than their time: clocks are estimates.
 constexpr std::int64_t kMarginMs = 10'000;
 constexpr net::Millis kCallTimeout{700};
@@ -86,12 +83,11 @@
 }
 
 net::Millis ExpirySweeper::pause() const {
-  return kCycle * static_cast<std::int64_t>(nodes_()) /
-         static_cast<std::int64_t>(store::part_count());
+  return SweepSchedule::pause(nodes_(), store::part_count());
 }
 
 net::asio::awaitable<void> ExpirySweeper::run() {
-  co_await net::sleep_for(context_, kFirstLook);
+  co_await net::sleep_for(context_, SweepSchedule::first_look());
   while (true) {
     co_await net::sleep_for(context_, pause());
     co_await sweep_part(store::part_name(random_.below(store::part_count())));
--- a/src/ledger/expiry_sweeper.hpp
+++ b/src/ledger/expiry_sweeper.hpp
@@ -12,9 +12,8 @@
 
 namespace sailgate::ledger {
 
-/// Every node looks at parts drawn at random, so slowly that all nodes together look at each part
-/// about once a minute. Several may look at one: a row goes only while it has the version that its
-/// entry names. Not thread-safe.
+/// Looks at parts drawn at random, in the rhythm of ledger/sweep_schedule.hpp. Several nodes may
+/// look at one: a row goes only while it has the version that its entry names. Not thread-safe.
 class ExpirySweeper {
  public:
   /// @param nodes how many nodes sweep.
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -35,6 +35,22 @@
                    .Name("sailgate_requests_total")
                    .Help("Requests by how they ended")
                    .Register(registry);
+  store_calls_ = &prometheus::BuildCounter()
+                      .Name("sailgate_store_calls_total")
+                      .Help("Calls of the table store by how they ended")
+                      .Register(registry);
+  bytes_written_ = &prometheus::BuildCounter()
+                        .Name("sailgate_store_written_bytes_total")
+                        .Help("Keys and values written to the table store")
+                        .Register(registry);
+  rows_written_ = &prometheus::BuildCounter()
+                       .Name("sailgate_store_rows_written_total")
+                       .Help("Rows written to the table store")
+                       .Register(registry);
+  rows_removed_ = &prometheus::BuildCounter()
+                       .Name("sailgate_store_rows_removed_total")
+                       .Help("Rows removed from the table store")
+                       .Register(registry);
   programs_ = &prometheus::BuildCounter()
                    .Name("sailgate_programs_total")
                    .Help("Programs by rank and by what they were refused for, if they were")
@@ -88,6 +104,21 @@
   durations_->Observe(seconds(duration));
 }
 
+void GatewayMetrics::store_call_ended(store::StoreCall call, store::StoreStatus status) {
+  store_calls_->Add({{"call", store::name_of(call)}, {"end", store::name_of(status)}}).Increment();
+}
+
+void GatewayMetrics::rows_changed(const store::RowsChanged& changed) {
+  const prometheus::Labels labels{{"table", changed.table}};
+  if (changed.rows_written > 0) {
+    rows_written_->Add(labels).Increment(static_cast<double>(changed.rows_written));
+    bytes_written_->Add(labels).Increment(static_cast<double>(changed.bytes_written));
+  }
+  if (changed.rows_removed > 0) {
+    rows_removed_->Add(labels).Increment(static_cast<double>(changed.rows_removed));
+  }
+}
+
 void GatewayMetrics::tenant_request(const std::string& tenant, const quota::Admission& admission) {
   const bool named = named_tenants_.size() < kMostTenants || named_tenants_.count(tenant) > 0;
   if (named) named_tenants_.insert(tenant);
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -13,6 +13,7 @@
 #include "admission/admission.hpp"
 #include "net/asio.hpp"
 #include "quota/admission.hpp"
+#include "store/metered_store.hpp"
 
 namespace sailgate::serving {
 
@@ -27,6 +28,10 @@
   /// A program was let begin, or refused for the load of its service.
   void program_decided(admission::Refusal refusal, int rank);
   void first_event(net::Millis after);
+  /// A call of the table store ended, a relayed one for a peer included.
+  void store_call_ended(store::StoreCall call, store::StoreStatus status);
+  /// A transaction changed rows of a table.
+  void rows_changed(const store::RowsChanged& changed);
   void store_lost() { store_losses_->Increment(); }
   /// A turn that waited for the store began, was refused or lost its caller.
   void held_turn_ended(const std::string& how, net::Millis waited);
@@ -69,6 +74,10 @@
   /// nor memory grows with the configuration.
   static constexpr std::size_t kMostTenants = 200;
   std::set<std::string> named_tenants_;
+  prometheus::Family<prometheus::Counter>* store_calls_;
+  prometheus::Family<prometheus::Counter>* rows_written_;
+  prometheus::Family<prometheus::Counter>* rows_removed_;
+  prometheus::Family<prometheus::Counter>* bytes_written_;
   prometheus::Family<prometheus::Counter>* programs_;
   prometheus::Family<prometheus::Counter>* held_turns_;
   prometheus::Histogram* held_times_;
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -28,6 +28,7 @@
 #include "serving/held_turns.hpp"
 #include "serving/node_settings.hpp"
 #include "serving/turn_times.hpp"
+#include "store/metered_store.hpp"
 
 namespace sailgate::serving {
 
@@ -44,7 +45,8 @@
         peers(settings.node, settings.zone),
         quotas(peers, settings.quota_bounds, started_at, static_cast<std::uint64_t>(incarnation)),
         peer_clients(loop),
-        store(loop, table_store, peers, peer_clients, structured_log,
+        metered_store(table_store, structured_log),
+        store(loop, metered_store, peers, peer_clients, structured_log,
               static_cast<std::uint64_t>(incarnation)),
         ledger(loop, store, store.clock(), structured_log, incarnation),
         beacons(
@@ -57,6 +59,11 @@
             static_cast<std::uint64_t>(incarnation)),
         random(static_cast<std::uint64_t>(incarnation)),
         admission(random.fraction()) {
+    metered_store.set_meter(
+        {[this](store::StoreCall call, store::StoreStatus status) {
+           metrics.store_call_ended(call, status);
+         },
+         [this](const store::RowsChanged& changed) { metrics.rows_changed(changed); }});
     store.set_relaying(settings.mechanisms.relay);
     store.set_overlapping(settings.mechanisms.holding);
     ledger.turns.set_overlapping(settings.mechanisms.holding);
@@ -143,7 +150,8 @@
   cluster::PeerDirectory peers;
   cluster::TenantQuotas quotas;
   cluster::PeerClients peer_clients;
-  cluster::StoreRelay store;  ///< the table store, through a peer where need be
+  store::MeteredStore metered_store;  ///< this node's own calls, those for peers included
+  cluster::StoreRelay store;          ///< the table store, through a peer where need be
   ledger::ProgramLedger ledger;
   cluster::BeaconSender beacons;
   cluster::TurnKeeper turns;
--- a/src/simulation/in_memory_rows.cpp
+++ b/src/simulation/in_memory_rows.cpp
@@ -7,6 +7,27 @@
 using store::StoreResult;
 using store::StoreStatus;
 
+namespace {
+
+std::size_t size_of(const store::Row& row) { return row.id.key.size() + row.value.size(); }
+
+}  // namespace
+
+void InMemoryRows::put(store::Row row) {
+  remove(row.id);
+  row.version = version_;
+  bytes_ += size_of(row);
+  rows_[key_of(row.id)] = row;
+  history_.push_back(std::move(row));
+}
+
+void InMemoryRows::remove(const store::RowId& id) {
+  const auto row = rows_.find(key_of(id));
+  if (row == rows_.end()) return;
+  bytes_ -= size_of(row->second);
+  rows_.erase(row);
+}
+
 StoreResult InMemoryRows::transact(const store::Transaction& transaction) {
   StoreResult result;
   result.version = version_;
@@ -22,14 +43,14 @@
     return result;
   }
   result.rows.clear();
-  result.version = ++version_;
-  for (auto row : transaction.puts) {
-    row.version = version_;
-    rows_[key_of(row.id)] = row;
-    history_.push_back(std::move(row));
+  if (!transaction.puts.empty() && bytes_ >= capacity_) {
+    result.status = StoreStatus::kFull;
+    return result;
   }
+  result.version = ++version_;
+  for (const auto& row : transaction.puts) put(row);
   for (const auto& id : transaction.removals) {
-    rows_.erase(key_of(id));
+    remove(id);
     store::Row gone;
     gone.id = id;
     gone.version = version_;
--- a/src/store/table_store.hpp
+++ b/src/store/table_store.hpp
@@ -42,8 +42,13 @@
   kRefused,      ///< nothing was done, may be tried again
   kUnknown,      ///< no answer: it may have been done, or may be done later
   kHistoryLost,  ///< feeds only: read the table whole
+  kFull,         ///< nothing was done: the store keeps as much as it can
+  kThrottled,    ///< nothing was done: more calls a second than the store takes
 };
 
+/// Stable name, for logs and metrics.
+const char* name_of(StoreStatus status);
+
 /// The store took the call and said what it did.
 inline bool answered(StoreStatus status) {
   return status == StoreStatus::kDone || status == StoreStatus::kConflict;
@@ -51,7 +56,8 @@
 
 /// The call may be made again.
 inline bool failed(StoreStatus status) {
-  return status == StoreStatus::kRefused || status == StoreStatus::kUnknown;
+  return status == StoreStatus::kRefused || status == StoreStatus::kUnknown ||
+         status == StoreStatus::kFull || status == StoreStatus::kThrottled;
 }
 
 struct StoreResult {
--- a/tests/platform/table_wire_test.cpp
+++ b/tests/platform/table_wire_test.cpp
@@ -88,3 +88,12 @@
   REQUIRE_THROWS(platform::decode_follow("after=x&wait_ms=1"));
   REQUIRE(platform::decode_result(200, "{").status == store::StoreStatus::kUnknown);
 }
+
+TEST_CASE("a store that is full or asked too often says so apart from others", "[platform]") {
+  REQUIRE(platform::decode_result(507, "{}").status == store::StoreStatus::kFull);
+  REQUIRE(platform::decode_result(429, "{}").status == store::StoreStatus::kThrottled);
+  REQUIRE(platform::decode_result(503, "{}").status == store::StoreStatus::kRefused);
+  for (const auto status : {store::StoreStatus::kFull, store::StoreStatus::kThrottled}) {
+    REQUIRE(platform::decode_result(platform::status_of(status), "{}").status == status);
+  }
+}
--- a/tests/support/memory_table.cpp
+++ b/tests/support/memory_table.cpp
@@ -40,6 +40,11 @@
     case Mode::kRefuses:
       result.status = StoreStatus::kRefused;
       break;
+    case Mode::kFull:
+      result.status = StoreStatus::kFull;
+      if (transaction.puts.empty()) result = rows_.transact(transaction);
+      result.now_ms = now_ms_;
+      break;
     case Mode::kSilent:
       co_await net::sleep_for(context_, timeout);
       result.status = StoreStatus::kUnknown;
--- a/tests/support/memory_table.hpp
+++ b/tests/support/memory_table.hpp
@@ -17,6 +17,7 @@
     kUp,
     kSilent,        ///< nothing is done; the caller waits for its whole timeout
     kRefuses,       ///< nothing is done
+    kFull,          ///< writes of rows are refused for want of space
     kLosesAnswers,  ///< writes are done, the caller is not told
     kLate,          ///< writes are done when apply_late() is called, the caller is not told
   };
@@ -34,6 +35,10 @@
   /// The store's clock, as its answers tell it.
   void set_now(std::int64_t now_ms) { now_ms_ = now_ms; }
   std::size_t size() const { return rows_.size(); }
+  /// Keys and values that are kept.
+  std::size_t bytes() const { return rows_.bytes(); }
+  /// Writes of rows are refused for want of space while more than so much is kept.
+  void set_capacity(std::size_t bytes) { rows_.set_capacity(bytes); }
   /// Calls that touch one of these parts are refused.
   void put_out_of_service(std::set<std::string> parts) { parts_out_ = std::move(parts); }
   /// Writes that were held back take effect now, where their conditions hold.
