--- a/tests/cluster/store_relay_test.cpp
+++ b/tests/cluster/store_relay_test.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <memory>
 
+#include "support/memory_table.hpp"
 #include "support/run.hpp"
 #include "support/slow_table.hpp"
 
@@ -50,3 +51,26 @@
   relay.set_overlapping(false);
   REQUIRE_FALSE(back_within(net::Millis(1200)));
 }
+
+TEST_CASE("a full store is neither away nor out of this node's reach", "[cluster][space]") {
+  net::asio::io_context context;
+  const std::unique_ptr<std::FILE, int (*)(std::FILE*)> log_file{std::tmpfile(), std::fclose};
+  observe::StructuredLog log{fileno(log_file.get())};
+  test::MemoryTable table{context};
+  cluster::PeerDirectory directory{"node-1", "zone"};
+  cluster::PeerClients clients{context};
+  cluster::StoreRelay relay{context, table, directory, clients, log, 1};
+  table.set_mode(test::MemoryTable::Mode::kFull);
+  store::Transaction transaction;
+  transaction.puts.push_back({{"turns", "1", "turn"}, "text", 0, false});
+  const auto until = net::Clock::now() + net::Millis(300);
+  while (net::Clock::now() < until) {
+    auto copy = transaction;
+    const auto result = test::run(context, relay.transact(std::move(copy), net::Millis(50)));
+    REQUIRE(result.status == store::StoreStatus::kFull);
+    context.restart();
+    context.run_for(net::Millis(20));
+  }
+  REQUIRE(relay.direct_works());
+  REQUIRE(relay.answers());
+}
--- a/tests/serving/stream_call_test.cpp
+++ b/tests/serving/stream_call_test.cpp
@@ -146,6 +146,33 @@
   REQUIRE(engine.requests().empty());
 }
 
+TEST_CASE_METHOD(GatewayFixture, "while the store is full no turn runs that could not be kept",
+                 "[serving][space]") {
+  start();
+  engine.set_script([](const auto& request) { return events(request, 1, 2); });
+  table.set_mode(test::MemoryTable::Mode::kFull);
+  // The node learns it by a write of its own, at the latest by a first turn that ends in vain.
+  ask(request("POST", "/turns/x", turn_headers("t0", ""), "in"));
+  const auto run_before = engine.requests().size();
+  for (const auto* id : {"t1", "t2", "t3"}) {
+    const auto headers = "Sailgate-Request-Id: " + std::string(id) + "\r\n";
+    const auto got = ask(request("POST", "/turns/x", headers, "in"));
+    REQUIRE(got.status == 503);
+    REQUIRE(got.head.count(net::http::field::retry_after) == 1);
+  }
+  REQUIRE(engine.requests().size() == run_before);
+  table.set_mode(test::MemoryTable::Mode::kUp);
+  bool served = false;
+  for (int tries = 0; tries < 100 && !served; ++tries) {
+    context.restart();
+    context.run_for(net::Millis(50));
+    const auto id = "after-" + std::to_string(tries);
+    const auto got = ask(request("POST", "/turns/x", turn_headers(id, ""), "in"));
+    served = got.status == 200 && got.whole;
+  }
+  REQUIRE(served);
+}
+
 TEST_CASE_METHOD(GatewayFixture, "a spent budget refuses the turn before an engine sees it",
                  "[serving]") {
   start();
