--- a/tests/ledger/store_space_test.cpp
+++ b/tests/ledger/store_space_test.cpp
@@ -169,7 +169,7 @@
 
 }  // namespace
 
-TEST_CASE("the store keeps every turn of three minutes of load, and of bursts", "[space]") {
+TEST_CASE("the store keeps every turn of three minutes of load and of bursts", "[space]") {
   SpaceFleet fleet({});
   fleet.play();
   INFO("most of the space " << fleet.most_space() << ", turns " << fleet.turns());
@@ -200,7 +200,7 @@
   REQUIRE(fleet.space_now() < fleet.space_after(1'800) * 1.1);
 }
 
-TEST_CASE("a full store is not asked again, in other parts neither", "[space]") {
+TEST_CASE("a full store is not asked again in other parts", "[space]") {
   net::asio::io_context context;
   observe::StructuredLog log{::open("/dev/null", O_WRONLY)};
   MemoryTable table{context};
