The store keeps each turn's text once, removal begins with the process, and a full store is asked no more

A full store was taken for one that fails: tried again in other parts and through peers, while turns ran at engines that could not be kept. Ruled out: calls over the rates (they follow by 2 s), what processes believe after their return. Change: a row holds its turn alone and lists its predecessors, whose rows are read side by side; rows live for retention and a quarter; removal from the start, each part every 12 s, every second while the store is full; one entry of the expiry index for each budget row, budgets for 30 minutes; full is a status of its own that ends a call at once, is not relayed, and refuses turns before they run. A stopping node pauses between tries to hand over. Tests changed with the format: what a row holds, life of budgets (two hours to 30 minutes).

--- a/idl/ledger.thrift
+++ b/idl/ledger.thrift
@@ -12,14 +12,19 @@
 }
 
 /**
- * A finished turn with as many of its predecessors as fit one row. Reading a chain takes one read
- * for each `earlier` that is set.
+ * A finished turn, and where its predecessors are. Messages between nodes hold the whole chain as
+ * segments; rows of the store hold the turn alone.
  */
 struct TurnRow {
   /** Oldest first; the last one is the turn this row belongs to. */
   1: list<TurnSegment> segments
   /** Turn whose row holds what came before the first segment; empty at the start of a chain. */
   2: string earlier
+  /**
+   * The nearest predecessors, nearest first, so that their rows can be read side by side. Empty
+   * where several segments are held.
+   */
+  3: optional list<string> ancestors
 }
 
 /**
@@ -28,6 +33,8 @@
  */
 struct BudgetRow {
   1: map<i64, i64> granted
+  /** When the row expires, by the store's clock in milliseconds; 0: not known. */
+  2: optional i64 expires_at = 0
 }
 
 /**
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -58,6 +58,9 @@
   PeerDirectory(std::string self, std::string zone)
       : self_(std::move(self)), zone_(std::move(zone)) {}
 
+  /// This node.
+  const std::string& self() const { return self_; }
+
   /// All rows of nodes have been taken over once: peers that are not known do not exist.
   void note_complete() { complete_ = true; }
   /// Takes a node's row over. @param seen_at when a new incarnation counts as heard of.
--- a/src/cluster/store_relay.cpp
+++ b/src/cluster/store_relay.cpp
@@ -23,6 +23,10 @@
 /// Probes read parts of this table in turn: single parts may be out of service.
 constexpr const char* kProbeTable = "nodes";
 constexpr std::uint64_t kProbedParts = 251;
+/// While the store is full each node writes a row to this table so often: 84 calls a second of 84
+/// nodes, and callers come back after a second.
+constexpr const char* kSpaceTable = "space";
+constexpr net::Millis kSpaceProbeInterval{1000};
 /// Single answers get lost: so many direct calls in a row must fail before calls are relayed.
 constexpr int kFailuresToRelay = 3;
 /// A relayed call may take this much longer than a direct one.
@@ -63,6 +67,12 @@
   return row;
 }
 
+/// A status that this version does not know tells nothing.
+StoreStatus status_from_wire(std::int32_t status) {
+  const bool known = status >= 0 && status <= static_cast<std::int32_t>(StoreStatus::kThrottled);
+  return known ? static_cast<StoreStatus>(status) : StoreStatus::kUnknown;
+}
+
 wire::StoreReply to_wire(const StoreResult& result) {
   wire::StoreReply message;
   message.status = static_cast<std::int32_t>(result.status);
@@ -75,7 +85,7 @@
 
 StoreResult from_wire(const wire::StoreReply& message) {
   StoreResult result;
-  result.status = static_cast<StoreStatus>(message.status);
+  result.status = status_from_wire(message.status);
   for (const auto& row : message.rows) result.rows.push_back(from_wire(row));
   result.version = message.version;
   result.more = message.more;
@@ -117,7 +127,7 @@
 void StoreRelay::note_direct(const StoreResult& result) {
   const auto status = result.status;
   note_end(result);
-  failures_in_a_row_ = failed(status) ? failures_in_a_row_ + 1 : 0;
+  failures_in_a_row_ = reached(status) ? 0 : failures_in_a_row_ + 1;
   const bool works = failures_in_a_row_ < kFailuresToRelay;
   if (works == direct_works_) return;
   direct_works_ = works;
@@ -126,7 +136,7 @@
 
 void StoreRelay::note_end(const StoreResult& result) {
   const auto now = net::Clock::now();
-  reachability_.note(!failed(result.status), now);
+  reachability_.note(reached(result.status), now);
   clock_.observe(result.now_ms, now);
 }
 
@@ -144,9 +154,25 @@
   note_direct(result);
 }
 
+net::asio::awaitable<void> StoreRelay::probe_space() {
+  space_probed_at_ = net::Clock::now();
+  store::Transaction transaction;
+  const auto part = std::to_string(probes_++ % kProbedParts);
+  transaction.puts.push_back({{kSpaceTable, part, directory_.self()}, "", 0, false});
+  co_await transact(std::move(transaction), kLongProbeTimeout);
+}
+
+void StoreRelay::note_space(StoreStatus status, bool puts_rows) {
+  if (!space_.note(status, puts_rows)) return;
+  log_.event(space_.full() ? "store_full" : "store_has_space");
+}
+
 net::asio::awaitable<void> StoreRelay::keep_probing() {
   while (true) {
     co_await net::sleep_for(context_, probe_interval());
+    if (full() && net::Clock::now() >= space_probed_at_ + kSpaceProbeInterval) {
+      co_await probe_space();
+    }
     const bool well = direct_works_ && reachability_.answers(net::Clock::now());
     if (well) continue;
     if (overlapping_) {
@@ -201,12 +227,16 @@
 
 net::asio::awaitable<StoreResult> StoreRelay::transact(store::Transaction transaction,
                                                        net::Millis timeout) {
+  const bool puts_rows = !transaction.puts.empty();
+  StoreResult result;
   if (const auto peer = relay_for_now()) {
     auto body = wire::encode(to_wire(transaction, timeout));
-    co_return co_await relayed(*peer, kTransactPath, std::move(body), timeout);
+    result = co_await relayed(*peer, kTransactPath, std::move(body), timeout);
+  } else {
+    result = co_await direct_.transact(std::move(transaction), timeout);
+    note_direct(result);
   }
-  auto result = co_await direct_.transact(std::move(transaction), timeout);
-  note_direct(result);
+  note_space(result.status, puts_rows);
   co_return result;
 }
 
--- a/src/cluster/store_relay.hpp
+++ b/src/cluster/store_relay.hpp
@@ -12,6 +12,7 @@
 #include "cluster_types.h"
 #include "observe/structured_log.hpp"
 #include "store/reachability.hpp"
+#include "store/space_watch.hpp"
 #include "store/store_clock.hpp"
 #include "store/table_store.hpp"
 
@@ -47,6 +48,10 @@
   /// How much longer no call is expected to be answered; 0 while some are.
   net::Millis expected_outage() const { return reachability_.expected_outage(net::Clock::now()); }
 
+  /// Whether the store refuses rows for want of space. While it does, a small row is written now
+  /// and then, so that no caller's turn has to find out that there is room again.
+  bool full() const { return space_.full(); }
+
   /// Calls of other nodes: made directly, whatever this node's own state.
   net::asio::awaitable<net::TextResponse> serve(net::TextRequest request);
   /// Whether a path is one of serve()'s.
@@ -69,6 +74,8 @@
   void note_end(const store::StoreResult& result);
   net::asio::awaitable<void> probe_twice();
   net::asio::awaitable<void> probe(net::Millis timeout);
+  net::asio::awaitable<void> probe_space();
+  void note_space(store::StoreStatus status, bool puts_rows);
   net::Millis probe_interval() const;
   net::asio::awaitable<store::StoreResult> relayed(Peer peer, const char* path, std::string body,
                                                    net::Millis timeout);
@@ -84,6 +91,8 @@
   bool direct_works_ = true;
   store::Reachability reachability_;
   store::StoreClock clock_;
+  store::SpaceWatch space_;
+  net::TimePoint space_probed_at_{};
   std::uint64_t probes_ = 0;
   bool verifying_ = false;
   bool relaying_ = true;
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -20,10 +20,13 @@
 constexpr net::Millis kForgetInterval{1000};
 constexpr net::Millis kForgetTime{500};
 constexpr std::size_t kForgottenAtOnce = 16;
-/// A budget that nobody wrote for so long belongs to a program that has ended.
-constexpr net::Millis kBudgetLife{std::chrono::hours(2)};
+/// A budget that nobody wrote for so long belongs to a program that has ended: none lives for more
+/// than ten minutes (kLongestProgram), and holders write theirs twice in this time. A program's
+/// rows and their entries take some 200 bytes: by reckoning 32 MB in this time at 90 programs a
+/// second, 130 MB in two hours.
+constexpr net::Millis kBudgetLife{std::chrono::minutes(30)};
 /// Budgets that are held are written again at least this often.
-constexpr net::Millis kBudgetTouch{std::chrono::minutes(30)};
+constexpr net::Millis kBudgetTouch{std::chrono::minutes(10)};
 /// A budget that was found exhausted, holders asked, is not looked at again for this long.
 constexpr net::Millis kExhaustedMemory{800};
 /// A turn is begun with this part of its most tokens at least: turns use 45 parts in 100 of their
@@ -133,6 +136,7 @@
   while (pace.time_left()) {
     const auto drawn = co_await draw_on_shares(id, program, demand, pace);
     if (program->account.available() >= demand.tokens) co_return ReserveOutcome::kReserved;
+    if (drawn == StoreStatus::kFull) break;
     if (drawn == StoreStatus::kConflict || drawn == StoreStatus::kDone) continue;
     if (!drawn && fresh) {
       log_exhausted(id, program->account, demand);
@@ -157,6 +161,7 @@
     const auto result = co_await store_.transact_once(std::move(write), pace);
     last = take_written(id, *program, share, std::move(*row), result);
     if (program->account.available() >= demand.tokens || !time_left(demand.deadline)) break;
+    if (last == StoreStatus::kFull) break;
     const auto now = net::Clock::now();
     // Single answers get lost, and all are late while the store is slow: the part is asked again
     // before another share is drawn on.
@@ -178,18 +183,26 @@
 }
 
 store::Transaction BudgetLedger::budget_write(const std::string& id, const Program& program,
-                                              std::size_t share, const wire::BudgetRow& row) const {
+                                              std::size_t share, wire::BudgetRow& row) const {
   const auto row_id = budget_row(id, share);
   store::Transaction transaction;
   transaction.conditions.push_back({row_id, program.account.version(share)});
+  if (const auto now = clock_.now(net::Clock::now())) {
+    // One entry a row: those of earlier writes would stay in the store for the row's whole life.
+    const auto replaced = row.expires_at;
+    row.__set_expires_at(*now + kBudgetLife.count());
+    const auto entry = [&](std::int64_t expires_at) {
+      return expiry_row(row_id.part, {expires_at, kBudgetTable, id});
+    };
+    transaction.puts.push_back(entry(row.expires_at));
+    if (replaced > 0 && replaced != row.expires_at) {
+      transaction.removals.push_back(entry(replaced).id);
+    }
+  }
   store::Row put;
   put.id = row_id;
   put.value = wire::encode(row);
   transaction.puts.push_back(std::move(put));
-  if (const auto now = clock_.now(net::Clock::now())) {
-    transaction.puts.push_back(
-        expiry_row(row_id.part, {*now + kBudgetLife.count(), kBudgetTable, id}));
-  }
   return transaction;
 }
 
@@ -249,6 +262,7 @@
     const auto result = co_await store_.transact(std::move(write), deadline);
     const auto status = take_written(id, *program, share, std::move(*row), result);
     if (status == StoreStatus::kDone) co_return GiveBackResult{true, true};
+    if (status == StoreStatus::kFull) break;
   }
   co_return GiveBackResult{false, false};
 }
--- a/src/ledger/budget_ledger.hpp
+++ b/src/ledger/budget_ledger.hpp
@@ -131,9 +131,10 @@
   /// Reads all shares anew. @return whether all were read.
   net::asio::awaitable<bool> read_shares(std::string id, ProgramPointer program,
                                          net::TimePoint deadline);
-  /// The conditional write of a share's row, with its entry of the expiry index.
+  /// The conditional write of a share's row, with its entry of the expiry index in place of the one
+  /// before. @param row gets the time at which it expires.
   store::Transaction budget_write(const std::string& id, const Program& program, std::size_t share,
-                                  const wire::BudgetRow& row) const;
+                                  wire::BudgetRow& row) const;
   /// Takes over how the write of a share's row ended.
   store::StoreStatus take_written(const std::string& id, Program& program, std::size_t share,
                                   wire::BudgetRow row, const store::StoreResult& result);
--- a/src/ledger/escrow_claims.cpp
+++ b/src/ledger/escrow_claims.cpp
@@ -20,6 +20,8 @@
 constexpr net::Millis kSettleTime{1500};
 /// Longest wait for one answer of the store: there is always a next round.
 constexpr net::Millis kStoreTimeout{700};
+/// Between tries to hand over: some fit into the time that a stop takes for it.
+constexpr net::Millis kHandOverPause{50};
 /// Rows of one transaction; the store takes 100 at most.
 constexpr std::size_t kRowsAtOnce = 50;
 /// What programs of the past spent is looked through this often.
@@ -236,6 +238,8 @@
   auto end = WriteEnd::kNoAnswer;
   while (end == WriteEnd::kNoAnswer && net::Clock::now() < deadline) {
     end = co_await write(writes, kStoreTimeout);
+    // A refusal comes at once: without a pause a stopping node asked as fast as it is answered.
+    if (end == WriteEnd::kNoAnswer) co_await net::sleep_for(context_, kHandOverPause);
   }
   log_.event("escrow_handed_over")
       .with("shards", writes.size())
--- a/src/ledger/expiry_sweeper.hpp
+++ b/src/ledger/expiry_sweeper.hpp
@@ -16,15 +16,17 @@
 /// look at one: a row goes only while it has the version that its entry names. Not thread-safe.
 class ExpirySweeper {
  public:
-  /// @param nodes how many nodes sweep.
+  /// @param nodes how many nodes sweep. @param full whether the store refuses writes for want of
+  /// space.
   ExpirySweeper(net::asio::io_context& context, store::TableStore& store,
                 const store::StoreClock& clock, observe::StructuredLog& log,
-                std::function<std::size_t()> nodes, std::uint64_t seed)
+                std::function<std::size_t()> nodes, std::function<bool()> full, std::uint64_t seed)
       : context_(context),
         store_(store),
         clock_(clock),
         log_(log),
         nodes_(std::move(nodes)),
+        full_(std::move(full)),
         random_(seed) {}
 
   /// Sweeps for as long as the event loop runs.
@@ -53,6 +55,7 @@
   const store::StoreClock& clock_;
   observe::StructuredLog& log_;
   std::function<std::size_t()> nodes_;
+  std::function<bool()> full_;
   base::Random random_;
 };
 
--- a/src/ledger/turn_ledger.cpp
+++ b/src/ledger/turn_ledger.cpp
@@ -13,33 +13,92 @@
 
 constexpr const char* kTurnTable = "turns";
 constexpr std::size_t kTurnCacheBytes = std::size_t{24} << 20U;
+/// A row is kept for its retention and this part of it more. What comes later in a program needs
+/// the rows before it for as long as itself, so a program that takes no longer than this part
+/// (15 s of 60) never writes a row twice. Twice the retention took 48 in 100 more of the store's
+/// space than this does.
+constexpr std::int64_t kRetentionSlack = 4;
 
 }  // namespace
 
 TurnLedger::TurnLedger(net::asio::io_context& context, store::TableStore& store,
                        const store::StoreClock& clock, store::LatencyEstimate& latency,
                        observe::StructuredLog& log, std::uint64_t seed)
-    : clock_(clock), rows_(context, store, latency, seed), log_(log), cache_(kTurnCacheBytes) {}
+    : context_(context),
+      clock_(clock),
+      rows_(context, store, latency, seed),
+      log_(log),
+      cache_(kTurnCacheBytes) {}
 
-net::asio::awaitable<Lookup> TurnLedger::find(std::string id, net::TimePoint deadline) {
-  std::vector<wire::TurnRow> rows;  // newest first
-  TurnPointer known = cache_.find(id);
-  std::string wanted = id;
-  while (known == nullptr && !wanted.empty()) {
-    const auto found = co_await rows_.find(kTurnTable, wanted, deadline);
-    if (found.lookup == store::RowLookup::kUnavailable) {
-      co_return Lookup{LookupOutcome::kUnavailable, nullptr};
-    }
-    if (found.lookup == store::RowLookup::kAbsent) {
-      log_.event("turn_absent").with("turn", wanted).with("store_version", found.version);
-      co_return Lookup{LookupOutcome::kAbsent, nullptr};
+net::asio::awaitable<void> TurnLedger::read_row(std::shared_ptr<RowReads> reads, std::size_t index,
+                                                std::string id, net::TimePoint deadline) {
+  reads->found[index] = co_await rows_.find(kTurnTable, std::move(id), deadline);
+  if (--reads->under_way == 0) reads->ended.cancel();
+}
+
+net::asio::awaitable<std::vector<store::RowFound>> TurnLedger::read_rows(
+    std::vector<std::string> ids, net::TimePoint deadline) {
+  const auto reads = std::make_shared<RowReads>(context_, ids.size());
+  reads->ended.expires_at(net::TimePoint::max());
+  for (std::size_t index = 0; index < ids.size(); ++index) {
+    net::asio::co_spawn(context_, read_row(reads, index, ids[index], deadline),
+                        net::asio::detached);
+  }
+  net::Error ignored;
+  if (reads->under_way > 0) co_await reads->ended.async_wait(net::awaiting(ignored));
+  co_return std::move(reads->found);
+}
+
+std::vector<std::string> TurnLedger::unread_before(const wire::TurnRow& row,
+                                                   TurnPointer& known) const {
+  auto before = row.ancestors;
+  if (before.empty() && !row.earlier.empty()) before.push_back(row.earlier);
+  for (auto id = before.begin(); id != before.end(); ++id) {
+    known = cache_.find(*id);
+    if (known == nullptr) continue;
+    before.erase(id, before.end());
+    break;
+  }
+  return before;
+}
+
+net::asio::awaitable<TurnLedger::ChainRead> TurnLedger::read_chain(std::string id,
+                                                                   net::TimePoint deadline) {
+  ChainRead chain;
+  std::vector<std::string> unread{id};
+  while (!unread.empty()) {
+    const auto rows = co_await read_rows(unread, deadline);
+    for (std::size_t index = 0; index < rows.size(); ++index) {
+      const auto& found = rows[index];
+      if (found.lookup == store::RowLookup::kUnavailable) {
+        chain.outcome = LookupOutcome::kUnavailable;
+        co_return chain;
+      }
+      if (found.lookup == store::RowLookup::kAbsent) {
+        log_.event("turn_absent")
+            .with("turn", unread[index])
+            .with("wanted", id)
+            .with("store_version", found.version);
+        chain.outcome = LookupOutcome::kAbsent;
+        co_return chain;
+      }
+      chain.rows.push_back(wire::decode<wire::TurnRow>(found.value));
     }
-    rows.push_back(wire::decode<wire::TurnRow>(found.value));
-    wanted = rows.back().earlier;
-    if (!wanted.empty()) known = cache_.find(wanted);
+    unread = chain.known == nullptr ? unread_before(chain.rows.back(), chain.known)
+                                    : std::vector<std::string>{};
+  }
+  co_return chain;
+}
+
+net::asio::awaitable<Lookup> TurnLedger::find(std::string id, net::TimePoint deadline) {
+  if (auto cached = cache_.find(id)) co_return Lookup{LookupOutcome::kFound, std::move(cached)};
+  auto chain = co_await read_chain(std::move(id), deadline);
+  if (chain.outcome != LookupOutcome::kFound) co_return Lookup{chain.outcome, nullptr};
+  auto known = std::move(chain.known);
+  for (auto row = chain.rows.rbegin(); row != chain.rows.rend(); ++row) {
+    known = remember_chain(*row, std::move(known));
   }
-  for (auto row = rows.rbegin(); row != rows.rend(); ++row) known = remember_chain(*row, known);
-  co_return Lookup{LookupOutcome::kFound, known};
+  co_return Lookup{LookupOutcome::kFound, std::move(known)};
 }
 
 TurnPointer TurnLedger::remember_chain(const wire::TurnRow& row, TurnPointer earlier) {
@@ -61,21 +120,23 @@
 net::asio::awaitable<bool> TurnLedger::store_row(TurnPointer turn, net::Millis retention,
                                                  net::TimePoint deadline) {
   std::vector<store::Row> companions;
+  std::int64_t expires_at = 0;
   if (const auto now = clock_.now(net::Clock::now())) {
-    // Twice the time that is owed: the row is seldom written again for the turns that follow.
-    turn->row_expires_at = *now + 2 * retention.count();
-    companions.push_back(expiry_row("", {turn->row_expires_at, kTurnTable, turn->id}));
+    expires_at = *now + retention.count() + retention.count() / kRetentionSlack;
+    companions.push_back(expiry_row("", {expires_at, kTurnTable, turn->id}));
   }
-  auto value = wire::encode(encode_turn(*turn));
-  co_return co_await rows_.put(kTurnTable, turn->id, std::move(value), std::move(companions),
-                               deadline);
+  auto value = wire::encode(encode_turn(*turn, expires_at));
+  const bool stored =
+      co_await rows_.put(kTurnTable, turn->id, std::move(value), std::move(companions), deadline);
+  if (stored) turn->row_expires_at = expires_at;
+  co_return stored;
 }
 
 net::asio::awaitable<bool> TurnLedger::extend_chain(TurnPointer turn, net::Millis retention,
                                                     net::TimePoint deadline) {
   const auto now = clock_.now(net::Clock::now());
   if (!now) co_return true;
-  for (auto row = first_outside_row(*turn); row != nullptr; row = first_outside_row(*row)) {
+  for (auto row = turn->previous; row != nullptr; row = row->previous) {
     if (row->row_expires_at >= *now + retention.count()) continue;
     const bool extended = co_await store_row(row, retention, deadline);
     if (!extended) co_return false;
--- a/src/ledger/turn_ledger.hpp
+++ b/src/ledger/turn_ledger.hpp
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "ledger/turn_cache.hpp"
 #include "ledger_types.h"
@@ -44,13 +46,37 @@
                                     net::TimePoint deadline);
 
  private:
-  /// Writes again the rows that a turn's chain refers to where they would expire too soon.
+  /// Reads of several rows, side by side.
+  struct RowReads {
+    RowReads(net::asio::io_context& context, std::size_t count)
+        : ended(context), found(count), under_way(count) {}
+    net::asio::steady_timer ended;  ///< cancelled when the last one ends
+    std::vector<store::RowFound> found;
+    std::size_t under_way;
+  };
+  /// Rows of a chain as they were read, newest first.
+  struct ChainRead {
+    LookupOutcome outcome = LookupOutcome::kFound;
+    std::vector<wire::TurnRow> rows;
+    TurnPointer known;  ///< what comes before the oldest row; nullptr: nothing
+  };
+
+  net::asio::awaitable<ChainRead> read_chain(std::string id, net::TimePoint deadline);
+  net::asio::awaitable<std::vector<store::RowFound>> read_rows(std::vector<std::string> ids,
+                                                               net::TimePoint deadline);
+  net::asio::awaitable<void> read_row(std::shared_ptr<RowReads> reads, std::size_t index,
+                                      std::string id, net::TimePoint deadline);
+  /// Predecessors that have to be read after a row, nearest first. @param known set to the first
+  /// one that needs no read.
+  std::vector<std::string> unread_before(const wire::TurnRow& row, TurnPointer& known) const;
+  /// Writes again the rows of a turn's predecessors where they would expire too soon.
   net::asio::awaitable<bool> extend_chain(TurnPointer turn, net::Millis retention,
                                           net::TimePoint deadline);
   /// Writes a turn's own row.
   net::asio::awaitable<bool> store_row(TurnPointer turn, net::Millis retention,
                                        net::TimePoint deadline);
 
+  net::asio::io_context& context_;
   const store::StoreClock& clock_;
   store::UnchangingRows rows_;
   observe::StructuredLog& log_;
--- a/src/ledger/turn_row.cpp
+++ b/src/ledger/turn_row.cpp
@@ -1,52 +1,47 @@
 #include "ledger/turn_row.hpp"
 
 #include <algorithm>
-#include <cstdint>
 
 namespace sailgate::ledger {
 
 namespace {
 
-/// Predecessors are copied into a row up to this many bytes in all.
-constexpr std::size_t kRowBytes = 16U << 10U;
+/// Predecessors that a row lists: one more round of reads for each so many turns of a chain, and
+/// some 300 bytes of ids a row.
+constexpr std::size_t kListedAncestors = 16;
 
-wire::TurnSegment segment_of(const Turn& turn) {
+wire::TurnSegment segment_of(const Turn& turn, std::int64_t expires_at) {
   wire::TurnSegment segment;
   segment.turn = turn.id;
   segment.input = turn.input;
   segment.output = turn.output;
-  segment.row_expires_at = turn.row_expires_at;
+  segment.row_expires_at = expires_at;
   return segment;
 }
 
-/// The newest predecessor that does not fit beside the turn into `byte_limit` bytes.
-TurnPointer first_beyond(const Turn& turn, std::size_t byte_limit) {
-  std::size_t size = turn.input.size() + turn.output.size();
-  for (TurnPointer next = turn.previous; next != nullptr; next = next->previous) {
-    size += next->input.size() + next->output.size();
-    if (size > byte_limit) return next;
+}  // namespace
+
+wire::TurnRow encode_turn(const Turn& turn, std::int64_t expires_at) {
+  wire::TurnRow row;
+  row.segments.push_back(segment_of(turn, expires_at));
+  if (turn.previous == nullptr) return row;
+  row.earlier = turn.previous->id;
+  std::vector<std::string> ancestors;
+  for (const Turn* next = turn.previous.get();
+       next != nullptr && ancestors.size() < kListedAncestors; next = next->previous.get()) {
+    ancestors.push_back(next->id);
   }
-  return nullptr;
+  row.__set_ancestors(std::move(ancestors));
+  return row;
 }
 
-/// Copies predecessors until the segments hold `byte_limit` bytes.
-wire::TurnRow encode_up_to(const Turn& turn, std::size_t byte_limit) {
+wire::TurnRow encode_whole_chain(const Turn& turn) {
   wire::TurnRow row;
-  const auto beyond = first_beyond(turn, byte_limit);
-  for (const Turn* next = &turn; next != beyond.get(); next = next->previous.get()) {
-    row.segments.push_back(segment_of(*next));
+  for (const Turn* next = &turn; next != nullptr; next = next->previous.get()) {
+    row.segments.push_back(segment_of(*next, next->row_expires_at));
   }
-  if (beyond != nullptr) row.earlier = beyond->id;
   std::reverse(row.segments.begin(), row.segments.end());
   return row;
 }
 
-}  // namespace
-
-TurnPointer first_outside_row(const Turn& turn) { return first_beyond(turn, kRowBytes); }
-
-wire::TurnRow encode_turn(const Turn& turn) { return encode_up_to(turn, kRowBytes); }
-
-wire::TurnRow encode_whole_chain(const Turn& turn) { return encode_up_to(turn, SIZE_MAX); }
-
 }  // namespace sailgate::ledger
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -73,6 +73,8 @@
                        .Help("Times the table store was lost")
                        .Register(registry)
                        .Add({});
+  store_full_ = &gauge(registry, "sailgate_store_full",
+                       "1 while the table store refuses rows for want of space");
   escrow_shards_ = &gauge(registry, "sailgate_escrow_shards",
                           "Shards of programs whose budgets this node can spend without the store");
   bare_shards_ = &gauge(registry, "sailgate_bare_shards",
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -32,6 +32,7 @@
   void store_call_ended(store::StoreCall call, store::StoreStatus status);
   /// A transaction changed rows of a table.
   void rows_changed(const store::RowsChanged& changed);
+  void set_store_full(bool full) { store_full_->Set(full ? 1 : 0); }
   void store_lost() { store_losses_->Increment(); }
   /// A turn that waited for the store began, was refused or lost its caller.
   void held_turn_ended(const std::string& how, net::Millis waited);
@@ -84,6 +85,7 @@
   prometheus::Histogram* durations_;
   prometheus::Histogram* first_events_;
   prometheus::Counter* store_losses_;
+  prometheus::Gauge* store_full_;
   prometheus::Gauge* engines_;
   prometheus::Gauge* unusable_entries_;
   prometheus::Counter* engine_restarts_;
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -56,7 +56,7 @@
               structured_log),
         sweeper(
             loop, store, store.clock(), structured_log, [this] { return peers.peers().size() + 1; },
-            static_cast<std::uint64_t>(incarnation)),
+            [this] { return store.full(); }, static_cast<std::uint64_t>(incarnation)),
         random(static_cast<std::uint64_t>(incarnation)),
         admission(random.fraction()) {
     metered_store.set_meter(
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -85,7 +85,8 @@
                       static_cast<std::int64_t>(kReturnSpread);
     expected = state_.readiness.time_to_elsewhere(net::Clock::now()) + part;
   }
-  const auto wait = return_time(expected, call_.time_left(), outage.count() > 0 ? draw : 0);
+  const bool for_all = outage.count() > 0 || state_.store.full();
+  const auto wait = return_time(expected, call_.time_left(), for_all ? draw : 0);
   state_.log.event("refused_for_store")
       .with("id", call_.description.request_id)
       .with("why", why)
@@ -120,6 +121,7 @@
 net::asio::awaitable<std::optional<CallEnd>> StreamCall::outlast_outage() {
   // Waiting here helps nobody whom another node can serve now.
   if (state_.readiness.store_lost()) co_return co_await refuse_for_now("steps_aside");
+  if (state_.store.full()) co_return co_await refuse_for_now("store_full");
   if (state_.store.answers()) co_return std::nullopt;
   if (!state_.settings.mechanisms.holding) co_return co_await refuse_for_now("store_away");
   const auto turn = in_outage();
--- a/src/store/optimistic_update.cpp
+++ b/src/store/optimistic_update.cpp
@@ -82,6 +82,7 @@
     if (now >= give_up_at_) return done(false);
     return read(0);
   }
+  if (result.status == StoreStatus::kFull) return done(false);
   Step step;
   step.kind = Step::Kind::kWrite;
   step.write = write_;
--- a/src/store/retrying_store.cpp
+++ b/src/store/retrying_store.cpp
@@ -13,7 +13,8 @@
 std::optional<net::Millis> RetryingStore::next(Pace& pace, const StoreResult& result,
                                                net::TimePoint sent_at) {
   latency_.note(result.status, since(sent_at));
-  if (answered(result.status)) return std::nullopt;
+  // A full store stays full for seconds: what is asked again only adds to its calls.
+  if (reached(result.status)) return std::nullopt;
   if (result.status != StoreStatus::kUnknown) return pace.next_pause(random_);
   pace.grow_patience();
   if (!pace.time_left()) return std::nullopt;
--- a/src/store/retrying_store.hpp
+++ b/src/store/retrying_store.hpp
@@ -18,8 +18,8 @@
   RetryingStore(net::asio::io_context& context, TableStore& store, std::uint64_t seed)
       : context_(context), store_(store), random_(seed) {}
 
-  /// Ends with kDone or kConflict, or at the deadline with what the last try gave. One try is made
-  /// even when the deadline is over.
+  /// Ends with kDone, kConflict or kFull, or at the deadline with what the last try gave. One try
+  /// is made even when the deadline is over.
   net::asio::awaitable<StoreResult> transact(Transaction transaction, net::TimePoint deadline);
   net::asio::awaitable<StoreResult> read(RangeRead range, net::TimePoint deadline);
 
--- a/src/store/table_store.hpp
+++ b/src/store/table_store.hpp
@@ -54,7 +54,13 @@
   return status == StoreStatus::kDone || status == StoreStatus::kConflict;
 }
 
-/// The call may be made again.
+/// The store took notice of the call: it is there, and within this node's reach. One that is full
+/// answers everybody alike, so that another way to it helps nobody.
+inline bool reached(StoreStatus status) {
+  return answered(status) || status == StoreStatus::kHistoryLost || status == StoreStatus::kFull;
+}
+
+/// Nothing, or nothing that is known, was done.
 inline bool failed(StoreStatus status) {
   return status == StoreStatus::kRefused || status == StoreStatus::kUnknown ||
          status == StoreStatus::kFull || status == StoreStatus::kThrottled;
--- a/src/store/unchanging_rows.cpp
+++ b/src/store/unchanging_rows.cpp
@@ -65,6 +65,7 @@
   const auto now = net::Clock::now();
   latency_.note(result.status, std::chrono::duration_cast<net::Millis>(now - sent_at));
   health_.note(part, answered(result.status), now);
+  race.full = race.full || result.status == StoreStatus::kFull;
   if (result.status == StoreStatus::kDone) {
     race.answers.emplace_back(part, std::move(result));
   } else {
@@ -156,6 +157,7 @@
     }
     co_await wait(race, gaps.next_gap());
     if (!race->answers.empty()) co_return true;
+    if (race->full) co_return false;
     if (round_failed(*race, parts.size())) co_await wait(race, gaps.next_pause());
     if (!race->answers.empty()) co_return true;
     if (race->under_way.empty() && left_until(deadline).count() <= 0) co_return false;
--- a/src/store/unchanging_rows.hpp
+++ b/src/store/unchanging_rows.hpp
@@ -37,7 +37,9 @@
       : context_(context), store_(store), latency_(latency), random_(seed) {}
 
   /// Writes a row to the first candidate part that takes it. One try is made even when the deadline
-  /// is over. @return whether the store has it.
+  /// is over, and none after the store said that it is full: that holds for all parts, and four of
+  /// them were asked at once by each of 100 turns a second before. @return whether the store has
+  /// it.
   /// @param companions rows that are written in the same transaction, in the part that is chosen.
   net::asio::awaitable<bool> put(std::string table, std::string key, std::string value,
                                  std::vector<Row> companions, net::TimePoint deadline);
@@ -57,6 +59,7 @@
     std::vector<std::string> under_way;  ///< parts
     std::size_t failed = 0;              ///< tries, since the last look
     std::size_t failures = 0;            ///< tries, since the last pause
+    bool full = false;                   ///< the store has no space
     int rounds = 0;                      ///< in which as many tries failed as there are parts
     std::vector<std::pair<std::string, StoreResult>> answers;  ///< with their parts
   };
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -6,9 +6,11 @@
 #include <catch2/catch.hpp>
 #include <vector>
 
+#include "ledger/turn_row.hpp"
 #include "store/row_parts.hpp"
 #include "support/memory_table.hpp"
 #include "support/run.hpp"
+#include "wire/codec.hpp"
 
 using namespace sailgate;
 using ledger::LookupOutcome;
@@ -184,6 +186,41 @@
   REQUIRE(table.reads() > 1);
 }
 
+TEST_CASE_METHOD(Fixture, "a chain of forty turns is read in three rounds", "[ledger]") {
+  ledger::TurnPointer last;
+  for (int i = 0; i < 40; ++i) {
+    last = turn(std::to_string(i), last);
+    REQUIRE(record(first, last));
+  }
+  const auto found = find(second, "39", net::Millis(2000));
+  REQUIRE(ledger::assemble_prompt(found.turn, "") == ledger::assemble_prompt(last, ""));
+  REQUIRE(table.reads() == 40);
+}
+
+TEST_CASE_METHOD(Fixture, "rows that repeat their chain are read as before", "[ledger]") {
+  // As nodes of the version before wrote them.
+  const auto one = turn("1", nullptr);
+  const auto two = turn("2", one);
+  const auto three = turn("3", two);
+  const auto put = [this](const ledger::Turn& written, const wire::TurnRow& row) {
+    table.put("turns", store::part_of(written.id), written.id, wire::encode(row));
+  };
+  put(*two, ledger::encode_whole_chain(*two));
+  auto row = ledger::encode_whole_chain(*three);
+  row.segments.erase(row.segments.begin(), row.segments.end() - 1);
+  row.earlier = "2";
+  put(*three, row);
+  REQUIRE(ledger::assemble_prompt(find(second, "3").turn, "x") ==
+          ledger::assemble_prompt(three, "x"));
+  // A turn of this version that goes on from them.
+  const auto four = turn("4", find(first, "3").turn);
+  REQUIRE(record(first, four));
+  ProgramLedger third{context, table, clock, log, 3};
+  put(*one, ledger::encode_whole_chain(*one));
+  REQUIRE(ledger::assemble_prompt(find(third, "4").turn, "x") ==
+          ledger::assemble_prompt(four, "x"));
+}
+
 TEST_CASE_METHOD(Fixture, "a turn that nobody finished is absent", "[ledger]") {
   REQUIRE(record(first, turn("2", nullptr)));
   REQUIRE(find(second, "1").outcome == LookupOutcome::kAbsent);
