--- a/src/cluster/store_relay.cpp
+++ b/src/cluster/store_relay.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "store/row_parts.hpp"
 #include "wire/codec.hpp"
 
 namespace sailgate::cluster {
@@ -157,7 +158,7 @@
 net::asio::awaitable<void> StoreRelay::probe_space() {
   space_probed_at_ = net::Clock::now();
   store::Transaction transaction;
-  const auto part = std::to_string(probes_++ % kProbedParts);
+  const auto part = store::part_of(directory_.self());
   transaction.puts.push_back({{kSpaceTable, part, directory_.self()}, "", 0, false});
   co_await transact(std::move(transaction), kLongProbeTimeout);
 }
--- a/tests/ledger/escrow_shard_test.cpp
+++ b/tests/ledger/escrow_shard_test.cpp
@@ -103,28 +103,35 @@
   std::vector<Owner> owners_;
 };
 
-/// Whether no history that RapidCheck draws spends more than the escrow.
+/// Some steps of owners, as RapidCheck draws them.
+void play_history(const Rules& rules) {
+  History history(rules);
+  const auto steps = *rc::gen::inRange(1, 40);
+  for (int step = 0; step < steps; ++step) {
+    const auto which = *rc::gen::element<std::size_t>(0, 0, 0, 1, 2, 5);
+    switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        history.claim();
+        break;
+      case 1:
+        history.hand_over(which);
+        break;
+      case 2:
+        history.pass(*rc::gen::element<std::int64_t>(1, kLongest / 2, kLife / 2, kLife));
+        break;
+      default:
+        history.spend(which, *rc::gen::inRange<std::int64_t>(1, kEscrow + 1));
+    }
+    RC_ASSERT(history.total() <= kEscrow);
+  }
+}
+
+/// Whether no history that RapidCheck draws spends more than the escrow. Each of its cases draws
+/// several: with one, 100 cases did not meet the broken rules with every seed.
 bool escrow_holds(const Rules& rules) {
+  constexpr int kHistories = 20;
   return rc::check([&] {
-    History history(rules);
-    const auto steps = *rc::gen::inRange(1, 40);
-    for (int step = 0; step < steps; ++step) {
-      const auto which = *rc::gen::element<std::size_t>(0, 0, 0, 1, 2, 5);
-      switch (*rc::gen::inRange(0, 6)) {
-        case 0:
-          history.claim();
-          break;
-        case 1:
-          history.hand_over(which);
-          break;
-        case 2:
-          history.pass(*rc::gen::element<std::int64_t>(1, kLongest / 2, kLife / 2, kLife));
-          break;
-        default:
-          history.spend(which, *rc::gen::inRange<std::int64_t>(1, kEscrow + 1));
-      }
-      RC_ASSERT(history.total() <= kEscrow);
-    }
+    for (int history = 0; history < kHistories; ++history) play_history(rules);
   });
 }
 
