--- a/src/ledger/turn_row.cpp
+++ b/src/ledger/turn_row.cpp
@@ -31,7 +31,8 @@
        next != nullptr && ancestors.size() < kListedAncestors; next = next->previous.get()) {
     ancestors.push_back(next->id);
   }
-  row.__set_ancestors(std::move(ancestors));
+  row.ancestors = std::move(ancestors);
+  row.__isset.ancestors = true;
   return row;
 }
 
