Exhausted budgets, lost homes and untold ends of turns are logged with their tokens

An incident's logs tell that a process holds tokens of a program whose turn never reached an engine, and not whether they are set aside for a turn under way or count as spent, nor who asked for them. budget_exhausted now tells reserved and used tokens, peer_lost what the home was to reserve and whether the request was sent, and turn_end_untold that a home did not hear that a turn has ended. No logic changes.

--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -127,7 +127,12 @@
   auto exchange = co_await http->exchange(std::move(call), timeout);
   if (!succeeded(exchange)) {
     directory_.suspect(home.node, net::Clock::now());
-    log_.event("peer_lost").with("peer", home.node).with("program", request.program.text());
+    log_.event("peer_lost")
+        .with("peer", home.node)
+        .with("program", request.program.text())
+        .with("tokens", request.tokens)
+        .with("waited_ms", timeout.count())
+        .with("sent", static_cast<int>(exchange.failure != net::ExchangeFailure::kNotSent));
     co_return false;
   }
   const auto reply = wire::decode<wire::BeginTurnReply>(exchange.response.body());
@@ -196,7 +201,13 @@
   const auto http = clients_.get(home);
   // NOTE: sent once. A lost message leaves the reservation at its most, which is safe.
   auto call = peer_request(kEndPath, wire::encode(message));
-  co_await http->exchange(std::move(call), kEndTimeout);
+  const auto exchange = co_await http->exchange(std::move(call), kEndTimeout);
+  if (succeeded(exchange)) co_return;
+  log_.event("turn_end_untold")
+      .with("peer", home.node)
+      .with("program", message.program)
+      .with("reserved", message.reserved)
+      .with("used", message.used);
 }
 
 net::asio::awaitable<void> TurnKeeper::serve_begin(const net::TextRequest& request,
--- a/src/ledger/budget_account.hpp
+++ b/src/ledger/budget_account.hpp
@@ -38,6 +38,10 @@
   /// Ends a reservation; what was not used can be reserved again.
   void settle(std::int64_t reserved, std::int64_t used);
   std::int64_t available() const { return escrow_ + granted() - used_ - reserved_; }
+  /// Tokens set aside for turns under way.
+  std::int64_t reserved() const { return reserved_; }
+  /// Tokens that ended turns generated, or that count as if they had.
+  std::int64_t used() const { return used_; }
   bool idle() const { return reserved_ == 0; }
   std::size_t shares() const { return shares_.size(); }
 
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -122,6 +122,8 @@
       .with("tokens", demand.tokens)
       .with("from_rows", demand.from_rows)
       .with("available", account.available())
+      .with("reserved", account.reserved())
+      .with("used", account.used())
       .with("holders", account.other_holders().size());
   for (std::size_t share = 0; share < account.shares(); ++share) {
     line.with("row_version_" + std::to_string(share), account.version(share));
