The escrow of a budget leaves two turns to whoever follows a lost owner

Cause: whoever follows a lost owner has no escrow and counts the lost one's as spent, a turn and a third of the rest, also for programs that begin after the loss. One turn of it is what a budget may be exceeded by; the third was taken from the budget. Change: the escrow is bounded so that the rows still grant two turns, or the whole budget where it has fewer. Budgets of three turns and more keep their escrow, and with it what they can do while the store is away. Two tests failed before: a program of two turns after the loss of all owners was refused its second one, and rows granted 53 of 79 tokens. Ruled out: an escrow of one turn for all budgets.

--- a/src/ledger/escrow_shard.cpp
+++ b/src/ledger/escrow_shard.cpp
@@ -11,15 +11,18 @@
 /// Keeps the digest of a program independent of its parts in the store.
 constexpr std::uint64_t kDigestSeed = 0x657363726f77;
 
-/// An owner may spend one turn and this part of the rest of the budget without the rows. A larger
+/// An owner may spend one turn and this part of the rest of the budget without the rows: a larger
 /// part carries programs further through an outage, a smaller one leaves them more when their owner
-/// is lost: half gave 0.860 on a day with an outage and 0.780 on one with many kills, a third 0.837
-/// and 0.829 (docs/NEW-CUSTOMER.md).
+/// is lost.
 constexpr std::int64_t kEscrowDivisor = 3;
+/// Whoever follows a lost owner can grant so many turns, or the whole budget where it has fewer.
+constexpr std::int64_t kTurnsAfterLoss = 2;
 
 std::int64_t escrow_of(std::int64_t budget, std::int64_t turn_tokens) {
   const std::int64_t beyond = std::max<std::int64_t>(budget - turn_tokens, 0);
-  return std::min(budget, turn_tokens + beyond / kEscrowDivisor);
+  const std::int64_t after_loss = std::min(budget, turn_tokens * kTurnsAfterLoss);
+  const std::int64_t most = budget + turn_tokens - after_loss;
+  return std::min({budget, turn_tokens + beyond / kEscrowDivisor, most});
 }
 
 bool may_forget_spent(const wire::EscrowRow& row, std::int64_t now_ms) {
--- a/src/ledger/escrow_shard.hpp
+++ b/src/ledger/escrow_shard.hpp
@@ -10,7 +10,8 @@
 ///     kClaimLife after the last time it wrote.
 ///  3. An owner that stops writes what it spent, and the next one goes on from there.
 ///  4. An owner that is lost may have spent any escrow. Until every program that it can have served
-///     has ended, the next owner has none, and its programs draw on their budget rows alone.
+///     has ended, the next owner has none, and its programs draw on their budget rows alone. These
+///     grant a budget of up to two turns whole, and two turns at least of a larger one.
 ///
 /// Deterministic, no I/O.
 #pragma once
--- a/tests/cluster/cluster_test.cpp
+++ b/tests/cluster/cluster_test.cpp
@@ -291,3 +291,42 @@
   REQUIRE(begin(*first, program, 300).reservation == ReserveOutcome::kUnavailable);
   REQUIRE_FALSE(first->state().ledger.budgets.exhausted_lately(program, 300));
 }
+
+namespace {
+
+/// A node that starts after all owners of shards were lost.
+struct LostOwnersFixture : test::GatewayFixture {
+  static constexpr std::int64_t kLostOwner = 99;
+  std::unique_ptr<Node> node;
+
+  LostOwnersFixture() {
+    for (int shard = 0; shard < ledger::kEscrowShards; ++shard) {
+      const auto row = ledger::plan_claim(nullptr, kLostOwner, 1);
+      table.put("escrow", "escrow", std::to_string(shard), wire::encode(row));
+    }
+    node = std::make_unique<Node>(context, *this, "node", 101, table, true);
+    run_until(context, [this] {
+      return node->state().ledger.escrow.bare_shards().size() == ledger::kEscrowShards;
+    });
+  }
+  ReserveOutcome begin(const std::string& program, std::int64_t tokens, std::int64_t budget) {
+    cluster::TurnRequest request;
+    request.program = tenancy::StateKey("", program);
+    request.tokens = tokens;
+    request.budget = budget;
+    const auto deadline = net::Clock::now() + net::Millis(400);
+    return run(context, node->state().turns.begin(std::move(request), deadline)).reservation;
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(LostOwnersFixture,
+                 "a program that begins after the loss of its owner has its budget",
+                 "[cluster][escrow]") {
+  constexpr std::int64_t kTurn = 588;
+  constexpr std::int64_t kTwoTurns = 2 * kTurn;
+  REQUIRE(begin("program", kTurn, kTwoTurns) == ReserveOutcome::kReserved);
+  REQUIRE(begin("program", kTurn, kTwoTurns) == ReserveOutcome::kReserved);
+  REQUIRE(begin("program", kTurn, kTwoTurns) == ReserveOutcome::kExhausted);
+}
--- a/tests/ledger/escrow_shard_test.cpp
+++ b/tests/ledger/escrow_shard_test.cpp
@@ -152,6 +152,14 @@
   }));
 }
 
+TEST_CASE("the loss of an owner leaves a budget whole or two turns of it", "[escrow]") {
+  REQUIRE(rc::check([] {
+    const auto budget = *rc::gen::inRange<std::int64_t>(0, 100'000);
+    const auto turn = *rc::gen::inRange<std::int64_t>(1, 100'000);
+    RC_ASSERT(division_of_others(budget, turn).from_rows >= std::min(budget, 2 * turn));
+  }));
+}
+
 TEST_CASE("a program of one turn can run that turn from the escrow and from the rows", "[escrow]") {
   REQUIRE(division_of_owner(900, 576).escrow >= 576);
   REQUIRE(division_of_others(900, 576).from_rows >= 576);
