A budget is not called exhausted while a live holder of its tokens cannot be asked

What callers saw: budget_exceeded ends a program for good; it was said as soon as the rows had no room, also when another process held tokens that it might not use and did not answer when it was asked for them. Cause: asking the holders told only whether some gave tokens back; silence counted like "nothing to give". Change: a holder that was heard of lately and did not answer makes the answer store_unavailable with a time to come back. The tokens of holders that are lost count as spent, as before. The test failed before (exhausted instead of unavailable).

--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -39,6 +39,11 @@
   return result.complete ? net::http::status::no_content : net::http::status::service_unavailable;
 }
 
+bool has_nothing_to_give(const net::ExchangeResult& exchange) {
+  return exchange.failure == net::ExchangeFailure::kNone &&
+         exchange.response.result() == net::http::status::no_content;
+}
+
 }  // namespace
 
 net::asio::awaitable<TurnStart> TurnKeeper::begin_here(TurnRequest request,
@@ -75,11 +80,14 @@
                                                   request.budget, deadline);
   if (outcome != ReserveOutcome::kExhausted) co_return outcome;
   if (ledger_.budgets.exhausted_lately(request.program.text(), request.tokens)) co_return outcome;
-  if (co_await gather_tokens(request.program.text())) {
+  const auto gathering = co_await gather_tokens(request.program.text());
+  if (gathering.released) {
     outcome = co_await ledger_.budgets.reserve(request.program.text(), request.tokens,
                                                request.budget, deadline);
   }
   if (outcome != ReserveOutcome::kExhausted) co_return outcome;
+  // Tokens of a holder that lives and was not reached may be unused.
+  if (!gathering.all_answered) co_return ReserveOutcome::kUnavailable;
   // The owner of the program's shard may hold an escrow that this node does not know of.
   if (!knows_whole_budget(request.program.text())) co_return ReserveOutcome::kUnavailable;
   ledger_.budgets.note_exhausted(request.program.text(), request.tokens);
@@ -90,9 +98,9 @@
   return !ledger_.escrow.enabled() || ledger_.escrow.owns(program);
 }
 
-net::asio::awaitable<bool> TurnKeeper::gather_tokens(std::string program) {
-  bool released = false;
-  if (!mechanisms_.gathering) co_return released;
+net::asio::awaitable<TurnKeeper::Gathering> TurnKeeper::gather_tokens(std::string program) {
+  Gathering gathering;
+  if (!mechanisms_.gathering) co_return gathering;
   const auto holders = ledger_.budgets.other_holders(program);
   for (const auto holder : holders) {
     const auto* peer = directory_.find(holder);
@@ -104,13 +112,18 @@
     const auto http = clients_.get(target);
     const auto exchange = co_await http->exchange(std::move(call), kReleaseTimeout);
     const bool done = succeeded(exchange);
-    released = released || done;
+    const bool answered = done || has_nothing_to_give(exchange);
+    const bool lives = directory_.heard(holder, net::Clock::now(), beacons_.silence_limit());
+    gathering.released = gathering.released || done;
+    gathering.all_answered = gathering.all_answered && (answered || !lives);
     log_.event("tokens_gathered")
         .with("program", program)
         .with("peer", target.node)
-        .with("done", static_cast<int>(done));
+        .with("done", static_cast<int>(done))
+        .with("answered", static_cast<int>(answered))
+        .with("lives", static_cast<int>(lives));
   }
-  co_return released;
+  co_return gathering;
 }
 
 net::asio::awaitable<bool> TurnKeeper::begin_at(Peer home, const TurnRequest& request,
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -81,6 +81,12 @@
   std::size_t open_reservations() const { return reservations_.count(); }
 
  private:
+  /// What the other holders of a program's tokens said.
+  struct Gathering {
+    bool released = false;     ///< some gave tokens back
+    bool all_answered = true;  ///< of those that live
+  };
+
   /// Node that keeps the program's tokens; nullopt: this one.
   std::optional<Peer> home_of(const std::string& program) const;
   net::asio::awaitable<TurnStart> begin_here(TurnRequest request, net::TimePoint deadline);
@@ -93,7 +99,7 @@
   /// Whether this node can say that the program's budget is exhausted.
   bool knows_whole_budget(const std::string& program) const;
   /// Asks the other holders of a program's tokens for what they do not use.
-  net::asio::awaitable<bool> gather_tokens(std::string program);
+  net::asio::awaitable<Gathering> gather_tokens(std::string program);
   net::asio::awaitable<bool> begin_at(Peer home, const TurnRequest& request,
                                       net::TimePoint deadline, TurnStart& start);
   /// Tells a home that a turn has ended, until it has heard so.
--- a/tests/cluster/turn_keeper_test.cpp
+++ b/tests/cluster/turn_keeper_test.cpp
@@ -115,3 +115,12 @@
   links.heal();
   REQUIRE(begins_at_last(program, kTurnTokens));
 }
+
+TEST_CASE_METHOD(LossyLinkFixture,
+                 "a budget is not called exhausted while a live holder of it cannot be asked",
+                 "[cluster][reservations]") {
+  const auto program = program_at_home();
+  REQUIRE(begin(program, kTurnTokens).keeper == "home");
+  links.set_mode(0, LinkMode::kReset);
+  REQUIRE(begin(program, kTurnTokens).reservation == ReserveOutcome::kUnavailable);
+}
