--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -155,6 +155,7 @@
     if (state_.settings.mechanisms.fairness) take_peer_begun(now);
     state_.metrics.set_escrow_shards(state_.ledger.escrow.spendable_shards().size(),
                                      state_.ledger.escrow.bare_shards().size());
+    state_.metrics.set_open_reservations(state_.turns.open_reservations());
     state_.metrics.set_store_full(state_.store.full());
     state_.metrics.set_engines(state_.engines.size());
     state_.metrics.set_connections_opened(state_.connections.opened());
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -92,6 +92,8 @@
   fastest_engine_ = &gauge(registry, "sailgate_fastest_engine_speed",
                            "Highest believed speed of an engine over the usual of its service");
   prompts_ = &gauge(registry, "sailgate_prompts", "Shared prompts that engines are set for");
+  open_reservations_ = &gauge(registry, "sailgate_open_reservations",
+                              "Reservations of tokens held for turns that other nodes run");
   prompt_engines_ = &gauge(registry, "sailgate_prompt_engines",
                            "Engines that keep a shared prompt, summed over the prompts");
   steps_aside_ =
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -53,6 +53,10 @@
     escrow_shards_->Set(static_cast<double>(spendable));
     bare_shards_->Set(static_cast<double>(bare));
   }
+  /// Reservations that this node holds for turns that other nodes run.
+  void set_open_reservations(std::size_t count) {
+    open_reservations_->Set(static_cast<double>(count));
+  }
   /// Shared prompts that have engines of their own, and the sum of these engines over the prompts.
   void set_prompts(std::size_t count, std::size_t engines) {
     prompts_->Set(static_cast<double>(count));
@@ -94,6 +98,7 @@
   prometheus::Gauge* steps_aside_;
   prometheus::Gauge* escrow_shards_;
   prometheus::Gauge* bare_shards_;
+  prometheus::Gauge* open_reservations_;
   prometheus::Gauge* prompts_;
   prometheus::Gauge* prompt_engines_;
   prometheus::Gauge* connections_;
