Named ends of reservations have a path of their own

A home of the version before ignores the name and would settle each repetition of an end, which gives back tokens of other turns under way. It now answers 404 to named ends and is told once, as before.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -182,7 +182,7 @@
 
 /**
  * Gateway to the program's home: the turn ended, or its sender gave up waiting for the reservation.
- * Sent again until it is heard.
+ * Where the reservation has a name, it is sent until it is heard.
  */
 struct EndTurn {
   1: string program
--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -11,7 +11,10 @@
 
 constexpr const char* kBeginPath = "/peer/turns/begin";
 constexpr const char* kReleasePath = "/peer/budgets/release";
+/// Ends without a name and named ones have paths of their own, so that a home that knows no names
+/// does not settle one end repeatedly.
 constexpr const char* kEndPath = "/peer/turns/end";
+constexpr const char* kClosePath = "/peer/turns/close";
 /// The home's own time at the store: some tries of it, within these bounds.
 constexpr int kHomeStoreTries = 3;
 constexpr net::Millis kShortestHomeTime{180};
@@ -39,6 +42,16 @@
   return result.complete ? net::http::status::no_content : net::http::status::service_unavailable;
 }
 
+/// The end of a turn that generated nothing.
+wire::EndTurn unused(const wire::BeginTurn& begun) {
+  wire::EndTurn end;
+  end.program = begun.program;
+  end.line = begun.line;
+  end.reserved = begun.tokens;
+  end.__set_reservation_id(begun.reservation_id);
+  return end;
+}
+
 bool has_nothing_to_give(const net::ExchangeResult& exchange) {
   return exchange.failure == net::ExchangeFailure::kNone &&
          exchange.response.result() == net::http::status::no_content;
@@ -155,7 +168,9 @@
         .with("tokens", request.tokens)
         .with("waited_ms", timeout.count())
         .with("sent", static_cast<int>(exchange.failure != net::ExchangeFailure::kNotSent));
-    if (exchange.failure == net::ExchangeFailure::kNoAnswer) cancel_at(home, message);
+    if (exchange.failure == net::ExchangeFailure::kNoAnswer && request.tokens > 0) {
+      net::asio::co_spawn(context_, cancel_at(home, unused(message)), net::asio::detached);
+    }
     co_return false;
   }
   const auto reply = wire::decode<wire::BeginTurnReply>(exchange.response.body());
@@ -221,35 +236,46 @@
   net::asio::co_spawn(context_, end_at(peer->second, std::move(message)), net::asio::detached);
 }
 
-void TurnKeeper::cancel_at(const Peer& home, const wire::BeginTurn& begun) {
-  if (!begun.__isset.reservation_id) return;
-  wire::EndTurn message;
-  message.program = begun.program;
-  message.line = begun.line;
-  message.reserved = begun.tokens;
-  message.__set_reservation_id(begun.reservation_id);
-  net::asio::co_spawn(context_, end_at(home, std::move(message)), net::asio::detached);
-}
-
 bool TurnKeeper::runs(const Peer& peer) const {
   const auto known = directory_.peers().find(peer.node);
   return known != directory_.peers().end() && known->second.incarnation == peer.incarnation;
 }
 
-net::asio::awaitable<void> TurnKeeper::end_at(Peer home, wire::EndTurn message) {
+net::asio::awaitable<std::optional<net::http::status>> TurnKeeper::close_at(Peer home,
+                                                                            wire::EndTurn message) {
   const auto last_try = net::Clock::now() + kEndPatience;
   auto pause = kFirstEndPause;
-  while (runs(home)) {
+  while (runs(home) && net::Clock::now() < last_try) {
     const auto http = clients_.get(home);
-    auto call = peer_request(kEndPath, wire::encode(message));
+    auto call = peer_request(kClosePath, wire::encode(message));
     const auto exchange = co_await http->exchange(std::move(call), kEndTimeout);
-    if (exchange.failure == net::ExchangeFailure::kNone) co_return;
-    // Only a reservation with a name is settled once, however often its end is told.
-    if (!message.__isset.reservation_id || net::Clock::now() >= last_try) break;
+    if (exchange.failure == net::ExchangeFailure::kNone) co_return exchange.response.result();
+    // Only the first try brings the turn for the home's cache: tries may wait in large numbers.
     message.chain = {};
     co_await net::sleep_for(context_, pause);
     pause = std::min(pause * 2, kLongestEndPause);
   }
+  co_return std::nullopt;
+}
+
+net::asio::awaitable<void> TurnKeeper::cancel_at(Peer home, wire::EndTurn message) {
+  const auto heard = co_await close_at(home, message);
+  if (!heard) log_untold(home, message);
+}
+
+net::asio::awaitable<void> TurnKeeper::end_at(Peer home, wire::EndTurn message) {
+  if (message.__isset.reservation_id) {
+    const auto heard = co_await close_at(home, message);
+    if (!heard) log_untold(home, message);
+    if (heard != net::http::status::not_found) co_return;
+  }
+  const auto http = clients_.get(home);
+  auto call = peer_request(kEndPath, wire::encode(message));
+  const auto exchange = co_await http->exchange(std::move(call), kEndTimeout);
+  if (!succeeded(exchange)) log_untold(home, message);
+}
+
+void TurnKeeper::log_untold(const Peer& home, const wire::EndTurn& message) {
   log_.event("turn_end_untold")
       .with("peer", home.node)
       .with("program", message.program)
@@ -286,22 +312,25 @@
   response.body() = wire::encode(reply);
 }
 
-bool TurnKeeper::settle(const wire::EndTurn& message) {
-  if (!message.__isset.reservation_id) {
-    if (message.reserved > 0)
-      ledger_.budgets.settle(message.program, message.reserved, message.used);
-    return true;
-  }
-  const auto open = reservations_.close(message.reservation_id, net::Clock::now());
-  if (open) ledger_.budgets.settle(open->program, open->tokens, message.used);
-  return open.has_value();
+void TurnKeeper::note_end(const wire::EndTurn& message) {
+  if (!message.engine.empty()) placements_.note(message.program, message.line, message.engine);
+  if (!message.chain.segments.empty()) ledger_.turns.remember_chain(message.chain, nullptr);
 }
 
 void TurnKeeper::serve_end(const net::TextRequest& request) {
   const auto message = wire::decode<wire::EndTurn>(request.body());
-  if (!settle(message)) return;
-  if (!message.engine.empty()) placements_.note(message.program, message.line, message.engine);
-  if (!message.chain.segments.empty()) ledger_.turns.remember_chain(message.chain, nullptr);
+  if (message.reserved > 0) {
+    ledger_.budgets.settle(message.program, message.reserved, message.used);
+  }
+  note_end(message);
+}
+
+void TurnKeeper::serve_close(const net::TextRequest& request) {
+  const auto message = wire::decode<wire::EndTurn>(request.body());
+  const auto open = reservations_.close(message.reservation_id, net::Clock::now());
+  if (!open) return;
+  ledger_.budgets.settle(open->program, open->tokens, message.used);
+  note_end(message);
 }
 
 net::asio::awaitable<net::TextResponse> TurnKeeper::serve(net::TextRequest request) {
@@ -314,6 +343,8 @@
     response.result(status_of(co_await ledger_.budgets.release(message.program, deadline)));
   } else if (request.target() == kEndPath) {
     serve_end(request);
+  } else if (request.target() == kClosePath) {
+    serve_close(request);
   } else {
     response.result(net::http::status::not_found);
   }
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "balancing/line_placements.hpp"
@@ -102,17 +103,22 @@
   net::asio::awaitable<Gathering> gather_tokens(std::string program);
   net::asio::awaitable<bool> begin_at(Peer home, const TurnRequest& request,
                                       net::TimePoint deadline, TurnStart& start);
-  /// Tells a home that a turn has ended, until it has heard so.
   net::asio::awaitable<void> end_at(Peer home, wire::EndTurn message);
   /// Tells a home that did not answer in time to give back what it may have reserved.
-  void cancel_at(const Peer& home, const wire::BeginTurn& begun);
+  net::asio::awaitable<void> cancel_at(Peer home, wire::EndTurn message);
+  /// Tells a home the end of a named reservation until it has heard it.
+  /// @return its answer; nullopt: it was not heard.
+  net::asio::awaitable<std::optional<net::http::status>> close_at(Peer home, wire::EndTurn message);
+  void log_untold(const Peer& home, const wire::EndTurn& message);
   /// Whether the process that a message is meant for still runs, as far as known.
   bool runs(const Peer& peer) const;
   net::asio::awaitable<void> serve_begin(const net::TextRequest& request,
                                          net::TextResponse& response);
+  /// The end of a reservation without a name, which is told once.
   void serve_end(const net::TextRequest& request);
-  /// Settles the reservation of a turn that has ended. @return whether this is its first end.
-  bool settle(const wire::EndTurn& message);
+  /// The end of a named reservation, which may be told repeatedly.
+  void serve_close(const net::TextRequest& request);
+  void note_end(const wire::EndTurn& message);
 
   net::asio::io_context& context_;
   ledger::ProgramLedger& ledger_;
--- a/tests/cluster/cluster_test.cpp
+++ b/tests/cluster/cluster_test.cpp
@@ -147,8 +147,9 @@
 
 TEST_CASE_METHOD(Fixture, "messages that cannot be read are refused and end nothing", "[cluster]") {
   net::HttpClient client(context, first.settings.peers);
-  for (const auto* path : {"/peer/turns/begin", "/peer/turns/end", "/peer/budgets/release",
-                           "/peer/store/transact", "/peer/store/read", "/peer/store/follow"}) {
+  for (const auto* path :
+       {"/peer/turns/begin", "/peer/turns/end", "/peer/turns/close", "/peer/budgets/release",
+        "/peer/store/transact", "/peer/store/read", "/peer/store/follow"}) {
     auto request = cluster::peer_request(path, std::string("\xff\xff\xff\xff nonsense", 13));
     const auto exchange = run(context, client.exchange(std::move(request), net::Millis(500)));
     CAPTURE(path);
