What a home reserved is given back when its answer cannot be read, and when a call fails

Change: such a reply counts like none, and the home is told the end; a call that fails ends its turn. The test with an unreadable home failed before (an exception left begin). The second half, an exception within a call, has no test.

--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -42,6 +42,16 @@
   return result.complete ? net::http::status::no_content : net::http::status::service_unavailable;
 }
 
+/// @return nullopt: there was no answer, or none that can be read.
+std::optional<wire::BeginTurnReply> read_reply(const net::ExchangeResult& exchange) {
+  if (!succeeded(exchange)) return std::nullopt;
+  try {
+    return wire::decode<wire::BeginTurnReply>(exchange.response.body());
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 /// The end of a turn that generated nothing.
 wire::EndTurn unused(const wire::BeginTurn& begun) {
   wire::EndTurn end;
@@ -160,7 +170,8 @@
   const auto http = clients_.get(home);
   auto call = peer_request(kBeginPath, wire::encode(message));
   auto exchange = co_await http->exchange(std::move(call), timeout);
-  if (!succeeded(exchange)) {
+  const auto reply = read_reply(exchange);
+  if (!reply) {
     directory_.suspect(home.node, net::Clock::now());
     log_.event("peer_lost")
         .with("peer", home.node)
@@ -168,21 +179,20 @@
         .with("tokens", request.tokens)
         .with("waited_ms", timeout.count())
         .with("sent", static_cast<int>(exchange.failure != net::ExchangeFailure::kNotSent));
-    if (exchange.failure == net::ExchangeFailure::kNoAnswer && request.tokens > 0) {
+    if (exchange.failure != net::ExchangeFailure::kNotSent && request.tokens > 0) {
       net::asio::co_spawn(context_, cancel_at(home, unused(message)), net::asio::detached);
     }
     co_return false;
   }
-  const auto reply = wire::decode<wire::BeginTurnReply>(exchange.response.body());
   start.keeper = home.node;
   start.keeper_incarnation = home.incarnation;
-  start.reservation = static_cast<ReserveOutcome>(reply.reservation);
-  start.engine = reply.engine;
-  start.reserved = reply.reserved;
+  start.reservation = static_cast<ReserveOutcome>(reply->reservation);
+  start.engine = reply->engine;
+  start.reserved = reply->reserved;
   if (!message.previous.empty()) {
-    start.lookup = static_cast<LookupOutcome>(reply.lookup);
+    start.lookup = static_cast<LookupOutcome>(reply->lookup);
     if (start.lookup == LookupOutcome::kFound) {
-      start.previous = ledger_.turns.remember_chain(reply.chain, nullptr);
+      start.previous = ledger_.turns.remember_chain(reply->chain, nullptr);
     }
   }
   co_return start.lookup != LookupOutcome::kUnavailable&& start.reservation !=
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -40,7 +40,14 @@
 }  // namespace
 
 net::asio::awaitable<CallEnd> StreamCall::run() {
-  const auto end = co_await prepare_and_serve();
+  CallEnd end;
+  try {
+    end = co_await prepare_and_serve();
+  } catch (...) {
+    // Nothing stays reserved for a call that failed.
+    end_turn(nullptr, "");
+    throw;
+  }
   const bool left = !begun_ && call_.channel.gone();
   if (left) state_.caller_patience.note(call_.elapsed(), true, net::Clock::now());
   co_return end;
--- a/tests/cluster/turn_keeper_test.cpp
+++ b/tests/cluster/turn_keeper_test.cpp
@@ -4,6 +4,7 @@
 
 #include "fault_proxy.hpp"
 #include "net/endpoint.hpp"
+#include "net/text_server.hpp"
 #include "support/gateway_fixture.hpp"
 
 using namespace sailgate;
@@ -124,3 +125,37 @@
   links.set_mode(0, LinkMode::kReset);
   REQUIRE(begin(program, kTurnTokens).reservation == ReserveOutcome::kUnavailable);
 }
+
+TEST_CASE_METHOD(test::GatewayFixture,
+                 "a home whose answer cannot be read is told to give back what it reserved",
+                 "[cluster][reservations]") {
+  start_unconfigured();
+  std::vector<std::string> asked;
+  const auto endpoint = test::own_endpoint();
+  net::TextServer home(context, endpoint,
+                       [&](net::TextRequest request) -> net::asio::awaitable<net::TextResponse> {
+                         asked.emplace_back(request.target());
+                         net::TextResponse response;
+                         response.body() = "nonsense";
+                         co_return response;
+                       });
+  home.start();
+  auto& state = gateway->state();
+  wire::PeerRow row;
+  row.incarnation = kHomeIncarnation;
+  row.zone = "zone";
+  row.address = endpoint.address().to_string();
+  row.port = endpoint.port();
+  state.peers.put("home", row, net::Clock::now());
+  cluster::TurnRequest request;
+  request.tokens = kTurnTokens;
+  request.budget = kBudget;
+  const auto now = net::Clock::now();
+  for (int i = 0; !state.peers.home(request.program.text(), now, kPeerTimeout); ++i) {
+    request.program = tenancy::StateKey("", "program-" + std::to_string(i));
+  }
+  run(context, state.turns.begin(request, now + kPeerTimeout));
+  run_until(context, [&] { return asked.size() >= 2; });
+  REQUIRE(asked[0] == "/peer/turns/begin");
+  REQUIRE(asked[1] == "/peer/turns/close");
+}
