--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -22,10 +22,10 @@
 /// A home that answers so much later than its time at the store is passed over.
 constexpr net::Millis kHomeMargin{70};
 constexpr net::Millis kEndTimeout{400};
-/// An end that was not heard is told again after these pauses, for as long as callers come back
-/// after a program's last turn.
+/// Pauses before an end that was not heard is told again.
 constexpr net::Millis kFirstEndPause{50};
 constexpr net::Millis kLongestEndPause{2000};
+/// Callers come back to a program for about so long: later its tokens are of no use.
 constexpr net::Millis kEndPatience{std::chrono::seconds(60)};
 constexpr net::Millis kReleaseTimeout{150};
 
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -106,7 +106,7 @@
   net::asio::awaitable<void> end_at(Peer home, wire::EndTurn message);
   /// Tells a home that did not answer in time to give back what it may have reserved.
   net::asio::awaitable<void> cancel_at(Peer home, wire::EndTurn message);
-  /// Tells a home the end of a named reservation until it has heard it.
+  /// Tells a home the end of a named reservation until it has heard it, at most for a minute.
   /// @return its answer; nullopt: it was not heard.
   net::asio::awaitable<std::optional<net::http::status>> close_at(Peer home, wire::EndTurn message);
   void log_untold(const Peer& home, const wire::EndTurn& message);
