The directory's look-up by incarnation serves ends of turns; one function tells them and logs

end() and the retries each compared a peer's name and incarnation, which PeerDirectory::find does. The function that cancels a reservation only called the one that tells its end and logged; that one logs now. Behaviour is as before.

--- a/src/cluster/turn_keeper.cpp
+++ b/src/cluster/turn_keeper.cpp
@@ -180,7 +180,7 @@
         .with("waited_ms", timeout.count())
         .with("sent", static_cast<int>(exchange.failure != net::ExchangeFailure::kNotSent));
     if (exchange.failure != net::ExchangeFailure::kNotSent && request.tokens > 0) {
-      net::asio::co_spawn(context_, cancel_at(home, unused(message)), net::asio::detached);
+      net::asio::co_spawn(context_, close_at(home, unused(message)), net::asio::detached);
     }
     co_return false;
   }
@@ -231,10 +231,8 @@
     if (!end.engine.empty()) placements_.note(end.program.text(), end.line, end.engine);
     return;
   }
-  const auto peer = directory_.peers().find(start.keeper);
-  const bool same =
-      peer != directory_.peers().end() && peer->second.incarnation == start.keeper_incarnation;
-  if (!same) return;  // what was reserved there counts as used
+  const auto* peer = directory_.find(start.keeper_incarnation);
+  if (peer == nullptr) return;  // what was reserved there counts as used
   wire::EndTurn message;
   message.program = end.program.text();
   message.line = end.line;
@@ -243,19 +241,14 @@
   message.used = end.used;
   message.engine = end.engine;
   if (end.turn != nullptr) message.chain = ledger::encode_whole_chain(*end.turn);
-  net::asio::co_spawn(context_, end_at(peer->second, std::move(message)), net::asio::detached);
-}
-
-bool TurnKeeper::runs(const Peer& peer) const {
-  const auto known = directory_.peers().find(peer.node);
-  return known != directory_.peers().end() && known->second.incarnation == peer.incarnation;
+  net::asio::co_spawn(context_, end_at(*peer, std::move(message)), net::asio::detached);
 }
 
 net::asio::awaitable<std::optional<net::http::status>> TurnKeeper::close_at(Peer home,
                                                                             wire::EndTurn message) {
   const auto last_try = net::Clock::now() + kEndPatience;
   auto pause = kFirstEndPause;
-  while (runs(home) && net::Clock::now() < last_try) {
+  while (directory_.find(home.incarnation) != nullptr && net::Clock::now() < last_try) {
     const auto http = clients_.get(home);
     auto call = peer_request(kClosePath, wire::encode(message));
     const auto exchange = co_await http->exchange(std::move(call), kEndTimeout);
@@ -265,18 +258,13 @@
     co_await net::sleep_for(context_, pause);
     pause = std::min(pause * 2, kLongestEndPause);
   }
+  log_untold(home, message);
   co_return std::nullopt;
 }
 
-net::asio::awaitable<void> TurnKeeper::cancel_at(Peer home, wire::EndTurn message) {
-  const auto heard = co_await close_at(home, message);
-  if (!heard) log_untold(home, message);
-}
-
 net::asio::awaitable<void> TurnKeeper::end_at(Peer home, wire::EndTurn message) {
   if (message.__isset.reservation_id) {
     const auto heard = co_await close_at(home, message);
-    if (!heard) log_untold(home, message);
     if (heard != net::http::status::not_found) co_return;
   }
   const auto http = clients_.get(home);
--- a/src/cluster/turn_keeper.hpp
+++ b/src/cluster/turn_keeper.hpp
@@ -104,14 +104,10 @@
   net::asio::awaitable<bool> begin_at(Peer home, const TurnRequest& request,
                                       net::TimePoint deadline, TurnStart& start);
   net::asio::awaitable<void> end_at(Peer home, wire::EndTurn message);
-  /// Tells a home that did not answer in time to give back what it may have reserved.
-  net::asio::awaitable<void> cancel_at(Peer home, wire::EndTurn message);
   /// Tells a home the end of a named reservation until it has heard it, at most for a minute.
   /// @return its answer; nullopt: it was not heard.
   net::asio::awaitable<std::optional<net::http::status>> close_at(Peer home, wire::EndTurn message);
   void log_untold(const Peer& home, const wire::EndTurn& message);
-  /// Whether the process that a message is meant for still runs, as far as known.
-  bool runs(const Peer& peer) const;
   net::asio::awaitable<void> serve_begin(const net::TextRequest& request,
                                          net::TextResponse& response);
   /// The end of a reservation without a name, which is told once.
--- a/src/ledger/escrow_shard.cpp
+++ b/src/ledger/escrow_shard.cpp
@@ -15,6 +15,7 @@
 /// part carries programs further through an outage, a smaller one leaves them more when their owner
 /// is lost.
 constexpr std::int64_t kEscrowDivisor = 3;
+
 /// Grows with the turn, but by no more than the turn does: whoever follows a lost owner may be
 /// asked for another turn than that one, and still assumes no less than it can have spent beyond a
 /// turn. Half of the budget at most, or one turn, so that two turns are left for whoever follows.
