--- a/apps/sailgate_bench/child_process.hpp
+++ b/apps/sailgate_bench/child_process.hpp
@@ -1,4 +1,4 @@
-/// @file A process started by the bench and ended by its pid.
+/// @file A child process that is ended by its pid.
 #pragma once
 
 #include <sys/types.h>
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -163,8 +163,7 @@
     const auto result = co_await store_.transact_once(std::move(write), pace);
     last = take_written(id, *program, share, std::move(*row), result);
     if (program->account.available() >= demand.tokens || !time_left(demand.deadline)) break;
-    // Neither space nor rate is a part's own: the other shares have no more of it. Asking them too
-    // made three calls of one, and kept a fleet over the store's rate (store_rates_test).
+    // Neither space nor rate is a part's own: the other shares have no more of it.
     if (last == StoreStatus::kFull || last == StoreStatus::kThrottled) break;
     const auto now = net::Clock::now();
     // Single answers get lost, and all are late while the store is slow: the part is asked again
--- a/src/store/unchanging_rows.hpp
+++ b/src/store/unchanging_rows.hpp
@@ -71,9 +71,8 @@
   bool may_begin_try(const Race& race, net::TimePoint deadline) const;
   /// Part of the next try, of those in this order, which changes; it is under way then.
   static std::string next_part(Race& race, std::vector<std::string>& parts);
-  /// Whether a pause is due: so many tries have failed, or one was beyond the store's rate, which
-  /// other parts don't have to spare. Without the latter a row made 20 calls in 400 ms, six at most
-  /// with it, and a fleet that was over the rate once stayed so for 16 s (store_rates_test).
+  /// Whether a pause is due: so many tries have failed, or one was beyond the store's rate, of
+  /// which other parts have no more.
   static bool round_failed(Race& race, std::size_t parts);
   /// Waits until a try ends, at most so long.
   net::asio::awaitable<void> wait(RacePointer race, net::Millis longest);
