--- a/src/cluster/tenant_usage.cpp
+++ b/src/cluster/tenant_usage.cpp
@@ -16,7 +16,7 @@
   std::vector<std::int32_t> told;
   for (const auto count : parts) told.push_back(static_cast<std::int32_t>(count));
   while (!told.empty() && told.back() == 0) told.pop_back();
-  usage.__set_parts(std::move(told));
+  usage.__set_parts(told);
 }
 
 quota::PartCounts told_parts(const wire::TenantUsage& usage) {
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -100,9 +100,9 @@
     message.__set_sent_ms(std::chrono::duration_cast<net::Millis>(now.time_since_epoch()).count());
     const auto uptime = std::chrono::duration_cast<net::Millis>(now - started_at);
     if (uptime < kToldUptime) message.__set_uptime_ms(static_cast<std::int32_t>(uptime.count()));
-    auto silent = peers.silent_to_pass_on(now, beacons.silence_limit(),
-                                          settings.quota_bounds.window, silent_turn++);
-    if (!silent.empty()) message.__set_silent(std::move(silent));
+    const auto silent = peers.silent_to_pass_on(now, beacons.silence_limit(),
+                                                settings.quota_bounds.window, silent_turn++);
+    if (!silent.empty()) message.__set_silent(silent);
     return message;
   }
 
