--- a/tests/processes/gateway_soak_test.cpp
+++ b/tests/processes/gateway_soak_test.cpp
@@ -65,8 +65,7 @@
   require_no_violation(play(options, "soak-overlap"));
 }
 
-// Nodes that stand still and a loss of all nodes under overlapping faults: 417 requests of 416 that
-// a limit allowed, in two of two runs. Not traced.
+// Guards against new processes that take an even use of limits for granted, under overlapping faults.
 TEST_CASE("a limit holds over standstills and a loss of all nodes", "[processes]") {
   soak::SoakOptions options;
   options.seed = 9003;
