Make periodic work on engines proportional to the engines in use

Cause: ten times a second a node walked over all engines three times (loads, failures, zones), with a hash of each id and a copy of the list, and once more for each beacon. Among 9,999 engines that is some 400,000 visits a second for the one or two engines that a node of a large fleet uses.

Change: the registry finds engines by their reported key and by zone; a node keeps the engines that it uses, and updates only these and those that a peer reports. Marking a zone's engines is repeated only when the zone's state or the list changes. Behaviour is unchanged.

Ruled out: the choice of an engine is linear too, but a node of the fleet chooses about once a second.

--- a/src/balancing/believed_speed.cpp
+++ b/src/balancing/believed_speed.cpp
@@ -28,11 +28,20 @@
   return {static_cast<int>(sum / samples), static_cast<int>(samples)};
 }
 
+bool SpeedEstimate::is_recent(const WindowEntry& entry, net::TimePoint now) {
+  const auto window = kSpeedSampleInterval * static_cast<int>(kWindowSize);
+  return entry.figure.samples > 0 && now < entry.at + window;
+}
+
+bool SpeedEstimate::has_samples(net::TimePoint now) const {
+  return std::any_of(window_.begin(), window_.end(),
+                     [now](const WindowEntry& entry) { return is_recent(entry, now); });
+}
+
 double SpeedEstimate::median(net::TimePoint now, int& samples) const {
   std::vector<double> speeds;
   for (const auto& entry : window_) {
-    if (entry.figure.samples == 0) continue;
-    if (now >= entry.at + kSpeedSampleInterval * static_cast<int>(kWindowSize)) continue;
+    if (!is_recent(entry, now)) continue;
     speeds.push_back(entry.figure.permille / kPermille);
     samples += entry.figure.samples;
   }
--- a/src/balancing/believed_speed.hpp
+++ b/src/balancing/believed_speed.hpp
@@ -18,6 +18,8 @@
   /// Adds the current reports. Calls less than kSpeedSampleInterval after the last accepted one
   /// have no effect.
   void update(const SpeedReport& own, const SpeedReport& peers, net::TimePoint now);
+  /// Whether any accepted report of the last few seconds had samples.
+  bool has_samples(net::TimePoint now) const;
   /// Relative to the service's normal speed; 1 if no node has used the engine recently.
   double value() const { return value_; }
 
@@ -28,6 +30,7 @@
   };
   static constexpr std::size_t kWindowSize = 7;
 
+  static bool is_recent(const WindowEntry& entry, net::TimePoint now);
   double median(net::TimePoint now, int& samples) const;
 
   std::array<WindowEntry, kWindowSize> window_{};
--- a/src/balancing/engine.hpp
+++ b/src/balancing/engine.hpp
@@ -33,10 +33,16 @@
   return started_ms ? name + '@' + std::to_string(*started_ms) : name;
 }
 
+/// 32-bit hash of a run id, by which nodes report about engines to each other. Two engines collide
+/// with a probability of about one in four billion; a collision only makes both look busier or
+/// slower than they are.
+std::int32_t engine_key(const std::string& engine_id);
+
 /// An engine with this node's observations of it. Requests in flight hold it by shared pointer, so
 /// it can outlive its entry in the registry.
 struct Engine {
   EngineRecord record;
+  std::int32_t key = 0;          ///< engine_key() of the record's id
   int in_flight = 0;             ///< requests of this node at the engine
   int peer_in_flight = 0;        ///< requests of other nodes at the engine, from their beacons
   int idle_connections = 0;      ///< pooled by this node
--- a/src/balancing/engine_registry.cpp
+++ b/src/balancing/engine_registry.cpp
@@ -6,6 +6,14 @@
 
 namespace sailgate::balancing {
 
+namespace {
+
+void remove_from(std::vector<EnginePointer>& engines, const EnginePointer& engine) {
+  engines.erase(std::remove(engines.begin(), engines.end(), engine), engines.end());
+}
+
+}  // namespace
+
 void EngineRegistry::put(EngineRecord record) {
   if (has_ended(record.id)) return;
   const auto entry_key = record.entry_key();
@@ -17,11 +25,7 @@
     end_run(known);
   }
   if (known == nullptr || restarted) {
-    auto engine = std::make_shared<Engine>();
-    engine->record = std::move(record);
-    by_entry_key_[entry_key] = engine;
-    by_id_[engine->record.id] = engine;
-    by_service_[engine->record.service].push_back(engine);
+    add(std::move(record));
     return;
   }
   const bool was_usable = known->usable();
@@ -29,15 +33,35 @@
   // Draining is final for a run.
   record.draining = record.draining || known->record.draining;
   record.service = known->record.service;
+  if (record.zone != known->record.zone) {
+    remove_from(by_zone_[known->record.zone], known);
+    by_zone_[record.zone].push_back(known);
+    ++membership_version_;
+  }
   known->record = std::move(record);
   if (was_usable && !known->usable() && on_unusable_) on_unusable_(*known);
 }
 
+void EngineRegistry::add(EngineRecord record) {
+  auto engine = std::make_shared<Engine>();
+  engine->record = std::move(record);
+  engine->key = engine_key(engine->record.id);
+  by_entry_key_[engine->record.entry_key()] = engine;
+  by_id_[engine->record.id] = engine;
+  by_key_.emplace(engine->key, engine);
+  by_service_[engine->record.service].push_back(engine);
+  by_zone_[engine->record.zone].push_back(engine);
+  ++membership_version_;
+}
+
 void EngineRegistry::detach(const EnginePointer& engine) {
   const bool was_usable = engine->usable();
   engine->leaving = true;
-  auto& service = by_service_[engine->record.service];
-  service.erase(std::remove(service.begin(), service.end(), engine), service.end());
+  remove_from(by_service_[engine->record.service], engine);
+  remove_from(by_zone_[engine->record.zone], engine);
+  const auto [first, last] = by_key_.equal_range(engine->key);
+  by_key_.erase(
+      std::find_if(first, last, [&](const auto& entry) { return entry.second == engine; }));
   by_id_.erase(engine->record.id);
   by_entry_key_.erase(engine->record.entry_key());
   if (was_usable && on_unusable_) on_unusable_(*engine);
@@ -96,6 +120,11 @@
   return entry == by_id_.end() ? nullptr : entry->second;
 }
 
+bool EngineRegistry::lists(const Engine& engine) const {
+  const auto entry = by_id_.find(engine.record.id);
+  return entry != by_id_.end() && entry->second.get() == &engine;
+}
+
 EnginePointer EngineRegistry::at(const std::string& entry_key) const {
   const auto entry = by_entry_key_.find(entry_key);
   return entry == by_entry_key_.end() ? nullptr : entry->second;
@@ -107,6 +136,13 @@
   return engines;
 }
 
+std::vector<EnginePointer> EngineRegistry::with_key(std::int32_t key) const {
+  std::vector<EnginePointer> engines;
+  const auto [first, last] = by_key_.equal_range(key);
+  for (auto entry = first; entry != last; ++entry) engines.push_back(entry->second);
+  return engines;
+}
+
 const std::vector<EnginePointer>& EngineRegistry::of_service(const std::string& service) const {
   static const std::vector<EnginePointer> none;
   const auto entry = by_service_.find(service);
--- a/src/balancing/engine_registry.hpp
+++ b/src/balancing/engine_registry.hpp
@@ -50,9 +50,19 @@
   EnginePointer at(const std::string& entry_key) const;
   /// Whether the run was superseded by a newer one; it has lost its cache and its requests.
   bool has_ended(const std::string& id) const { return ended_runs_.count(id) > 0; }
+  /// Whether the engine is in the list; requests in flight may hold one that no longer is.
+  bool lists(const Engine& engine) const;
   /// All engines of a service, including unusable ones.
   const std::vector<EnginePointer>& of_service(const std::string& service) const;
   std::vector<EnginePointer> all() const;
+  /// Engines whose run id has this engine_key(), usually one.
+  std::vector<EnginePointer> with_key(std::int32_t key) const;
+  /// All engines by zone, including unusable ones.
+  const std::unordered_map<std::string, std::vector<EnginePointer>>& by_zone() const {
+    return by_zone_;
+  }
+  /// Changes whenever an engine is added or moves to another zone.
+  std::uint64_t membership_version() const { return membership_version_; }
   std::size_t size() const { return by_id_.size(); }
 
   /// Called when an engine stops being usable.
@@ -70,10 +80,14 @@
   static constexpr std::size_t kMaxEndedRuns = 4096;
 
   void end_run(const EnginePointer& engine);
+  void add(EngineRecord record);
   void detach(const EnginePointer& engine);
 
   std::unordered_map<std::string, EnginePointer> by_entry_key_;
   std::unordered_map<std::string, EnginePointer> by_id_;
+  std::unordered_multimap<std::int32_t, EnginePointer> by_key_;
+  std::unordered_map<std::string, std::vector<EnginePointer>> by_zone_;
+  std::uint64_t membership_version_ = 0;
   std::unordered_set<std::string> ended_runs_;
   std::deque<std::string> ended_runs_fifo_;
   std::unordered_map<std::string, std::vector<EnginePointer>> by_service_;
--- a/src/cluster/engine_loads.cpp
+++ b/src/cluster/engine_loads.cpp
@@ -1,13 +1,7 @@
 #include "cluster/engine_loads.hpp"
 
-#include "base/digest.hpp"
-
 namespace sailgate::cluster {
 
-std::int32_t engine_key(const std::string& engine_id) {
-  return static_cast<std::int32_t>(base::fast_digest(engine_id));
-}
-
 void EngineLoads::add(const std::map<std::int32_t, std::int32_t>& loads) {
   for (const auto& [engine, in_flight] : loads) in_flight_[engine] += in_flight;
 }
--- a/src/cluster/engine_loads.hpp
+++ b/src/cluster/engine_loads.hpp
@@ -6,11 +6,11 @@
 #include <string>
 #include <unordered_map>
 
+#include "balancing/engine.hpp"
+
 namespace sailgate::cluster {
 
-/// 32-bit hash of an engine id, used in beacons. Two engines collide with a probability of about
-/// one in four billion; a collision only makes both look busier than they are.
-std::int32_t engine_key(const std::string& engine_id);
+using balancing::engine_key;
 
 /// Sums counts by engine over several nodes.
 class EngineLoads {
@@ -18,6 +18,8 @@
   void add(const std::map<std::int32_t, std::int32_t>& loads);
   /// Total of an engine; 0 if none was added.
   int at(const std::string& engine_id) const;
+  /// By engine_key().
+  const std::unordered_map<std::int32_t, int>& by_key() const { return in_flight_; }
 
  private:
   std::unordered_map<std::int32_t, int> in_flight_;
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -269,6 +269,7 @@
                                                           std::string last_event_id) {
   Offer result;
   call.offered.push_back(engine->record.id);
+  state_.engines_in_use.add(engine, net::Clock::now());
   result.exchange =
       std::make_unique<EngineExchange>(state_.connections, state_.protocol, engine, call.deadline);
   auto& exchange = *result.exchange;
--- a/src/serving/engine_picture.cpp
+++ b/src/serving/engine_picture.cpp
@@ -19,6 +19,7 @@
 
 void EngineStateUpdater::maintain(net::TimePoint now) {
   const auto& mechanisms = state_.settings.mechanisms;
+  state_.engines_in_use.evict_idle(now);
   if (mechanisms.peer_loads) update_loads(now);
   if (mechanisms.peer_failures) update_failures(now);
   if (mechanisms.speeds) update_speeds(now);
@@ -27,8 +28,13 @@
 
 void EngineStateUpdater::update_loads(net::TimePoint now) {
   const auto peer_loads = state_.peers.loads(now, state_.beacons.silence_limit());
-  for (const auto& engine : state_.engines.all()) {
-    engine->peer_in_flight = peer_loads.at(engine->record.id);
+  for (const auto& engine : loaded_by_peers_) engine->peer_in_flight = 0;
+  loaded_by_peers_.clear();
+  for (const auto& [key, in_flight] : peer_loads.by_key()) {
+    for (const auto& engine : state_.engines.with_key(key)) {
+      engine->peer_in_flight = in_flight;
+      loaded_by_peers_.push_back(engine);
+    }
   }
 }
 
@@ -36,20 +42,27 @@
   if (now < speeds_updated_at_ + balancing::kSpeedSampleInterval) return;
   speeds_updated_at_ = now;
   const auto reported = state_.peers.live_stats(now, state_.beacons.silence_limit()).speeds;
-  const auto engines = state_.engines.all();
-  double slowest = balancing::kMaxPermille / kPermille;
-  double fastest = 0;
-  for (const auto& engine : engines) {
-    const auto entry = reported.find(cluster::engine_key(engine->record.id));
+  for (const auto& [engine, last_used] : state_.engines_in_use.all()) measured_.insert(engine);
+  for (const auto& [key, speed] : reported) {
+    for (const auto& engine : state_.engines.with_key(key)) measured_.insert(engine);
+  }
+  double slowest = 1;
+  double fastest = 1;
+  for (auto next = measured_.begin(); next != measured_.end();) {
+    auto& engine = **next;
+    const auto entry = reported.find(engine.key);
     balancing::SpeedReport peer_report;
     if (entry != reported.end()) peer_report = {entry->second.permille, entry->second.samples};
-    engine->speed_estimate.update(engine->own_speed.figure(now), peer_report, now);
-    engine->speed = engine->speed_estimate.value();
-    slowest = std::min(slowest, engine->speed);
-    fastest = std::max(fastest, engine->speed);
-    log_speed(*engine, peer_report, now);
+    engine.speed_estimate.update(engine.own_speed.figure(now), peer_report, now);
+    engine.speed = engine.speed_estimate.value();
+    slowest = std::min(slowest, engine.speed);
+    fastest = std::max(fastest, engine.speed);
+    log_speed(engine, peer_report, now);
+    const bool forgotten =
+        !engine.speed_estimate.has_samples(now) && engine.speed_step.value() == 0;
+    next = forgotten || !state_.engines.lists(engine) ? measured_.erase(next) : std::next(next);
   }
-  if (!engines.empty()) state_.metrics.set_engine_speeds(slowest, fastest);
+  if (state_.engines.size() > 0) state_.metrics.set_engine_speeds(slowest, fastest);
 }
 
 void EngineStateUpdater::log_speed(balancing::Engine& engine,
@@ -68,10 +81,21 @@
       .with("told_samples", reported.samples);
 }
 
+std::vector<balancing::EnginePointer> EngineStateUpdater::possibly_failing(
+    const cluster::EngineLoads& reported) {
+  std::unordered_set<balancing::EnginePointer> engines(awaiting_probe_.begin(),
+                                                       awaiting_probe_.end());
+  for (const auto& [engine, last_used] : state_.engines_in_use.all()) engines.insert(engine);
+  for (const auto& [key, failures] : reported.by_key()) {
+    for (const auto& engine : state_.engines.with_key(key)) engines.insert(engine);
+  }
+  return {engines.begin(), engines.end()};
+}
+
 void EngineStateUpdater::update_failures(net::TimePoint now) {
   const auto silence = state_.beacons.silence_limit();
   const auto failures = state_.peers.failures(now, silence);
-  for (const auto& engine : state_.engines.all()) {
+  for (const auto& engine : possibly_failing(failures)) {
     const auto& id = engine->record.id;
     const int reported = failures.at(id);
     const bool suspect = reported > 0 || balancing::failed_lately(*engine, now);
@@ -79,6 +103,11 @@
     const bool awaiting = suspect && balancing::should_await_probe(*engine, reported, probes, now);
     if (awaiting == engine->awaiting_probe) continue;
     engine->awaiting_probe = awaiting;
+    if (awaiting) {
+      awaiting_probe_.insert(engine);
+    } else {
+      awaiting_probe_.erase(engine);
+    }
     state_.log.event(awaiting ? "engine_left_to_probe" : "engine_used_again")
         .with("engine", id)
         .with("own_failures", engine->consecutive_failures)
--- a/src/serving/engine_picture.hpp
+++ b/src/serving/engine_picture.hpp
@@ -1,6 +1,7 @@
 /// @file Combines the observations of all nodes about the engines.
 #pragma once
 
+#include <unordered_set>
 #include <vector>
 
 #include "serving/node_state.hpp"
@@ -29,7 +30,13 @@
   void log_replica_changes(const routing::Service& service, double prompt_tokens,
                            const std::vector<balancing::ReplicaCountChange>& changes);
 
+  /// Engines whose last requests may have failed here or at peers, or that await a probe.
+  std::vector<balancing::EnginePointer> possibly_failing(const cluster::EngineLoads& reported);
+
   NodeState& state_;
+  std::vector<balancing::EnginePointer> loaded_by_peers_;  ///< peer_in_flight may be above 0
+  std::unordered_set<balancing::EnginePointer> measured_;  ///< with recent speed samples
+  std::unordered_set<balancing::EnginePointer> awaiting_probe_;
   net::TimePoint speeds_updated_at_{};
   net::TimePoint prompts_updated_at_{};
 };
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -7,6 +7,7 @@
 #include "admission/program_admission.hpp"
 #include "balancing/engine_failures.hpp"
 #include "balancing/engine_registry.hpp"
+#include "balancing/engines_in_use.hpp"
 #include "balancing/exchange_times.hpp"
 #include "balancing/prompt_placement.hpp"
 #include "base/random.hpp"
@@ -81,11 +82,11 @@
     message.store_version = newest_store_version;
     message.escrow_shards = ledger.escrow.spendable_shards();
     message.bare_shards = ledger.escrow.bare_shards();
-    for (const auto& engine : engines.all()) {
-      const auto key = cluster::engine_key(engine->record.id);
-      if (engine->in_flight > 0) message.loads[key] = engine->in_flight;
+    for (const auto& [engine, last_used] : engines_in_use.all()) {
+      if (!engines.lists(*engine)) continue;
+      if (engine->in_flight > 0) message.loads[engine->key] = engine->in_flight;
       if (balancing::failed_lately(*engine, now)) {
-        message.failures[key] = engine->consecutive_failures;
+        message.failures[engine->key] = engine->consecutive_failures;
       }
     }
     message.__isset.failures = !message.failures.empty();
@@ -121,10 +122,10 @@
 
   /// Adds the measured speeds of the engines that this node used recently.
   void add_engine_speeds(wire::Beacon& message, net::TimePoint now) const {
-    for (const auto& engine : engines.all()) {
+    for (const auto& [engine, last_used] : engines_in_use.all()) {
       const auto figure = engine->own_speed.figure(now);
-      if (figure.samples == 0) continue;
-      auto& told = message.speeds[cluster::engine_key(engine->record.id)];
+      if (figure.samples == 0 || !engines.lists(*engine)) continue;
+      auto& told = message.speeds[engine->key];
       told.permille = figure.permille;
       told.samples = figure.samples;
     }
@@ -144,6 +145,7 @@
   observe::StructuredLog& log;
   std::shared_ptr<const routing::RouteTable> routes;  ///< nullptr before the first configuration
   balancing::EngineRegistry engines;
+  balancing::EnginesInUse engines_in_use;
   bool engines_known = false;  ///< the list of engines was read
   balancing::ExchangeTimes exchange_times;
   balancing::PromptDemand prompt_demand;
--- a/src/serving/reach_watch.cpp
+++ b/src/serving/reach_watch.cpp
@@ -1,7 +1,5 @@
 #include "serving/reach_watch.hpp"
 
-#include <map>
-
 #include "readiness/fleet_view.hpp"
 
 namespace sailgate::serving {
@@ -71,15 +69,13 @@
   for (const auto& [zone, at] : readiness::last_heard_by_zone(state_.peers)) {
     zone_reachability_.record_contact(zone, at);
   }
-  std::map<std::string, std::vector<balancing::EnginePointer>> elsewhere;
-  for (const auto& engine : state_.engines.all()) {
-    const auto& zone = engine->record.zone;
-    if (zone == state_.settings.zone) continue;
-    if (engine->answered_at != net::TimePoint{})
-      zone_reachability_.record_contact(zone, engine->answered_at);
-    elsewhere[zone].push_back(engine);
+  for (const auto& [engine, last_used] : state_.engines_in_use.all()) {
+    if (engine->answered_at == net::TimePoint{}) continue;
+    zone_reachability_.record_contact(engine->record.zone, engine->answered_at);
+  }
+  for (const auto& [zone, engines] : state_.engines.by_zone()) {
+    if (zone != state_.settings.zone && !engines.empty()) update_zone(zone, engines, now);
   }
-  for (const auto& [zone, engines] : elsewhere) update_zone(zone, engines, now);
 }
 
 void ReachabilityMonitor::update_zone(const std::string& zone,
@@ -89,7 +85,12 @@
     const auto chosen = state_.random.below(engines.size());
     net::asio::co_spawn(state_.context, probe_zone(engines[chosen]), net::asio::detached);
   }
-  const bool silent = !zone_reachability_.reachable(zone, now);
+  const ZoneMark mark{!zone_reachability_.reachable(zone, now),
+                      state_.engines.membership_version()};
+  const bool silent = mark.silent;
+  auto& marked = marked_[zone];
+  if (mark == marked) return;
+  marked = mark;
   bool changed = false;
   for (const auto& engine : engines) {
     changed = changed || engine->zone_silent != silent;
--- a/src/serving/reach_watch.hpp
+++ b/src/serving/reach_watch.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -35,9 +36,18 @@
   /// Opens a probe connection to an engine of a silent zone.
   net::asio::awaitable<void> probe_zone(balancing::EnginePointer engine);
 
+  /// What the engines of a zone were last marked with.
+  struct ZoneMark {
+    bool silent = false;
+    std::uint64_t membership_version = 0;  ///< of the registry; engines added since are unmarked
+
+    bool operator==(const ZoneMark&) const = default;
+  };
+
   NodeState& state_;
   std::function<void()> close_idle_connections_;
   balancing::ZoneReachability zone_reachability_;
+  std::map<std::string, ZoneMark> marked_;  ///< by zone
   bool idle_closed_ = false;  ///< idle connections were closed since the node stepped aside
 };
 
