Collect the beacons of a large zone at a few nodes, which report to the rest in digests

Cause: in a zone of 177 nodes each node sends its beacons to 176 others and is sent as many: 357,000 datagrams a second over the fleet of 985 nodes (reckoned from the rates), at 3 ms a peer a round of 0.53 s and a loss noticed after 3.3 s. Both grow with the zone. A summary lists every member in full and is relayed to 176 nodes 33 times a second, 8 KB each.

Change: in zones of more than 66 peers, beacons go to three collectors, the first live nodes of a rendezvous order. Whoever gets beacons as a collector sends digests of what it heard itself to the zone and summaries to the others. A node without digests for a second sends to its whole zone, so any number of losses is borne. Members with nothing to say but that they live take 5 bytes. Rounds stay at 0.2 s and a loss is noticed after 2 s, at 80 as at 600 nodes a zone. One node relays a summary of another zone where each of them did so on its own before.

Ruled out: collectors where tenants' limits hold (a digest's totals include the receiver, whose own requests would count twice), so those zones go on as before; digests for nodes of the version before, which are sent every beacon and full lists of members. Zones of 66 peers and less are unchanged.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -9,6 +9,8 @@
   2: string zone
   3: string address
   4: i32 port
+  /** The node learns about its own zone from digests; others need a beacon of each node. */
+  5: optional bool reads_digests
 }
 
 /** Requests of one tenant. */
@@ -59,7 +61,7 @@
   6: optional i32 uptime_ms
 }
 
-/** The live nodes of a zone, for the nodes of other zones. */
+/** The live nodes of a zone, for the nodes of other zones; of the sender's own zone: a digest. */
 struct ZoneSummary {
   1: string zone
   2: list<ZoneMember> members
@@ -73,6 +75,10 @@
   /** Sums over the zone's nodes, keyed as in Beacon. */
   7: optional map<i32, i32> prompts
   8: optional map<i32, i32> begun
+  /** Members with nothing to say but that they are alive; see cluster::PlainMember. */
+  9: optional binary plain
+  /** The sender has heard less than half of the zone: the members count, the totals do not. */
+  10: optional bool partial
 }
 
 /** Datagram: the sender is alive, and how it loads engines. */
@@ -113,6 +119,8 @@
   15: optional i64 sent_ms
   /** Of those that may still count, while some receiver began after they were last heard. */
   16: optional list<SilentProcess> silent
+  /** In large zones: the receiver is to tell the zone about the sender in its digests. */
+  17: optional bool to_collector
 }
 
 /** Calls of the table store that a peer makes for the sender; see store/table_store.hpp. */
--- a/src/cluster/beacon_sender.cpp
+++ b/src/cluster/beacon_sender.cpp
@@ -27,6 +27,21 @@
 /// Maximum additional age of what is known about nodes of other zones: eight mean summary
 /// intervals. A longer gap occurs once in about 3000 gaps.
 constexpr net::Millis kMaxSummaryAge{1200};
+/// With more peers in a zone, beacons go to collectors: a round over all of them would take longer
+/// than kMinRoundTime.
+constexpr std::size_t kMaxDirectZone = kMaxDirectPeers;
+/// The loss of two collectors at once is borne without a pause in the digests.
+constexpr std::size_t kCollectors = 3;
+/// Interval between a collector's digests for a node. With three collectors, reports about a node
+/// are some 0.2 s old when used, half of it from the interval between its beacons.
+constexpr net::Millis kDigestInterval{400};
+/// A collector spreads a digest's datagrams over the interval in this many parts: 150 datagrams of
+/// 1 KB at once would occupy a link of 30 Mbit/s for 40 ms.
+constexpr int kDigestParts = 8;
+/// Without a digest for this time, more than twice the interval, beacons go to the whole zone.
+constexpr net::Millis kMaxDigestGap{1000};
+/// In zones with collectors, a zone's summary is relayed once in this time by any node.
+constexpr net::Millis kZoneRelayInterval{250};
 /// A process that sent nothing for this many rounds was stalled.
 constexpr int kStallRounds = 3;
 /// A summary that was read later than this after it was sent is not relayed, because the receivers
@@ -56,18 +71,38 @@
 
 bool BeaconSender::summarizes() const { return directory_.peers().size() > kMaxDirectPeers; }
 
-std::vector<const Peer*> BeaconSender::receivers() const {
-  const bool own_zone_only = summarizes();
-  std::vector<const Peer*> receivers;
+bool BeaconSender::uses_collectors() const {
+  return directory_.zone_peers() > kMaxDirectZone && !needs_all_();
+}
+
+bool BeaconSender::collects(net::TimePoint now) const {
+  return now < collected_at_ + kMissedBeaconsBeforeLost * kMinRoundTime;
+}
+
+std::vector<const Peer*> BeaconSender::zone_peers() const {
+  std::vector<const Peer*> peers;
   for (const auto& [node, peer] : directory_.peers()) {
-    if (!own_zone_only || peer.zone == directory_.zone()) receivers.push_back(&peer);
+    if (peer.zone == directory_.zone()) peers.push_back(&peer);
   }
+  return peers;
+}
+
+std::vector<const Peer*> BeaconSender::receivers() const {
+  if (summarizes()) return zone_peers();
+  std::vector<const Peer*> receivers;
+  for (const auto& [node, peer] : directory_.peers()) receivers.push_back(&peer);
   return receivers;
 }
 
+std::size_t BeaconSender::receiver_count() const {
+  if (uses_collectors()) return kCollectors;
+  return summarizes() ? directory_.zone_peers() : directory_.peers().size();
+}
+
 void BeaconSender::start() {
   net::asio::co_spawn(context_, send(), net::asio::detached);
   net::asio::co_spawn(context_, send_summaries(), net::asio::detached);
+  net::asio::co_spawn(context_, send_digests(), net::asio::detached);
   net::asio::co_spawn(context_, receive(), net::asio::detached);
 }
 
@@ -78,8 +113,8 @@
   socket_.send_to(net::asio::buffer(bytes), receiver, 0, ignored);
 }
 
-void BeaconSender::send_to_all(const std::string& bytes) {
-  for (const auto* peer : receivers()) send_to(peer->endpoint, bytes);
+void BeaconSender::send_to_all(const std::vector<const Peer*>& peers, const std::string& bytes) {
+  for (const auto* peer : peers) send_to(peer->endpoint, bytes);
   // A departed process keeps admitting requests until it ends. Without beacons it would either
   // exceed the limits or refuse requests that they allow.
   for (const auto* peer : directory_.departed().serving(net::Clock::now(), silence_limit())) {
@@ -87,10 +122,31 @@
   }
 }
 
+void BeaconSender::send_to_collectors(wire::Beacon beacon) {
+  const auto now = net::Clock::now();
+  const auto collectors =
+      directory_.collectors(directory_.zone(), kCollectors, now, silence_limit());
+  const bool digests_missing = now >= digest_at_ + kMaxDigestGap;
+  std::vector<const Peer*> others;
+  for (const auto* peer : zone_peers()) {
+    const bool collector =
+        std::find(collectors.begin(), collectors.end(), peer) != collectors.end();
+    if (!collector && (digests_missing || !peer->reads_digests)) others.push_back(peer);
+  }
+  send_to_all(others, encode_beacon(beacon));
+  beacon.__set_to_collector(true);
+  const auto bytes = encode_beacon(std::move(beacon));
+  for (const auto* peer : collectors) send_to(peer->endpoint, bytes);
+}
+
 net::asio::awaitable<void> BeaconSender::send() {
   while (true) {
     stalls_.tick(net::Clock::now(), round_time() * kStallRounds);
-    send_to_all(encode_beacon(compose_()));
+    if (uses_collectors()) {
+      send_to_collectors(compose_());
+    } else {
+      send_to_all(receivers(), encode_beacon(compose_()));
+    }
     co_await wait_for_round();
   }
 }
@@ -101,7 +157,7 @@
 
 net::asio::awaitable<void> BeaconSender::wait_for_round() {
   const auto until = net::Clock::now() + round_time();
-  const auto gap = summarizes() ? round_time() : min_send_gap(receivers().size());
+  const auto gap = summarizes() ? round_time() : min_send_gap(receiver_count());
   while (net::Clock::now() < until) {
     co_await net::sleep_for(context_, gap);
     if (urgent_()) co_return;
@@ -109,7 +165,8 @@
 }
 
 net::Millis BeaconSender::draw_summary_delay() {
-  const auto members = static_cast<std::int64_t>(receivers().size()) + 1;
+  if (uses_collectors()) return kDigestInterval;
+  const auto members = static_cast<std::int64_t>(receiver_count()) + 1;
   const auto longest = 2 * kSummaryInterval * members;
   return net::Millis(
       static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(longest.count()))));
@@ -138,38 +195,87 @@
   return chosen;
 }
 
+bool BeaconSender::has_zone_view(net::TimePoint now) const {
+  // A node that was stalled or has just started must first receive a round of its zone's beacons:
+  // its summary would otherwise be outdated or cover only itself.
+  return !stalls_.resumed_within(round_time(), now) &&
+         directory_.heard_half_of_zone(now, silence_limit());
+}
+
+wire::Beacon BeaconSender::compose_summary(net::TimePoint now) {
+  auto beacon = compose_();
+  beacon.__set_summary(directory_.summarize_zone(beacon, now, silence_limit(), usage_window_));
+  return beacon;
+}
+
 net::asio::awaitable<void> BeaconSender::send_summaries() {
   while (true) {
     co_await net::sleep_for(context_, summarizes() ? draw_summary_delay() : kMinRoundTime);
     const auto now = net::Clock::now();
     stalls_.tick(now, round_time() * kStallRounds);
-    // A node that was stalled or has just started must first receive a round of its zone's beacons:
-    // its summary would otherwise be outdated or cover only itself.
-    const bool has_zone_view = !stalls_.resumed_within(round_time(), now) &&
-                               directory_.heard_half_of_zone(now, silence_limit());
-    if (!summarizes() || !has_zone_view) continue;
-    auto beacon = compose_();
-    beacon.__set_summary(directory_.summarize_zone(beacon, now, silence_limit(), usage_window_));
-    const auto bytes = encode_beacon(std::move(beacon));
+    if (!summarizes() || !has_zone_view(now)) continue;
+    if (uses_collectors() && !collects(now)) continue;
+    const auto bytes = encode_beacon(compose_summary(now));
     for (const auto* peer : summary_receivers()) send_to(peer->endpoint, bytes);
   }
 }
 
+void BeaconSender::send_digest_to(const std::vector<const Peer*>& peers) {
+  const auto now = net::Clock::now();
+  auto beacon = compose_summary(now);
+  if (!has_zone_view(now)) beacon.summary.__set_partial(true);
+  const auto bytes = encode_beacon(std::move(beacon));
+  for (const auto* peer : peers) send_to(peer->endpoint, bytes);
+}
+
+net::asio::awaitable<void> BeaconSender::send_digests() {
+  int part = 0;
+  while (true) {
+    const bool active = uses_collectors() && collects(net::Clock::now());
+    co_await net::sleep_for(context_, active ? kDigestInterval / kDigestParts : kDigestInterval);
+    if (!active) continue;
+    part = (part + 1) % kDigestParts;
+    const auto peers = zone_peers();
+    std::vector<const Peer*> addressed;
+    for (auto i = static_cast<std::size_t>(part); i < peers.size(); i += kDigestParts) {
+      if (peers[i]->reads_digests) addressed.push_back(peers[i]);
+    }
+    send_digest_to(addressed);
+  }
+}
+
+bool BeaconSender::relays(const wire::ZoneSummary& summary, const Peer& sender,
+                          net::TimePoint sent_at, net::TimePoint now) {
+  auto& relayed_at = relayed_at_[summary.zone];
+  if (sender.zone == directory_.zone()) {
+    // In a large zone one relay for all of its nodes is enough.
+    if (uses_collectors()) relayed_at = now;
+    return false;
+  }
+  const bool first_hand = sender.zone == summary.zone;
+  if (!first_hand || now > sent_at + kMaxRelayDelay) return false;
+  if (now < relayed_at + (uses_collectors() ? kZoneRelayInterval : kMinRelayInterval)) return false;
+  relayed_at = now;
+  return true;
+}
+
 void BeaconSender::take(const wire::Beacon& beacon) {
   const auto now = net::Clock::now();
   const auto sent_at = directory_.on_beacon(beacon, now).value_or(now);
+  if (beacon.to_collector) collected_at_ = now;
   if (!beacon.__isset.summary) return;
-  directory_.on_summary(beacon.summary, sent_at);
-  if (now > sent_at + kMaxRelayDelay) return;
   const auto* sender = directory_.find(beacon.incarnation);
-  const bool first_hand = sender != nullptr && sender->zone == beacon.summary.zone;
-  if (!first_hand || sender->zone == directory_.zone()) return;
-  auto& relayed_at = relayed_at_[beacon.summary.zone];
-  if (now < relayed_at + kMinRelayInterval) return;
-  relayed_at = now;
+  if (beacon.summary.zone == directory_.zone()) {
+    if (sender == nullptr || sender->zone != directory_.zone()) return;
+    directory_.on_digest(beacon.summary, sent_at);
+    digest_at_ = now;
+    return;
+  }
+  directory_.on_summary(beacon.summary, sent_at);
+  if (sender == nullptr || !relays(beacon.summary, *sender, sent_at, now)) return;
   auto own = compose_();
   own.__set_summary(beacon.summary);
-  send_to_all(encode_beacon(std::move(own)));
+  send_to_all(zone_peers(), encode_beacon(std::move(own)));
 }
 
 net::asio::awaitable<void> BeaconSender::receive() {
--- a/src/cluster/beacon_sender.hpp
+++ b/src/cluster/beacon_sender.hpp
@@ -22,6 +22,13 @@
 /// With 295 nodes in 6 zones, beacons from every node to every other took 8 MB/s between zones,
 /// with loads up to 0.9 s old and losses detected after 3.5 s. Summaries take 0.2 MB/s (computed
 /// from their size and rate), with loads up to 0.4 s old and losses detected after 2 s.
+///
+/// In a large zone a node sends its beacons to a few nodes only, the collectors, which report to
+/// the whole zone in digests and to the other zones in summaries. What a node sends and receives
+/// then does not grow with the zone. Collectors are not elected: each node takes the first live
+/// ones of a common order, and whoever gets beacons as a collector acts as one. A node that
+/// receives no digests sends its beacons to its whole zone until it does, so any number of losses
+/// is borne.
 class BeaconSender {
  public:
   /// @param compose returns the current beacon of this node.
@@ -32,6 +39,10 @@
   /// Sets the sliding window of the tenants' limits.
   void set_usage_window(net::Millis window) { usage_window_ = window; }
 
+  /// Sets a callback that tells whether every node needs the beacons of all nodes of its zone, as
+  /// the tenants' limits do. Then there are no collectors.
+  void set_needs_all_beacons(std::function<bool()> needs_all) { needs_all_ = std::move(needs_all); }
+
   /// Sets a callback that is polled between rounds and starts the next round early if it returns
   /// true. In fleets that use summaries it is polled only at the end of a round.
   void set_urgent_check(std::function<bool()> urgent) { urgent_ = std::move(urgent); }
@@ -54,12 +65,30 @@
   void take(const wire::Beacon& beacon);
   /// Whether there are too many peers to send beacons to all of them directly.
   bool summarizes() const;
+  /// Whether this node's zone is so large that beacons go to collectors.
+  bool uses_collectors() const;
+  /// Whether nodes of the zone send their beacons to this one as a collector.
+  bool collects(net::TimePoint now) const;
+  /// Whether this node has heard enough of its zone, and recently enough, to give its totals.
+  bool has_zone_view(net::TimePoint now) const;
+  std::vector<const Peer*> zone_peers() const;
   /// Peers that are sent this node's beacons directly.
   std::vector<const Peer*> receivers() const;
-  /// Sends to all receivers, and to departed processes that are still serving.
-  void send_to_all(const std::string& bytes);
+  std::size_t receiver_count() const;
+  /// Sends to the peers, and to departed processes that are still serving.
+  void send_to_all(const std::vector<const Peer*>& peers, const std::string& bytes);
+  /// Sends a beacon to the collectors, and to all peers of the zone that need it directly.
+  void send_to_collectors(wire::Beacon beacon);
+  /// Reports about the zone to its nodes while this one collects their beacons.
+  net::asio::awaitable<void> send_digests();
+  void send_digest_to(const std::vector<const Peer*>& peers);
+  /// This node's beacon with the summary of its zone.
+  wire::Beacon compose_summary(net::TimePoint now);
+  /// Whether a summary of another zone is passed on to this one.
+  bool relays(const wire::ZoneSummary& summary, const Peer& sender, net::TimePoint sent_at,
+              net::TimePoint now);
   void send_to(const net::Endpoint& endpoint, const std::string& bytes);
-  net::Millis round_time() const { return round_time(receivers().size()); }
+  net::Millis round_time() const { return round_time(receiver_count()); }
   /// Random time until this node sends its next summary.
   net::Millis draw_summary_delay();
   /// Picks one node of each other zone at random.
@@ -70,10 +99,13 @@
   PeerDirectory& directory_;
   std::function<wire::Beacon()> compose_;
   std::function<bool()> urgent_ = [] { return false; };
+  std::function<bool()> needs_all_ = [] { return false; };
   base::Random random_;
   StallDetector stalls_;
   net::Millis usage_window_{5000};
   std::map<std::string, net::TimePoint> relayed_at_;  ///< last relay of each zone's summary
+  net::TimePoint collected_at_{};  ///< last beacon that this node was sent as a collector
+  net::TimePoint digest_at_ = net::Clock::now();  ///< last digest from a peer; first the start
   std::array<char, kMaxBeaconBytes> datagram_{};
 };
 
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -3,6 +3,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
+
+#include "cluster/plain_members.hpp"
 
 namespace sailgate::cluster {
 
@@ -30,6 +33,7 @@
 /// Applies what a node reports about itself.
 void apply_beacon(const wire::Beacon& beacon, net::TimePoint now, Peer& peer) {
   peer.last_heard = std::max(peer.last_heard, now);
+  peer.reported_at = std::max(peer.reported_at, now);
   peer.has_reported = true;
   peer.reaches_store = beacon.reaches_store;
   peer.steps_aside = beacon.steps_aside;
@@ -49,11 +53,16 @@
 /// Time after its start by which a process receives the beacons of the others.
 constexpr net::Millis kDiscoveryTime{500};
 
+/// Larger zones list most of their members in short, so that all fit into a datagram.
+constexpr std::size_t kMaxFullZone = 66;
+
 /// Losses of a whole zone that are kept, because their requests may lie in the same window.
 constexpr std::size_t kMaxKeptZoneLosses = 4;
 
 /// Whether all processes of the zone started after `time`.
 bool all_began_after(const wire::ZoneSummary& summary, net::TimePoint time, net::TimePoint now) {
+  // The starts of plain members are not reported.
+  if (!summary.plain.empty()) return false;
   return std::all_of(summary.members.begin(), summary.members.end(), [&](const auto& member) {
     const auto heard_at = now - net::Millis(member.silent_ms);
     return member.__isset.uptime_ms && heard_at - net::Millis(member.uptime_ms) > time;
@@ -63,7 +72,7 @@
 wire::ZoneMember make_member(const Peer& peer, net::TimePoint now) {
   wire::ZoneMember member;
   member.incarnation = peer.incarnation;
-  member.silent_ms = static_cast<std::int32_t>(between(peer.last_heard, now).count());
+  member.silent_ms = static_cast<std::int32_t>(between(peer.reported_at, now).count());
   member.reaches_store = peer.reaches_store;
   if (peer.steps_aside) member.__set_steps_aside(true);
   if (!peer.escrow_shards.empty()) {
@@ -72,12 +81,18 @@
   if (!peer.bare_shards.empty()) {
     member.__set_bare_shards({peer.bare_shards.begin(), peer.bare_shards.end()});
   }
-  const auto uptime = between(peer.started_at, peer.last_heard);
+  const auto uptime = between(peer.started_at, peer.reported_at);
   if (uptime < kMaxReportedUptime)
     member.__set_uptime_ms(static_cast<std::int32_t>(uptime.count()));
   return member;
 }
 
+/// Whether a short entry says all about the peer that other nodes need to know.
+bool is_plain(const Peer& peer) {
+  return peer.reaches_store && !peer.steps_aside && peer.escrow_shards.empty() &&
+         peer.bare_shards.empty();
+}
+
 DepartedPeer make_departed(const Peer& peer, bool replaced) {
   DepartedPeer departed;
   departed.node = peer.node;
@@ -123,8 +138,13 @@
   peer.zone = row.zone;
   peer.endpoint = {address, static_cast<std::uint16_t>(row.port)};
   peer.last_heard = seen_at;
+  peer.reported_at = seen_at;
   peer.started_at = seen_at;
+  peer.reads_digests = row.reads_digests;
   nodes_by_incarnation_[peer.incarnation] = node;
+  nodes_by_short_id_[short_id_of(peer.incarnation)] = node;
+  if (peer.zone == zone_) ++zone_peers_;
+  if (peer.reads_digests) ++peers_reading_digests_;
   peers_[node] = std::move(peer);
 }
 
@@ -135,6 +155,9 @@
   if (known == peers_.end()) return;
   const auto& peer = known->second;
   nodes_by_incarnation_.erase(peer.incarnation);
+  nodes_by_short_id_.erase(short_id_of(peer.incarnation));
+  if (peer.zone == zone_) --zone_peers_;
+  if (peer.reads_digests) --peers_reading_digests_;
   // A record that peers relayed is kept if this node never heard the process itself.
   if (peer.has_reported || departed_.all().count(peer.incarnation) == 0) {
     departed_.add(peer.incarnation, make_departed(peer, replaced));
@@ -225,20 +248,46 @@
   return relayed;
 }
 
-void PeerDirectory::on_summary(const wire::ZoneSummary& summary, net::TimePoint now) {
-  if (summary.zone == zone_) return;
+bool PeerDirectory::hear_of(Peer* peer, const std::string& zone, net::TimePoint heard_at) {
+  if (peer == nullptr || peer->zone != zone || heard_at < peer->last_heard) return false;
+  peer->last_heard = heard_at;
+  peer->has_reported = true;
+  return true;
+}
+
+void PeerDirectory::apply_members(const wire::ZoneSummary& summary, net::TimePoint now) {
   for (const auto& member : summary.members) {
     auto* peer = find_by(member.incarnation);
     const auto heard_at = now - net::Millis(member.silent_ms);
-    if (peer == nullptr || peer->zone != summary.zone || heard_at < peer->last_heard) continue;
-    peer->last_heard = heard_at;
-    peer->has_reported = true;
+    if (!hear_of(peer, summary.zone, heard_at)) continue;
     peer->reaches_store = member.reaches_store;
     peer->steps_aside = member.steps_aside;
     peer->escrow_shards = {member.escrow_shards.begin(), member.escrow_shards.end()};
     peer->bare_shards = {member.bare_shards.begin(), member.bare_shards.end()};
     peer->started_at = start_time_of(member.__isset.uptime_ms, member.uptime_ms, heard_at);
   }
+  for (const auto& member : decode_plain_members(summary.plain)) {
+    const auto node = nodes_by_short_id_.find(member.short_id);
+    auto* peer = node == nodes_by_short_id_.end() ? nullptr : &peers_.at(node->second);
+    if (!hear_of(peer, summary.zone, now - member.silence)) continue;
+    peer->reaches_store = true;
+    peer->steps_aside = false;
+    peer->escrow_shards.clear();
+    peer->bare_shards.clear();
+  }
+}
+
+void PeerDirectory::on_digest(const wire::ZoneSummary& digest, net::TimePoint now) {
+  if (digest.zone != zone_) return;
+  apply_members(digest, now);
+  if (digest.partial || now < own_digest_.summarized_at) return;
+  own_digest_.stats = extract_stats(digest);
+  own_digest_.summarized_at = now;
+}
+
+void PeerDirectory::on_summary(const wire::ZoneSummary& summary, net::TimePoint now) {
+  if (summary.zone == zone_) return;
+  apply_members(summary, now);
   auto& known = zone_sums_[summary.zone];
   if (now < known.summarized_at) return;
   if (all_began_after(summary, known.summarized_at, now)) {
@@ -251,6 +300,9 @@
   for (const auto& member : summary.members) {
     known.member_silence.emplace_back(member.silent_ms);
   }
+  for (const auto& member : decode_plain_members(summary.plain)) {
+    known.member_silence.push_back(member.silence);
+  }
 }
 
 wire::ZoneSummary PeerDirectory::summarize_zone(const wire::Beacon& own, net::TimePoint now,
@@ -261,11 +313,17 @@
   wire::ZoneSummary summary;
   summary.zone = zone_;
   NodeStats sum;
+  const bool compact = zone_peers_ > kMaxFullZone && all_read_digests();
+  std::vector<PlainMember> plain;
   const auto add = [&](const Peer& peer) {
-    const bool heard = now < peer.last_heard + silence;
-    merge_usages(peer.stats.tenants, {between(peer.last_heard, now), window, heard}, sum.tenants);
+    const bool heard = now < peer.reported_at + silence;
+    merge_usages(peer.stats.tenants, {between(peer.reported_at, now), window, heard}, sum.tenants);
     if (!heard) return;
-    summary.members.push_back(make_member(peer, now));
+    if (compact && is_plain(peer)) {
+      plain.push_back({short_id_of(peer.incarnation), between(peer.reported_at, now)});
+    } else {
+      summary.members.push_back(make_member(peer, now));
+    }
     sum.add(peer.stats);
   };
   add(self);
@@ -277,6 +335,7 @@
     const bool heard = now < departed.last_heard + silence;
     merge_usages(departed.tenants, {between(departed.last_heard, now), window, heard}, sum.tenants);
   }
+  if (!plain.empty()) summary.__set_plain(encode_plain_members(plain));
   write_stats(sum, summary);
   return summary;
 }
@@ -293,7 +352,7 @@
   for (const auto& [node, peer] : peers_) {
     if (peer.zone != zone_ || now >= peer.last_heard + silence) continue;
     ++possibly_live;
-    if (peer.has_reported) ++reported;
+    if (peer.has_reported && now < peer.reported_at + silence) ++reported;
   }
   return 2 * reported >= possibly_live;
 }
@@ -319,6 +378,25 @@
   return !suspected || peer.last_heard > peer.suspected_at;
 }
 
+std::vector<const Peer*> PeerDirectory::collectors(const std::string& zone, std::size_t count,
+                                                   net::TimePoint now, net::Millis silence) const {
+  static const std::string kOrderKey = "collector";
+  std::vector<std::pair<std::uint64_t, const Peer*>> order;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.zone != zone || !is_live(peer, now, silence)) continue;
+    order.emplace_back(rendezvous_weight(kOrderKey, node), &peer);
+  }
+  if (zone == zone_) order.emplace_back(rendezvous_weight(kOrderKey, self_), nullptr);
+  const auto chosen = std::min(count, order.size());
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(chosen), order.end(),
+                    std::greater<>());
+  std::vector<const Peer*> collectors;
+  for (std::size_t i = 0; i < chosen; ++i) {
+    if (order[i].second != nullptr) collectors.push_back(order[i].second);
+  }
+  return collectors;
+}
+
 std::optional<Peer> PeerDirectory::home(const std::string& key, net::TimePoint now,
                                         net::Millis silence) const {
   auto best_weight = rendezvous_weight(key, self_);
@@ -393,8 +471,14 @@
     visit(known.stats);
     summed.insert(zone);
   }
+  if (has_digest(now, silence)) {
+    visit(own_digest_.stats);
+    summed.insert(zone_);
+  }
   for (const auto& [node, peer] : peers_) {
-    if (summed.count(peer.zone) == 0 && is_live(peer, now, silence)) visit(peer.stats);
+    // What a peer reported itself expires, also while others report that it is alive.
+    const bool reports = peer.last_heard < peer.reported_at + silence;
+    if (reports && summed.count(peer.zone) == 0 && is_live(peer, now, silence)) visit(peer.stats);
   }
 }
 
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -28,11 +28,13 @@
   std::string zone;
   net::Endpoint endpoint;             ///< for calls (TCP) and beacons (UDP)
   net::TimePoint last_heard{};        ///< by this node, or by a node of the peer's zone
+  net::TimePoint reported_at{};       ///< time of its last own beacon; before that, of its row
   net::TimePoint presumed_live_at{};  ///< end of a stall of this node that it was live before
   bool has_reported = false;         ///< if false, last_heard is the time at which its row was read
   net::TimePoint suspected_at{};     ///< time of the last failed call
   net::TimePoint suspected_until{};  ///< not used before this time
   NodeStats stats;                   ///< from its last beacon
+  bool reads_digests = false;        ///< it needs no beacons of its zone; see BeaconSender
   bool reaches_store = false;        ///< its own calls to the store succeed
   bool steps_aside = false;          ///< it redirects callers to other nodes
   std::set<int> escrow_shards;       ///< shards it owns with an escrow to spend
@@ -84,12 +86,27 @@
   /// Applies a beacon except for its summary. @return the time at which it was sent, estimated from
   /// the sender's clock; nullopt if the sender is unknown.
   std::optional<net::TimePoint> on_beacon(const wire::Beacon& beacon, net::TimePoint now);
-  /// Applies the summary of another zone. @param now time at which the summary was sent.
+  /// Applies a digest: the summary of this zone by a node of it. @param now time at which it was
+  /// sent.
+  void on_digest(const wire::ZoneSummary& digest, net::TimePoint now);
+  /// Applies the summary of another zone. @param now time at which it was sent.
   void on_summary(const wire::ZoneSummary& summary, net::TimePoint now);
-  /// Summarizes this node and the peers of its zone that were heard within `silence`.
+  /// Summarizes this node and the peers of its zone whose own beacons arrived within `silence`.
   /// @param own this node's beacon. @param window sliding window of the tenants' limits.
   wire::ZoneSummary summarize_zone(const wire::Beacon& own, net::TimePoint now, net::Millis silence,
                                    net::Millis window) const;
+  /// The first `count` nodes of a zone in the rendezvous order for collecting beacons, among its
+  /// live nodes, without this one. This node may be among the first ones; then there are fewer.
+  std::vector<const Peer*> collectors(const std::string& zone, std::size_t count,
+                                      net::TimePoint now, net::Millis silence) const;
+  /// Number of peers in this node's zone.
+  std::size_t zone_peers() const { return zone_peers_; }
+  /// Whether every peer, of all zones, understands digests and compact summaries.
+  bool all_read_digests() const { return peers_reading_digests_ == peers_.size(); }
+  /// Whether a digest with the totals of this zone, including this node, was sent within `silence`.
+  bool has_digest(net::TimePoint now, net::Millis silence) const {
+    return now < own_digest_.summarized_at + silence;
+  }
   /// Selects processes that fell silent, whose requests may still count against limits, to be
   /// included in a beacon. Only those are selected whose last beacon some recently started peer may
   /// have missed, up to a size limit.
@@ -98,8 +115,9 @@
                                                              net::Millis silence,
                                                              net::Millis window,
                                                              std::size_t turn) const;
-  /// Whether at least half of this zone's possibly live peers have sent a beacon. Peers are known
-  /// from their rows before they are heard, and a total over the zone would be far too low then.
+  /// Whether at least half of this zone's possibly live peers have sent a beacon lately. Peers are
+  /// known from their rows before they are heard, and a total over the zone would be far too low
+  /// then.
   bool heard_half_of_zone(net::TimePoint now, net::Millis silence) const;
   /// Records that this process was stalled from `from` until `now`. Peers that were live before
   /// must not count as lost, nor their programs be claimed, because their beacons were not read
@@ -163,6 +181,10 @@
   Peer* find_by(std::int64_t incarnation);
   /// Applies a peer's record of a silent process that this node never heard or heard less recently.
   void merge_silent_process(const wire::SilentProcess& process, net::TimePoint sent_at);
+  /// Applies what a summary says about single members.
+  void apply_members(const wire::ZoneSummary& summary, net::TimePoint now);
+  /// Applies what a zone reports about one of its nodes. @return whether it is newer than known.
+  static bool hear_of(Peer* peer, const std::string& zone, net::TimePoint heard_at);
   /// Moves a peer to the departed ones. @param replaced a new process of the node has started.
   void retire(const std::string& node, bool replaced);
 
@@ -177,6 +199,10 @@
   DepartedPeers departed_;
   bool complete_ = false;
   std::map<std::string, ZoneSums> zone_sums_;
+  ZoneSums own_digest_;  ///< totals of this zone, including this node
+  std::size_t zone_peers_ = 0;
+  std::size_t peers_reading_digests_ = 0;
+  std::unordered_map<std::uint32_t, std::string> nodes_by_short_id_;
   std::int64_t newest_store_version_ = 0;
 };
 
--- a/src/serving/engine_picture.cpp
+++ b/src/serving/engine_picture.cpp
@@ -30,9 +30,11 @@
   const auto peer_loads = state_.peers.loads(now, state_.beacons.silence_limit());
   for (const auto& engine : loaded_by_peers_) engine->peer_in_flight = 0;
   loaded_by_peers_.clear();
+  const bool includes_own = state_.peers.has_digest(now, state_.beacons.silence_limit());
   for (const auto& [key, in_flight] : peer_loads.by_key()) {
     for (const auto& engine : state_.engines.with_key(key)) {
-      engine->peer_in_flight = in_flight;
+      const int own = includes_own ? engine->in_flight : 0;
+      engine->peer_in_flight = std::max(in_flight - own, 0);
       loaded_by_peers_.push_back(engine);
     }
   }
@@ -95,9 +97,12 @@
 void EngineStateUpdater::update_failures(net::TimePoint now) {
   const auto silence = state_.beacons.silence_limit();
   const auto failures = state_.peers.failures(now, silence);
+  const bool includes_own = state_.peers.has_digest(now, silence);
   for (const auto& engine : possibly_failing(failures)) {
     const auto& id = engine->record.id;
-    const int reported = failures.at(id);
+    const bool own_included = includes_own && balancing::failed_lately(*engine, now);
+    const int own = own_included ? engine->consecutive_failures : 0;
+    const int reported = std::max(failures.at(id) - own, 0);
     const bool suspect = reported > 0 || balancing::failed_lately(*engine, now);
     const bool probes = suspect && !state_.peers.home(id, now, silence).has_value();
     const bool awaiting = suspect && balancing::should_await_probe(*engine, reported, probes, now);
@@ -118,7 +123,8 @@
 void EngineStateUpdater::update_prompt_placement(net::TimePoint now) {
   if (state_.routes == nullptr || now < prompts_updated_at_ + kPlacementInterval) return;
   prompts_updated_at_ = now;
-  auto counts = state_.prompt_demand.told(now);
+  const bool includes_own = state_.peers.has_digest(now, state_.beacons.silence_limit());
+  auto counts = includes_own ? balancing::PromptCounts{} : state_.prompt_demand.told(now);
   cluster::add_counts(state_.peers.live_stats(now, state_.beacons.silence_limit()).prompts, counts);
   std::size_t prompts = 0;
   std::size_t copies = 0;
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -1,6 +1,7 @@
 /// @file State of a node that its requests and background tasks share.
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <string>
 
@@ -70,6 +71,7 @@
     ledger.turns.set_overlapping(settings.mechanisms.holding);
     peers.set_incarnation(incarnation);
     beacons.set_usage_window(settings.quota_bounds.window);
+    beacons.set_needs_all_beacons([this] { return limits_tenants(); });
     beacons.set_urgent_check([this] { return quotas.report_due(); });
   }
 
@@ -108,6 +110,14 @@
     return message;
   }
 
+  /// Whether the configuration limits the requests of any tenant.
+  bool limits_tenants() const {
+    if (routes == nullptr) return false;
+    const auto& tenants = routes->configuration().tenants;
+    return std::any_of(tenants.begin(), tenants.end(),
+                       [](const auto& tenant) { return tenant.limit.limited(); });
+  }
+
   /// Detects that this process was stalled. Must be called about every 0.1 s, and before deciding
   /// which peers are lost.
   void detect_stall(net::TimePoint now) {
--- a/src/serving/store_feeds.cpp
+++ b/src/serving/store_feeds.cpp
@@ -52,6 +52,7 @@
   self.zone = state_.settings.zone;
   self.address = state_.settings.peers.address().to_string();
   self.port = state_.settings.peers.port();
+  self.__set_reads_digests(true);
   store::Row row;
   row.id = {kPeerTable, "", state_.settings.node};
   row.value = wire::encode(self);
--- a/tests/cluster/beacon_sender_test.cpp
+++ b/tests/cluster/beacon_sender_test.cpp
@@ -45,15 +45,22 @@
   std::vector<std::unique_ptr<Node>> nodes;
   net::TimePoint began = net::Clock::now();
 
-  Fleet(int zones, int nodes_per_zone) {
+  /// @param reads_digests whether the nodes' rows say so; the first ones of a mixed fleet do not.
+  Fleet(int zones, int nodes_per_zone, const std::function<bool(const Node&)>& reads_digests) {
     for (int number = 1; number <= zones * nodes_per_zone; ++number) {
       const auto zone = "zone-" + std::to_string(number % zones);
       nodes.push_back(std::make_unique<Node>(context, number, zone));
     }
     for (const auto& reader : nodes) {
-      for (const auto& node : nodes) reader->directory.put(node->name, row_of(*node), began);
+      for (const auto& node : nodes) {
+        auto row = row_of(*node);
+        if (reads_digests(*node)) row.__set_reads_digests(true);
+        reader->directory.put(node->name, row, began);
+      }
     }
   }
+  Fleet(int zones, int nodes_per_zone)
+      : Fleet(zones, nodes_per_zone, [](const Node&) { return true; }) {}
   static wire::PeerRow row_of(const Node& node) {
     wire::PeerRow row;
     row.incarnation = node.incarnation;
@@ -72,6 +79,15 @@
       return entry.second.reaches_store && entry.second.escrow_shards.size() == 1;
     });
   }
+  /// Whether all these nodes have heard each other.
+  static bool know_each_other(const std::vector<Node*>& some) {
+    return std::all_of(some.begin(), some.end(), [&](const Node* node) {
+      return std::all_of(some.begin(), some.end(), [&](const Node* other) {
+        const auto* peer = node->directory.find(other->incarnation);
+        return other == node || (peer->reaches_store && peer->escrow_shards.size() == 1);
+      });
+    });
+  }
   bool all_know_all() const {
     return std::all_of(nodes.begin(), nodes.end(),
                        [this](const auto& node) { return knows_all(*node); });
@@ -121,3 +137,86 @@
   REQUIRE(small.nodes[0]->sender.silence_limit() == net::Millis(800));
   REQUIRE(large.nodes[0]->sender.silence_limit() == net::Millis(2000));
 }
+
+TEST_CASE("in a large zone nodes learn about each other from the collectors' digests",
+          "[cluster]") {
+  constexpr int kNodes = 80;
+  Fleet fleet(1, kNodes);
+  fleet.start();
+  test::run_until(fleet.context, [&] { return fleet.all_know_all(); });
+  // The totals of a digest include the receiver.
+  test::run_until(fleet.context, [&] {
+    return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [&](const auto& node) {
+      const auto now = net::Clock::now();
+      return node->directory.has_digest(now, net::Millis(5000)) &&
+             node->directory.loads(now, net::Millis(5000)).at(kEngine) == kNodes;
+    });
+  });
+}
+
+TEST_CASE("large zones learn about each other from summaries", "[cluster]") {
+  Fleet fleet(2, 80);
+  fleet.start();
+  test::run_until(fleet.context, [&] { return fleet.all_know_all(); });
+}
+
+TEST_CASE("a large zone whose collectors are all lost goes on exchanging beacons", "[cluster]") {
+  Fleet fleet(1, 80);
+  const auto silence = net::Millis(2000);
+  const auto first = fleet.nodes.front()->directory.collectors("zone-0", 10, fleet.began, silence);
+  std::vector<Node*> left;
+  for (const auto& node : fleet.nodes) {
+    const bool lost = std::any_of(first.begin(), first.end(),
+                                  [&](const auto* peer) { return peer->node == node->name; });
+    if (!lost) left.push_back(node.get());
+  }
+  REQUIRE(left.size() < fleet.nodes.size());
+  for (auto* node : left) node->sender.start();
+  test::run_until(fleet.context, [&] { return Fleet::know_each_other(left); });
+}
+
+TEST_CASE("nodes that do not read digests get a beacon of every node of a large zone",
+          "[cluster]") {
+  const auto reads_digests = [](const Node& node) { return node.incarnation > 10; };
+  Fleet fleet(1, 80, reads_digests);
+  fleet.start();
+  test::run_until(fleet.context, [&] {
+    return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [&](const auto& node) {
+      if (reads_digests(*node)) return true;
+      const auto& peers = node->directory.peers();
+      return std::all_of(peers.begin(), peers.end(),
+                         [](const auto& entry) { return !entry.second.stats.loads.empty(); });
+    });
+  });
+}
+
+TEST_CASE("a zone whose tenants are limited does without collectors", "[cluster]") {
+  Fleet fleet(1, 80);
+  for (const auto& node : fleet.nodes) node->sender.set_needs_all_beacons([] { return true; });
+  fleet.start();
+  test::run_until(fleet.context, [&] {
+    return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [](const auto& node) {
+      const auto& peers = node->directory.peers();
+      return std::all_of(peers.begin(), peers.end(),
+                         [](const auto& entry) { return !entry.second.stats.loads.empty(); });
+    });
+  });
+}
+
+TEST_CASE("a lost node is noticed as soon in a zone of 600 nodes as in one of 80", "[cluster]") {
+  net::asio::io_context context;
+  const auto limit = [&](int nodes) {
+    Node node(context, 1, "zone");
+    for (int number = 2; number <= nodes; ++number) {
+      wire::PeerRow row;
+      row.incarnation = number;
+      row.zone = "zone";
+      row.address = "127.0.0.1";
+      row.port = 1;
+      node.directory.put("node-" + std::to_string(number), row, net::Clock::now());
+    }
+    return node.sender.silence_limit();
+  };
+  REQUIRE(limit(80) == net::Millis(2000));
+  REQUIRE(limit(600) == net::Millis(2000));
+}
