Stop repeating registrations that took effect, and batch feeds by the size of the fleet

The store takes 300 writes a second into one part, and each write that took effect goes to the feeds of all 985 nodes, fetched 40 ms apart: up to 24,600 calls a second, beside 500 MB/s of engine entries, its whole link. So answers came late, and late answers were repeated: a collapse that held itself up.

Change: a node that reads its own row in the feed is registered; further attempts wait twice as long each time, with jitter, 4.8 s at most. Feeds of tables that change are fetched 0.25 ms a node apart where that is longer than before: at most 4,000 calls a second over all nodes, at 985 as at 3,712. At 295 nodes the table of nodes waits 74 ms instead of 40; the others are unchanged there.

--- a/src/serving/store_feeds.cpp
+++ b/src/serving/store_feeds.cpp
@@ -10,7 +10,9 @@
 
 constexpr const char* kPeerTable = "nodes";
 constexpr net::Millis kStoreTimeout{700};
+/// Delay before the second attempt to register; it doubles with each further one.
 constexpr net::Millis kRegisterRetryDelay{300};
+constexpr net::Millis kMaxRegisterRetryDelay{4800};
 /// Changes of engines and of the configuration that occur within this time are fetched in one call.
 /// Engines register within a few seconds of each other; without batching, each of 295 nodes made a
 /// call for almost every entry. The delay is small compared with the seconds within which a leaving
@@ -19,6 +21,9 @@
 /// Restarted nodes must be known sooner: until its row has been read, a node's beacons are ignored
 /// and the tokens that were reserved at it count as spent.
 constexpr net::Millis kPeerBatchTime{40};
+/// Batch time for each node of the fleet: together the nodes fetch a changing table at most 4,000
+/// times a second, whatever their number.
+constexpr double kBatchMsPerNode = 0.25;
 
 }  // namespace
 
@@ -44,6 +49,15 @@
 void StoreFeeds::maintain(net::TimePoint now) {
   if (!engine_follower_.entries_may_be_missing(now)) state_.engines.remove_stale();
   share_store_version();
+  update_batch_times();
+}
+
+void StoreFeeds::update_batch_times() {
+  const auto nodes = static_cast<double>(state_.peers.peers().size() + 1);
+  const net::Millis fleet_time(static_cast<std::int64_t>(kBatchMsPerNode * nodes));
+  peer_follower_.set_batch_delay(std::max(kPeerBatchTime, fleet_time));
+  configuration_follower_.set_batch_delay(std::max(kBatchTime, fleet_time));
+  engine_follower_.set_batch_delay(std::max(kBatchTime, fleet_time));
 }
 
 net::asio::awaitable<void> StoreFeeds::register_self() {
@@ -56,12 +70,17 @@
   store::Row row;
   row.id = {kPeerTable, "", state_.settings.node};
   row.value = wire::encode(self);
-  while (!state_.stopping) {
+  auto delay = kRegisterRetryDelay;
+  // An attempt whose answer is lost may have taken effect. Repeating it would send the row to every
+  // node of the fleet again, which delays the answers further.
+  while (!state_.stopping && !registered_) {
     store::Transaction transaction;
     transaction.puts.push_back(row);
     const auto result = co_await state_.store.transact(std::move(transaction), kStoreTimeout);
     if (result.status == store::StoreStatus::kDone) co_return;
-    co_await net::sleep_for(state_.context, kRegisterRetryDelay);
+    const auto jitter = state_.random.below(static_cast<std::uint64_t>(delay.count()));
+    co_await net::sleep_for(state_.context, delay / 2 + net::Millis(static_cast<int>(jitter)));
+    delay = std::min(2 * delay, kMaxRegisterRetryDelay);
   }
 }
 
@@ -88,7 +107,9 @@
     return;
   }
   try {
-    state_.peers.put(row.id.key, wire::decode<wire::PeerRow>(row.value), net::Clock::now());
+    const auto peer = wire::decode<wire::PeerRow>(row.value);
+    if (row.id.key == state_.settings.node) registered_ = peer.incarnation == incarnation_;
+    state_.peers.put(row.id.key, peer, net::Clock::now());
   } catch (const std::exception& error) {
     state_.log.event("peer_unreadable").with("peer", row.id.key).with("why", error.what());
   }
--- a/src/serving/store_feeds.hpp
+++ b/src/serving/store_feeds.hpp
@@ -25,7 +25,10 @@
   net::asio::awaitable<void> unregister_self();
 
  private:
+  /// Writes this node's row until an answer or the row in the feed confirms it.
   net::asio::awaitable<void> register_self();
+  /// Batch times of the feeds, which grow with the number of nodes.
+  void update_batch_times();
   void apply_configuration(const store::Row& row);
   void apply_peer_row(const store::Row& row);
   void record_contact(bool reached);
@@ -40,6 +43,7 @@
   const PlatformRecords& records_;
   EngineEntries entries_;
   std::int64_t incarnation_;
+  bool registered_ = false;  ///< the row of this process was seen in the feed
   store::TableFollower configuration_follower_;
   store::TableFollower engine_follower_;
   store::TableFollower peer_follower_;
--- a/src/store/table_follower.hpp
+++ b/src/store/table_follower.hpp
@@ -29,6 +29,7 @@
 
   net::asio::awaitable<void> run();
   void stop() { stopped_ = true; }
+  void set_batch_delay(net::Millis delay) { batch_delay_ = delay; }
   /// Another component has observed this version of the store: older snapshots are stale.
   void note_version(std::int64_t version);
   std::int64_t newest_seen() const { return newest_seen_; }
--- a/tests/support/memory_table.cpp
+++ b/tests/support/memory_table.cpp
@@ -21,6 +21,7 @@
 net::asio::awaitable<StoreResult> MemoryTable::transact(store::Transaction transaction,
                                                         net::Millis timeout) {
   ++writes_;
+  for (const auto& row : transaction.puts) ++writes_by_table_[row.id.table];
   longest_timeout_ = std::max(longest_timeout_, timeout);
   if (write_time_.count() > 0) {
     most_writes_at_once_ = std::max(most_writes_at_once_, ++writes_under_way_);
--- a/tests/support/memory_table.hpp
+++ b/tests/support/memory_table.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -61,6 +62,11 @@
   bool has(const std::string& table, const std::string& key) const { return rows_.has(table, key); }
   std::int64_t version() const { return rows_.version(); }
   int writes() const { return writes_; }
+  /// Attempts to put a row into this table.
+  int writes_of(const std::string& table) const {
+    const auto known = writes_by_table_.find(table);
+    return known == writes_by_table_.end() ? 0 : known->second;
+  }
   int reads() const { return reads_; }
   /// Answers of feeds that brought changes.
   int feeds_with_changes() const { return feeds_with_changes_; }
@@ -81,6 +87,7 @@
   int writes_under_way_ = 0;
   int most_writes_at_once_ = 0;
   int writes_ = 0;
+  std::map<std::string, int> writes_by_table_;
   int reads_ = 0;
   int feeds_with_changes_ = 0;
   net::Millis longest_timeout_{0};
