--- a/src/cluster/beacon_sender.cpp
+++ b/src/cluster/beacon_sender.cpp
@@ -204,7 +204,9 @@
 
 wire::Beacon BeaconSender::compose_summary(net::TimePoint now) {
   auto beacon = compose_();
-  beacon.__set_summary(directory_.summarize_zone(beacon, now, silence_limit(), usage_window_));
+  const auto detail = uses_collectors() ? MemberDetail::kCompact : MemberDetail::kFull;
+  beacon.__set_summary(
+      directory_.summarize_zone(beacon, now, silence_limit(), usage_window_, detail));
   return beacon;
 }
 
--- a/src/cluster/peer_directory.cpp
+++ b/src/cluster/peer_directory.cpp
@@ -53,9 +53,6 @@
 /// Time after its start by which a process receives the beacons of the others.
 constexpr net::Millis kDiscoveryTime{500};
 
-/// Larger zones list most of their members in short, so that all fit into a datagram.
-constexpr std::size_t kMaxFullZone = 66;
-
 /// Losses of a whole zone that are kept, because their requests may lie in the same window.
 constexpr std::size_t kMaxKeptZoneLosses = 4;
 
@@ -306,14 +303,15 @@
 }
 
 wire::ZoneSummary PeerDirectory::summarize_zone(const wire::Beacon& own, net::TimePoint now,
-                                                net::Millis silence, net::Millis window) const {
+                                                net::Millis silence, net::Millis window,
+                                                MemberDetail detail) const {
   Peer self;
   self.incarnation = own.incarnation;
   apply_beacon(own, now, self);
   wire::ZoneSummary summary;
   summary.zone = zone_;
   NodeStats sum;
-  const bool compact = zone_peers_ > kMaxFullZone && all_read_digests();
+  const bool compact = detail == MemberDetail::kCompact && all_read_digests();
   std::vector<PlainMember> plain;
   const auto add = [&](const Peer& peer) {
     const bool heard = now < peer.reported_at + silence;
@@ -380,13 +378,13 @@
 
 std::vector<const Peer*> PeerDirectory::collectors(const std::string& zone, std::size_t count,
                                                    net::TimePoint now, net::Millis silence) const {
-  static const std::string kOrderKey = "collector";
+  static const std::string order_key = "collector";
   std::vector<std::pair<std::uint64_t, const Peer*>> order;
   for (const auto& [node, peer] : peers_) {
     if (peer.zone != zone || !is_live(peer, now, silence)) continue;
-    order.emplace_back(rendezvous_weight(kOrderKey, node), &peer);
+    order.emplace_back(rendezvous_weight(order_key, node), &peer);
   }
-  if (zone == zone_) order.emplace_back(rendezvous_weight(kOrderKey, self_), nullptr);
+  if (zone == zone_) order.emplace_back(rendezvous_weight(order_key, self_), nullptr);
   const auto chosen = std::min(count, order.size());
   std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(chosen), order.end(),
                     std::greater<>());
--- a/src/cluster/peer_directory.hpp
+++ b/src/cluster/peer_directory.hpp
@@ -61,6 +61,12 @@
   std::vector<LostZoneUsage> lost;          ///< earlier losses of the whole zone, oldest first
 };
 
+/// How a summary lists the members of its zone.
+enum class MemberDetail {
+  kFull,
+  kCompact,  ///< see PlainMember; without the starts of most processes, which tenants' limits need
+};
+
 /// Deterministic, not thread-safe.
 ///
 /// In all methods, `silence` is the time without a beacon after which a peer counts as lost; see
@@ -93,8 +99,10 @@
   void on_summary(const wire::ZoneSummary& summary, net::TimePoint now);
   /// Summarizes this node and the peers of its zone whose own beacons arrived within `silence`.
   /// @param own this node's beacon. @param window sliding window of the tenants' limits.
+  /// @param detail kCompact takes effect once all nodes can read it.
   wire::ZoneSummary summarize_zone(const wire::Beacon& own, net::TimePoint now, net::Millis silence,
-                                   net::Millis window) const;
+                                   net::Millis window,
+                                   MemberDetail detail = MemberDetail::kFull) const;
   /// The first `count` nodes of a zone in the rendezvous order for collecting beacons, among its
   /// live nodes, without this one. This node may be among the first ones; then there are fewer.
   std::vector<const Peer*> collectors(const std::string& zone, std::size_t count,
--- a/tests/cluster/zone_digest_test.cpp
+++ b/tests/cluster/zone_digest_test.cpp
@@ -49,7 +49,8 @@
   for (int number = 1; number < nodes; ++number) {
     if (lost.count(number) == 0) collector.on_beacon(beacon_of(number), kNow);
   }
-  return collector.summarize_zone(beacon_of(0), kNow, kSilence, kWindow);
+  return collector.summarize_zone(beacon_of(0), kNow, kSilence, kWindow,
+                                  cluster::MemberDetail::kCompact);
 }
 
 }  // namespace
@@ -108,7 +109,8 @@
   row.__isset.reads_digests = false;
   row.reads_digests = false;
   collector.put("node-old", row, kNow);
-  const auto summary = collector.summarize_zone(beacon_of(0), kNow, kSilence, kWindow);
+  const auto summary = collector.summarize_zone(beacon_of(0), kNow, kSilence, kWindow,
+                                                cluster::MemberDetail::kCompact);
   REQUIRE(summary.plain.empty());
   REQUIRE(summary.members.size() == kNodes);
   collector.remove("node-old");
@@ -122,7 +124,8 @@
   collector.on_beacon(beacon_of(1), kNow);
   collector.on_digest(digest_of(kNodes, {}), kNow);
   REQUIRE(collector.heard(incarnation_of(2), kNow, kSilence));
-  const auto summary = collector.summarize_zone(beacon_of(0), kNow, kSilence, kWindow);
+  const auto summary = collector.summarize_zone(beacon_of(0), kNow, kSilence, kWindow,
+                                                cluster::MemberDetail::kCompact);
   REQUIRE(summary.members.size() + cluster::decode_plain_members(summary.plain).size() == 2);
   REQUIRE(summary.loads.at(cluster::engine_key(kEngine)) == 2);
   REQUIRE_FALSE(collector.heard_half_of_zone(kNow, kSilence));
@@ -170,3 +173,13 @@
   }
   for (const auto& name : names(directory, later)) REQUIRE(chosen.count(name) == 0);
 }
+
+TEST_CASE("summaries for tenants' limits list every member with its start", "[cluster]") {
+  constexpr int kNodes = 80;
+  const auto collector = directory_of("zone", kNodes, kNow, "zone");
+  const auto summary = collector.summarize_zone(beacon_of(0), kNow, kSilence, kWindow);
+  REQUIRE(summary.plain.empty());
+  REQUIRE(summary.members.size() == kNodes);
+  REQUIRE(std::all_of(summary.members.begin() + 1, summary.members.end(),
+                      [](const auto& member) { return member.__isset.uptime_ms; }));
+}
