Place shared prompts when a request needs them

Cause: each second every node determined the engines of all prompts that any node reported.

Change: an update only notes that the engines are outdated; the first request that asks determines them. The result is the same.

Ruled out: a wider hysteresis for large numbers of engines; it would change where prompts are kept on the earlier deployments.

--- a/src/balancing/prompt_placement.cpp
+++ b/src/balancing/prompt_placement.cpp
@@ -195,11 +195,13 @@
   engine_counts_ = std::move(new_counts);
   engines_digest_ = engines_now;
   engines_ = usable;
-  if (!same) rebuild(engines);
+  outdated_ = outdated_ || !same;
   return changes;
 }
 
 void PromptPlacement::rebuild(const std::vector<EnginePointer>& engines) {
+  outdated_ = false;
+  ++rebuilds_;
   replicas_.clear();
   const auto usable = std::max<std::size_t>(count_usable(engines), 1);
   const double mean = static_cast<double>(copies()) / static_cast<double>(usable);
@@ -214,6 +216,7 @@
 
 const PromptReplicas& PromptPlacement::replicas(std::int32_t prompt,
                                                 const std::vector<EnginePointer>& engines) {
+  if (outdated_) rebuild(engines);
   const auto known = replicas_.find(prompt);
   if (known != replicas_.end()) return known->second;
   if (replicas_.size() >= 2 * kMaxPlacedPrompts) rebuild(engines);
--- a/src/balancing/prompt_placement.hpp
+++ b/src/balancing/prompt_placement.hpp
@@ -60,6 +60,8 @@
   std::size_t prompts() const { return engine_counts_.size(); }
   /// Number of assigned (prompt, engine) pairs.
   std::size_t copies() const;
+  /// How often the engines of all prompts were determined.
+  std::size_t rebuilds() const { return rebuilds_; }
 
  private:
   /// Engines of a zone in the prompt's rendezvous order.
@@ -85,6 +87,8 @@
   /// Target number of engines, in proportion to the prompt's share of the requests.
   double wanted(std::int32_t requests, std::size_t engines) const;
   int bounded(double wanted, std::size_t engines) const;
+  /// Determines the engines of all prompts. Done only when they are needed: it takes tens of
+  /// milliseconds among thousands of engines, and most nodes of a large fleet rarely need them.
   void rebuild(const std::vector<EnginePointer>& engines);
 
   double prompts_an_engine_ = 0;
@@ -94,6 +98,8 @@
   std::uint64_t engines_digest_ = 0;
   std::map<std::int32_t, int> engine_counts_;  ///< number of engines by prompt
   std::map<std::int32_t, PromptReplicas> replicas_;
+  bool outdated_ = false;  ///< replicas_ does not reflect the last update
+  std::size_t rebuilds_ = 0;
 };
 
 }  // namespace sailgate::balancing
--- a/tests/balancing/prompt_placement_test.cpp
+++ b/tests/balancing/prompt_placement_test.cpp
@@ -404,3 +404,22 @@
   INFO("changes " << changes);
   CHECK(changes <= kPrompts * kSteps / 2 / 4);
 }
+
+TEST_CASE("a node that gets no long prompts does not place those of its peers", "[balancing]") {
+  const auto engines = registry();
+  PromptPlacement placement;
+  for (int requests = 100; requests < 1'000; requests += 100) {
+    placement.update(skewed_counts(requests), engines.of_service("llm"), kPromptsPerEngine);
+  }
+  REQUIRE(placement.rebuilds() == 0);
+  PromptPlacement eager;
+  for (int requests = 100; requests < 1'000; requests += 100) {
+    eager.update(skewed_counts(requests), engines.of_service("llm"), kPromptsPerEngine);
+    engines_of(eager, 0, engines);
+  }
+  for (int prompt = 0; prompt < kPrompts; ++prompt) {
+    REQUIRE(placement.replicas(key(prompt), engines.of_service("llm")).engines ==
+            eager.replicas(key(prompt), engines.of_service("llm")).engines);
+  }
+  REQUIRE(placement.rebuilds() == 1);
+}
