Register within two seconds of the store's return

The longest wait is now 1.2 s, 1.8 s with jitter. 985 nodes that are all throttled then make some 820 attempts a second, refused at once; what kept the store busy was attempts that took effect unnoticed, which end when a node reads its own row.

--- a/src/serving/store_feeds.cpp
+++ b/src/serving/store_feeds.cpp
@@ -12,7 +12,8 @@
 constexpr net::Millis kStoreTimeout{700};
 /// Delay before the second attempt to register; it doubles with each further one.
 constexpr net::Millis kRegisterRetryDelay{300};
-constexpr net::Millis kMaxRegisterRetryDelay{4800};
+/// Peers ignore a node that is not registered, so it must not wait long once the store is back.
+constexpr net::Millis kMaxRegisterRetryDelay{1200};
 /// Changes of engines and of the configuration that occur within this time are fetched in one call.
 /// Engines register within a few seconds of each other; without batching, each of 295 nodes made a
 /// call for almost every entry. The delay is small compared with the seconds within which a leaving
