--- a/src/serving/engine_picture.cpp
+++ b/src/serving/engine_picture.cpp
@@ -13,8 +13,6 @@
 /// line contains the total number of changes.
 constexpr std::size_t kMaxReplicaLogLines = 4;
 
-constexpr double kPermille = 1000;
-
 }  // namespace
 
 void EngineStateUpdater::maintain(net::TimePoint now) {
