Log which request an engine was lost under, over all its attempts

A broken exchange was logged by the attempt's id, which is another one each time the caller sends its request again, so the engines that one request ended could not be told from those that many requests lost. `broken_attempt` and the `request` line name the fingerprint: the same for all attempts at all nodes. It also says whether the connection was reset, whether the response had begun and how many exchanges of the attempt broke before; `sailgate_broken_exchanges_total{how}` counts them.

No decision changes.

--- a/src/serving/call.hpp
+++ b/src/serving/call.hpp
@@ -43,6 +43,8 @@
   AttemptBound attempts;               ///< engines that may still be running the request
   std::int64_t tokens_out = 0;         ///< generated and sent to the caller
   bool may_have_run = false;           ///< whether any engine may have run it, fully or in part
+  int broken_exchanges = 0;            ///< with engines that it was sent to
+  std::string fingerprint;             ///< see request_fingerprint(); empty until it is needed
   EngineExchange* exchange = nullptr;  ///< in progress; aborted when the caller disconnects
 
   /// Empty for an anonymous request.
--- a/src/serving/call_handler.cpp
+++ b/src/serving/call_handler.cpp
@@ -169,6 +169,8 @@
       .with("tokens_out", call.tokens_out)
       .with("offers", call.offered.size())
       .with("engine", call.offered.empty() ? "" : call.offered.back())
+      .with("broken", call.broken_exchanges)
+      .with("fingerprint", call.fingerprint)
       .with("quota_counted", call.admission.counted)
       .with("quota_allowed", call.admission.allowed)
       .with("quota_taken_back", static_cast<int>(quota_refundable(call)))
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "balancing/engine_selector.hpp"
+#include "serving/request_fingerprint.hpp"
 
 namespace sailgate::serving {
 
@@ -82,8 +83,19 @@
       .with("why", exchange.failure());
 }
 
-void record_broken_attempt(Call& call, const EngineExchange& exchange) {
+void record_broken_attempt(NodeState& state, Call& call, const EngineExchange& exchange) {
   const auto& engine = exchange.engine().record.id;
+  ++call.broken_exchanges;
+  state.metrics.exchange_broken(exchange.was_reset());
+  state.log.event("broken_attempt")
+      .with("id", call.description.request_id)
+      .with("fingerprint", request_fingerprint(call))
+      .with("engine", engine)
+      .with("reset", static_cast<int>(exchange.was_reset()))
+      .with("began", static_cast<int>(exchange.has_head()))
+      .with("broken_before", call.broken_exchanges - 1)
+      .with("in_flight", exchange.engine().in_flight)
+      .with("since_ms", exchange.elapsed().count());
   if (exchange.was_reset()) {
     call.attempts.record_connection_reset(engine);
   } else {
@@ -160,7 +172,7 @@
                     (end == OfferOutcome::kRefused && exchange.facts().misdirected);
   if (gone) call.attempts.record_finished(id);
   if (end != OfferOutcome::kBroken) return;
-  record_broken_attempt(call, exchange);
+  record_broken_attempt(state_, call, exchange);
 }
 
 balancing::EnginePointer Dispatcher::select(Call& call) {
--- a/src/serving/dispatcher.hpp
+++ b/src/serving/dispatcher.hpp
@@ -59,7 +59,7 @@
   /// has the required software version; see AttemptBound.
   balancing::EnginePointer required_engine(const Call& call, const std::string& id);
   /// Updates the set of engines that may still be working on the attempt.
-  static void update_attempt_bound(Call& call, EngineExchange& exchange, OfferOutcome end);
+  void update_attempt_bound(Call& call, EngineExchange& exchange, OfferOutcome end);
   void record_refusal(EngineExchange& exchange);
   void log_offer(const Call& call, const EngineExchange& exchange, const char* outcome);
 
@@ -74,9 +74,9 @@
 void log_broken_response(NodeState& state, const Call& call, const EngineExchange& exchange,
                          std::size_t bytes);
 
-/// Records that a response ended prematurely. After a connection reset the engine may still be
-/// working on the attempt; after any other error it is not.
-void record_broken_attempt(Call& call, const EngineExchange& exchange);
+/// Records that an exchange broke after the request was sent. After a connection reset the engine
+/// may still be working on the attempt; after any other error it is not.
+void record_broken_attempt(NodeState& state, Call& call, const EngineExchange& exchange);
 
 /// Records a failure of an engine, which is then avoided for a back-off period.
 void record_engine_failure(NodeState& state, balancing::Engine& engine, const char* what);
--- a/src/serving/engine_exchange.hpp
+++ b/src/serving/engine_exchange.hpp
@@ -63,6 +63,11 @@
   const std::string& failure() const { return failure_; }
   /// Time of construction, before a connection was acquired.
   net::TimePoint started_at() const { return began_at_; }
+  net::Millis elapsed() const {
+    return std::chrono::duration_cast<net::Millis>(net::Clock::now() - began_at_);
+  }
+  /// Whether the response head was read.
+  bool has_head() const { return parser_ && parser_->is_header_done(); }
   bool on_reused_connection() const { return connection_ != nullptr && connection_->reused; }
 
  private:
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -91,6 +91,10 @@
                            .Name("sailgate_unanswered_feeds_total")
                            .Help("Feed calls that ended without an answer")
                            .Register(registry);
+  broken_exchanges_ = &prometheus::BuildCounter()
+                           .Name("sailgate_broken_exchanges_total")
+                           .Help("Exchanges with engines that broke after the request was sent")
+                           .Register(registry);
   escrow_shards_ = &gauge(registry, "sailgate_escrow_shards",
                           "Shards of programs whose budgets this node can spend without the store");
   bare_shards_ = &gauge(registry, "sailgate_bare_shards",
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -49,6 +49,10 @@
   void feed_unanswered(const std::string& table) {
     unanswered_feeds_->Add({{"table", table}}).Increment();
   }
+  /// Counts an exchange with an engine that broke after the request was sent.
+  void exchange_broken(bool reset) {
+    broken_exchanges_->Add({{"how", reset ? "reset" : "closed"}}).Increment();
+  }
   void store_lost() { store_losses_->Increment(); }
   /// Records the end of a wait for the store: the turn started, was refused or its caller left.
   /// @param how stable name of the outcome.
@@ -114,6 +118,7 @@
   prometheus::Family<prometheus::Counter>* resumptions_;
   prometheus::Family<prometheus::Counter>* discarded_snapshots_;
   prometheus::Family<prometheus::Counter>* unanswered_feeds_;
+  prometheus::Family<prometheus::Counter>* broken_exchanges_;
   prometheus::Gauge* engines_;
   prometheus::Gauge* unusable_entries_;
   prometheus::Counter* engine_restarts_;
--- a/src/serving/plain_call.cpp
+++ b/src/serving/plain_call.cpp
@@ -36,7 +36,7 @@
       co_return CallEnd{delivered ? "answered" : "caller_gone", delivered};
     }
     failure = to_dispatch_failure(outcome);
-    if (outcome == ReadOutcome::kBroken) record_broken_attempt(call_, exchange);
+    if (outcome == ReadOutcome::kBroken) record_broken_attempt(state_, call_, exchange);
     log_broken_response(state_, call_, exchange, body.size());
     if (outcome == ReadOutcome::kBroken)
       record_engine_failure(state_, exchange.engine(), "response truncated");
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -318,7 +318,7 @@
     if (end == RelayOutcome::kCallerGone) co_return CallEnd{"caller_gone", false};
     if (end == RelayOutcome::kReservationSpent) co_return co_await stop_at_reservation();
     if (end == RelayOutcome::kTimedOut) co_return co_await fail(DispatchFailure::kTimedOut);
-    record_broken_attempt(call_, exchange);
+    record_broken_attempt(state_, call_, exchange);
     state_.log.event("stream_broken")
         .with("id", call_.description.request_id)
         .with("engine", exchange.engine().record.id)
