--- /dev/null
+++ b/tests/serving/request_losses_test.cpp
@@ -0,0 +1,326 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/gateway_fixture.hpp"
+
+using namespace sailgate;
+using test::EngineEnd;
+using test::EngineReply;
+using test::event_chunk;
+using test::FakeEngine;
+using test::GatewayFixture;
+using test::kLastChunk;
+using test::run_until;
+using test::stream_head;
+
+namespace {
+
+constexpr int kNodes = 4;
+constexpr int kEngines = 20;
+/// Engines that may end under one request.
+constexpr int kMostEnds = 3;
+constexpr int kAttempts = 6;
+const char* const kPoison = "a body that ends the engine";
+/// Between two attempts of a client.
+constexpr net::Millis kRetryPause{50};
+const char* const kDeadline = "500";
+/// In which a node that starts learns from its peers.
+constexpr net::Millis kCatchUpTime{500};
+
+/// How far an engine gets with a request that ends it.
+enum class Phase { kBeforeHead, kAfterHead, kMidway };
+
+struct Trouble {
+  EngineEnd how = EngineEnd::kClose;
+  Phase phase = Phase::kBeforeHead;
+  bool entry_goes = false;
+  bool starts_again = false;
+};
+
+/// Several gateways before engines whose process ends when a certain request reaches it.
+struct PoisonFixture : GatewayFixture {
+  struct Node {
+    serving::NodeSettings settings;
+    std::unique_ptr<serving::Gateway> gateway;
+  };
+
+  std::vector<Node> nodes;
+  std::vector<std::unique_ptr<FakeEngine>> engines;
+  Trouble trouble;
+  int poisoned_runs = 0;
+  int attempts = 0;
+
+  static std::string engine_id(std::size_t index) { return "e-" + std::to_string(index); }
+
+  std::string start_of(int start) const { return R"(,"born":)" + std::to_string(start); }
+
+  void add_engines() {
+    for (std::size_t i = 0; i < kEngines; ++i) {
+      engines.push_back(std::make_unique<FakeEngine>(context));
+      auto& fake = *engines.back();
+      put_engine(engine_id(i), fake, "ready", start_of(1));
+      fake.set_script([this, i](const auto& request) { return answer(request, i); });
+    }
+  }
+
+  EngineReply answer(const net::TextRequest& request, std::size_t index) {
+    const auto target = std::string(request.target().data(), request.target().size());
+    const bool streams = target.rfind("/safe", 0) != 0 && target.rfind("/unsafe/", 0) != 0;
+    if (request.body().find(kPoison) != std::string::npos)
+      return run_poison(request, index, streams);
+    if (!streams) return EngineReply{test::engine_answer(request, "ok")};
+    return EngineReply{stream_head(request) + event_chunk(1, "ok") + kLastChunk};
+  }
+
+  EngineReply run_poison(const net::TextRequest& request, std::size_t index, bool streams) {
+    ++poisoned_runs;
+    if (trouble.entry_goes) table.remove("servers", "", engine_id(index));
+    if (trouble.starts_again) start_again_later(index);
+    EngineReply reply;
+    reply.end = trouble.how;
+    if (trouble.phase == Phase::kBeforeHead) return reply;
+    const auto whole = streams ? stream_head(request) : test::engine_answer(request, "half");
+    reply.bytes = streams ? whole : whole.substr(0, whole.size() - 4);
+    const auto after = request["Last-Event-Id"];
+    const int next = after.empty() ? 1 : std::stoi(std::string(after.data(), after.size())) + 1;
+    if (trouble.phase == Phase::kMidway) reply.bytes += streams ? event_chunk(next, "d") : "ha";
+    return reply;
+  }
+
+  void start_again_later(std::size_t index) {
+    const auto again = [this, index]() -> net::asio::awaitable<void> {
+      co_await net::sleep_for(context, net::Millis(100));
+      engines[index]->start_again();
+      put_engine(engine_id(index), *engines[index], "ready", start_of(1 + poisoned_runs));
+    };
+    net::asio::co_spawn(context, again, net::asio::detached);
+  }
+
+  Node& add_node() {
+    Node node;
+    node.settings = make_settings();
+    node.settings.node = "node-" + std::to_string(nodes.size() + 1);
+    node.gateway = std::make_unique<serving::Gateway>(context, node.settings, protocol, records,
+                                                      table, log, 100 + nodes.size());
+    node.gateway->start();
+    nodes.push_back(std::move(node));
+    return nodes.back();
+  }
+
+  bool hears_all(const Node& node) const {
+    std::size_t heard = 0;
+    for (const auto& [name, peer] : node.gateway->state().peers.peers()) {
+      heard += peer.has_reported ? 1 : 0;
+    }
+    return heard + 1 == nodes.size();
+  }
+
+  void await_nodes() {
+    run_until(context, [this] {
+      bool all = true;
+      for (auto& node : nodes) {
+        all = all && node.gateway->ready() && hears_all(node) &&
+              node.gateway->state().engines.size() == kEngines;
+      }
+      return all;
+    });
+  }
+
+  void start_nodes(int count = kNodes) {
+    put_configuration(1, "," + route("/safe3/", "safe", "", 3));
+    add_engines();
+    for (int i = 0; i < count; ++i) add_node();
+    await_nodes();
+  }
+
+  std::string poison_request(const std::string& path) {
+    return request("POST", path,
+                   "Sailgate-Request-Id: r-" + std::to_string(++attempts) +
+                       "\r\nSailgate-Program: p\r\nSailgate-Session: s\r\n"
+                       "Sailgate-Deadline-Ms: " +
+                       kDeadline + "\r\n",
+                   kPoison);
+  }
+
+  test::CallerAnswer ask_at(const Node& node, const std::string& bytes) {
+    settings.callers = node.settings.callers;
+    return ask(bytes);
+  }
+
+  /// The client sends its request again and again, each time to another node.
+  void retry_everywhere(const std::string& path) {
+    for (int attempt = 0; attempt < kAttempts; ++attempt) {
+      const auto& node = nodes[static_cast<std::size_t>(attempt) % nodes.size()];
+      const auto answer = ask_at(node, poison_request(path));
+      REQUIRE_FALSE((answer.whole && answer.status == 200));
+      run_for(kRetryPause);
+    }
+  }
+
+  void run_for(net::Millis time) {
+    context.restart();
+    context.run_for(time);
+  }
+
+  /// A harmless request of the same program.
+  std::string harmless_request(const std::string& path, const std::string& body = "harmless") {
+    return request("POST", path,
+                   "Sailgate-Request-Id: h-" + std::to_string(++attempts) +
+                       "\r\nSailgate-Program: p\r\nSailgate-Session: s\r\n",
+                   body);
+  }
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(PoisonFixture, "a request under which three engines ended reaches no engine again",
+                 "[serving]") {
+  trouble.how = GENERATE(EngineEnd::kClose, EngineEnd::kReset);
+  trouble.phase = GENERATE(Phase::kBeforeHead, Phase::kAfterHead, Phase::kMidway);
+  const std::string path =
+      GENERATE("/safe/x", "/safe3/x", "/unsafe/x", "/stream/x", "/resumable/x", "/turns/x");
+  start_nodes();
+  retry_everywhere(path);
+  CAPTURE(path, static_cast<int>(trouble.how), static_cast<int>(trouble.phase));
+  CHECK(poisoned_runs <= kMostEnds);
+  REQUIRE(ask_at(nodes.front(), harmless_request(path)).status == 200);
+}
+
+TEST_CASE_METHOD(PoisonFixture,
+                 "a request that ends engines which start again at once reaches three of them",
+                 "[serving]") {
+  trouble.starts_again = true;
+  trouble.how = GENERATE(EngineEnd::kClose, EngineEnd::kReset);
+  const std::string path = GENERATE("/safe/x", "/unsafe/x", "/resumable/x");
+  start_nodes();
+  retry_everywhere(path);
+  CAPTURE(path, static_cast<int>(trouble.how));
+  REQUIRE(poisoned_runs <= kMostEnds);
+}
+
+TEST_CASE_METHOD(PoisonFixture,
+                 "a request that ends engines whose entries go reaches three of them",
+                 "[serving]") {
+  trouble.entry_goes = true;
+  trouble.how = GENERATE(EngineEnd::kClose, EngineEnd::kReset);
+  const std::string path = GENERATE("/safe/x", "/unsafe/x", "/resumable/x");
+  start_nodes();
+  retry_everywhere(path);
+  CAPTURE(path, static_cast<int>(trouble.how));
+  REQUIRE(poisoned_runs <= kMostEnds);
+}
+
+TEST_CASE_METHOD(PoisonFixture, "a request under which engines fall silent reaches three of them",
+                 "[serving]") {
+  trouble.how = EngineEnd::kSilence;
+  const std::string path = GENERATE("/safe/x", "/unsafe/x", "/resumable/x");
+  trouble.phase = path == "/unsafe/x" ? Phase::kBeforeHead : Phase::kMidway;
+  start_nodes();
+  retry_everywhere(path);
+  CAPTURE(path, static_cast<int>(trouble.phase));
+  REQUIRE(poisoned_runs <= kMostEnds);
+}
+
+TEST_CASE_METHOD(PoisonFixture,
+                 "a node that started later sends no engine a request that ended three",
+                 "[serving]") {
+  start_nodes();
+  retry_everywhere("/unsafe/x");
+  const int before = poisoned_runs;
+  add_node();
+  await_nodes();
+  run_for(kCatchUpTime);
+  ask_at(nodes.back(), poison_request("/unsafe/x"));
+  REQUIRE(poisoned_runs == before);
+  REQUIRE(ask_at(nodes.back(), harmless_request("/unsafe/x")).status == 200);
+}
+
+TEST_CASE_METHOD(PoisonFixture, "a request whose responses engines break off is served in the end",
+                 "[serving]") {
+  start_nodes();
+  int breaks = 0;
+  for (std::size_t i = 0; i < kEngines; ++i) {
+    engines[i]->set_script([&breaks](const auto& request) {
+      EngineReply reply{test::engine_answer(request, "ok")};
+      if (++breaks > 2 * kMostEnds) return reply;
+      reply.bytes.resize(reply.bytes.size() / 2);
+      reply.close_after = true;
+      return reply;
+    });
+  }
+  int status = 0;
+  for (int attempt = 0; attempt < kAttempts + 1 && status != 200; ++attempt) {
+    const auto& node = nodes[static_cast<std::size_t>(attempt) % nodes.size()];
+    status = ask_at(node, harmless_request("/unsafe/x")).status;
+    run_for(kRetryPause);
+  }
+  REQUIRE(status == 200);
+}
+
+TEST_CASE_METHOD(PoisonFixture, "a popular request is served after many engines crash under it",
+                 "[serving]") {
+  constexpr int kClients = 12;
+  start_nodes();
+  for (std::size_t i = 0; i < kEngines; ++i) {
+    engines[i]->set_script([](const auto&) { return EngineReply{"", false, true}; });
+  }
+  int failed = 0;
+  for (int client = 0; client < kClients; ++client) {
+    settings.callers = nodes[static_cast<std::size_t>(client) % nodes.size()].settings.callers;
+    const auto bytes = request("GET", "/unsafe/popular",
+                               "Sailgate-Request-Id: c-" + std::to_string(client) + "\r\n");
+    const auto send = [this, bytes, &failed]() -> net::asio::awaitable<void> {
+      const auto answer = co_await exchange(bytes);
+      failed += answer.status == 200 ? 0 : 1;
+    };
+    net::asio::co_spawn(context, send, net::asio::detached);
+  }
+  const auto reached = [this] {
+    std::size_t count = 0;
+    for (const auto& fake : engines) count += fake->requests().size();
+    return count;
+  };
+  run_until(context, [&] { return reached() == kClients; });
+  std::size_t ended = 0;
+  for (const auto& fake : engines) {
+    if (fake->requests().empty() || ended >= kEngines / 2) continue;
+    fake->end(EngineEnd::kReset);
+    ++ended;
+  }
+  REQUIRE(ended > kMostEnds);
+  run_until(context, [&] { return failed >= static_cast<int>(ended); });
+  run_for(kRetryPause);
+  for (std::size_t i = 0; i < kEngines; ++i) {
+    engines[i]->set_script(
+        [](const auto& request) { return EngineReply{test::engine_answer(request, "ok")}; });
+  }
+  for (const auto& node : nodes) {
+    const auto again =
+        request("GET", "/unsafe/popular", "Sailgate-Request-Id: d-" + node.settings.node + "\r\n");
+    REQUIRE(ask_at(node, again).status == 200);
+  }
+}
+
+TEST_CASE_METHOD(PoisonFixture, "repeats and resumptions of one attempt do not multiply",
+                 "[serving]") {
+  constexpr int kMostSends = 4;
+  const std::string path = GENERATE("/safe/x", "/safe3/x", "/resumable/x");
+  start_nodes(1);
+  int sends = 0;
+  for (std::size_t i = 0; i < kEngines; ++i) {
+    engines[i]->set_script([&sends, &path](const auto& request) {
+      // Three in four break before the head, the others after it.
+      if (++sends % 4 != 0) return EngineReply{"", true};
+      const bool streams = path.rfind("/resumable/", 0) == 0;
+      auto bytes = streams ? stream_head(request) : test::engine_answer(request, "half");
+      if (!streams) bytes.resize(bytes.size() - 2);
+      return EngineReply{bytes, true};
+    });
+  }
+  REQUIRE(ask_at(nodes.front(), harmless_request(path)).status == 502);
+  CAPTURE(path);
+  REQUIRE(sends <= kMostSends);
+}
--- a/tests/support/fake_engine.cpp
+++ b/tests/support/fake_engine.cpp
@@ -1,6 +1,7 @@
 #include "support/fake_engine.hpp"
 
 #include <cstdio>
+#include <utility>
 
 namespace sailgate::test {
 
@@ -56,16 +57,46 @@
     if (error) co_return;
     ++connections_;
     auto stream = std::make_shared<net::beast::tcp_stream>(std::move(socket));
+    open_.insert(stream);
     net::asio::co_spawn(context_, serve(std::move(stream)), net::asio::detached);
   }
 }
 
-net::asio::awaitable<void> FakeEngine::serve(std::shared_ptr<net::beast::tcp_stream> stream) {
+void FakeEngine::reset(net::beast::tcp_stream& stream) {
+  net::Error error;
+  stream.socket().set_option(net::asio::socket_base::linger(true, 0), error);
+  stream.socket().close(error);
+}
+
+void FakeEngine::end(EngineEnd how) {
+  acceptor_.close();
+  const auto open = std::exchange(open_, {});
+  for (const auto& stream : open) {
+    if (how == EngineEnd::kSilence) {
+      silent_.insert(stream);
+    } else if (how == EngineEnd::kReset) {
+      reset(*stream);
+    } else {
+      stream->close();
+    }
+  }
+}
+
+void FakeEngine::start_again() {
+  acceptor_.open(endpoint_.protocol());
+  acceptor_.set_option(net::asio::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint_);
+  acceptor_.listen();
+  net::asio::co_spawn(context_, accept(), net::asio::detached);
+}
+
+net::asio::awaitable<void> FakeEngine::serve(Stream stream) {
   net::beast::flat_buffer buffer;
   net::Error error;
   while (!error) {
     net::TextRequest request;
     co_await net::http::async_read(*stream, buffer, request, net::awaiting(error));
+    if (silent_.count(stream) > 0) co_return;
     if (error) break;
     requests_.push_back(request);
     const auto reply = script_(request);
@@ -76,15 +107,20 @@
       ++abandoned_;
       break;
     }
-    if (reply.reset_after) {
-      // The peer is to read what was written before the reset discards it.
-      co_await net::sleep_for(context_, kReadTime);
-      stream->socket().set_option(net::asio::socket_base::linger(true, 0), error);
-      stream->socket().close(error);
+    const bool resets = reply.reset_after || reply.end == EngineEnd::kReset;
+    // The peer is to read what was written before the reset discards it.
+    if (resets && !reply.bytes.empty()) co_await net::sleep_for(context_, kReadTime);
+    if (reply.end != EngineEnd::kNone) {
+      end(reply.end);
       co_return;
     }
+    if (resets) {
+      reset(*stream);
+      break;
+    }
     if (reply.close_after) break;
   }
+  open_.erase(stream);
   net::Error ignored;
   stream->socket().shutdown(net::asio::ip::tcp::socket::shutdown_both, ignored);
   stream->close();
--- a/tests/support/fake_engine.hpp
+++ b/tests/support/fake_engine.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -10,12 +11,21 @@
 
 namespace sailgate::test {
 
+/// How the process of an engine ends.
+enum class EngineEnd {
+  kNone,
+  kClose,    ///< its connections are closed
+  kReset,    ///< its connections are reset
+  kSilence,  ///< its connections stay open, and nothing follows on them
+};
+
 /// What the engine does with one request.
 struct EngineReply {
-  std::string bytes;         ///< written as they are
-  bool close_after = false;  ///< the connection ends after them
-  bool hold = false;         ///< nothing follows until the caller closes
-  bool reset_after = false;  ///< the connection is reset after them
+  std::string bytes;                 ///< written as they are
+  bool close_after = false;          ///< the connection ends after them
+  bool hold = false;                 ///< nothing follows until the caller closes
+  bool reset_after = false;          ///< the connection is reset after them
+  EngineEnd end = EngineEnd::kNone;  ///< the process ends after them
 };
 
 class FakeEngine {
@@ -26,18 +36,28 @@
   void set_script(Script script) { script_ = std::move(script); }
   /// Connections are refused from now on.
   void stop_accepting() { acceptor_.close(); }
-  net::Endpoint endpoint() const { return acceptor_.local_endpoint(); }
+  /// Ends the process: connections are refused, the open ones break.
+  void end(EngineEnd how);
+  /// A new process accepts connections at the address of the one that ended.
+  void start_again();
+  net::Endpoint endpoint() const { return endpoint_; }
 
   const std::vector<net::TextRequest>& requests() const { return requests_; }
   int connections() const { return connections_; }
   int abandoned() const { return abandoned_; }  ///< held requests whose caller closed
 
  private:
+  using Stream = std::shared_ptr<net::beast::tcp_stream>;
+
   net::asio::awaitable<void> accept();
-  net::asio::awaitable<void> serve(std::shared_ptr<net::beast::tcp_stream> stream);
+  net::asio::awaitable<void> serve(Stream stream);
+  static void reset(net::beast::tcp_stream& stream);
 
   net::asio::io_context& context_;
   net::asio::ip::tcp::acceptor acceptor_;
+  net::Endpoint endpoint_ = acceptor_.local_endpoint();
+  std::set<Stream> open_;
+  std::set<Stream> silent_;  ///< of processes that ended without a word
   Script script_;
   std::vector<net::TextRequest> requests_;
   int connections_ = 0;
