Bound the broken exchanges of one attempt over all loops

What callers saw: one attempt of a safe request was sent to up to 12 engines, of a resumable stream to up to 16, where each broke its answer. Cause: the dispatcher offers to at most 4 engines, plain calls repeat that up to 3 times and streams up to 4 times; each loop has a bound and nothing has one over all. Class: nested retries, each layer of which multiplies those below. Change: an attempt ends once 4 of its exchanges broke, whichever loop it is in. The dispatcher checks it, since all loops go through it.

--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -13,6 +13,8 @@
 
 /// Maximum number of engines tried per dispatch.
 constexpr std::size_t kMaxOffers = 4;
+/// Maximum number of exchanges of one attempt that break, over all its repeats and resumptions.
+constexpr int kMaxBrokenExchanges = 4;
 /// An engine that refused a request for lack of capacity is avoided for this time.
 constexpr net::Millis kRefusalPause{80};
 /// Back-off per consecutive failure of an engine.
@@ -333,6 +335,7 @@
       result.failure = *reason;
       co_return result;
     }
+    if (call.broken_exchanges >= kMaxBrokenExchanges) break;
     auto engine = select(call);
     if (engine == nullptr) break;
     auto offered = co_await offer(call, std::move(engine), body, last_event_id);
