Soak requests that end engines, among harmless ones

The checker counts at the engines: a fourth end under one request, and a refusal of one that ended fewer than three, are violations.

Stand-in engines close their sockets in child processes, and drop a connection whose script throws, as before they were kept track of.

--- a/tests/processes/gateway_soak_test.cpp
+++ b/tests/processes/gateway_soak_test.cpp
@@ -110,3 +110,11 @@
   options.configurations = true;
   require_no_violation(play(options, "soak-66300"));
 }
+
+TEST_CASE("requests that end engines reach three of them under faults", "[processes]") {
+  soak::SoakOptions options;
+  options.seed = 693;
+  options.faults = 2;
+  options.poison = true;
+  require_no_violation(play(options, "soak-poison"));
+}
--- a/tests/routing/route_table_test.cpp
+++ b/tests/routing/route_table_test.cpp
@@ -23,7 +23,7 @@
   configuration.version = 3;
   configuration.routes = {route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"),
                           route("other", "b.example", "/x/")};
-  configuration.services.push_back({"service", 9});
+  configuration.services.push_back({"service", "", 9});
   return RouteTable(std::move(configuration));
 }
 
--- a/tests/serving/request_losses_test.cpp
+++ b/tests/serving/request_losses_test.cpp
@@ -213,6 +213,18 @@
   REQUIRE(poisoned_runs <= kMostEnds);
 }
 
+TEST_CASE_METHOD(
+    PoisonFixture,
+    "a request that ends engines whose addresses go on accepting reaches three of them",
+    "[serving]") {
+  trouble.how = EngineEnd::kUnattended;
+  const std::string path = GENERATE("/safe/x", "/unsafe/x", "/resumable/x");
+  start_nodes();
+  retry_everywhere(path);
+  CAPTURE(path);
+  REQUIRE(poisoned_runs <= kMostEnds);
+}
+
 TEST_CASE_METHOD(PoisonFixture, "a request under which engines fall silent reaches three of them",
                  "[serving]") {
   trouble.how = EngineEnd::kSilence;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,6 +18,7 @@
       "nodes", options::value<int>()->default_value(4), "gateway processes")(
       "overlap", "two series of faults, engines and configurations that change meanwhile")(
       "configurations", "checks which configuration nodes go by")(
+      "poison", "requests that end the engines that run them")(
       "versions", "engines of two software versions and callers that resume streams")(
       "burst-losses", options::value<int>()->default_value(0),
       "instead of other faults, times that all nodes are killed right after a burst")(
@@ -37,6 +38,7 @@
     soak.overlap = values.count("overlap") > 0;
     soak.burst_losses = values["burst-losses"].as<int>();
     soak.configurations = values.count("configurations") > 0;
+    soak.poison = values.count("poison") > 0;
     soak.versions = values.count("versions") > 0;
     soak.hard_load = values.count("hard-load") > 0;
     soak.programs_directory =
--- a/tests/soak/soak_checker.cpp
+++ b/tests/soak/soak_checker.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Engines that may end under one request.
+constexpr int kMostEngineEnds = 3;
+
 /// Statuses that promise that the request has not run and never will.
 bool promises_not_run(int status) {
   return status == 402 || status == 404 || status == 408 || status == 421 || status == 429 ||
@@ -108,6 +111,20 @@
   }
 }
 
+void SoakChecker::engine_ended_under(const std::string& body) {
+  const int ended = ++engines_ended_[body];
+  if (ended <= kMostEngineEnds) return;
+  violation("BUDGET", "'" + body + "' reached an engine after " + std::to_string(ended - 1) +
+                          " had ended under it");
+}
+
+void SoakChecker::quarantined(const std::string& body) {
+  const int ended = engines_ended_[body];
+  if (ended >= kMostEngineEnds) return;
+  violation("DENIED", "'" + body + "' was refused, though only " + std::to_string(ended) +
+                          " engines ended under it");
+}
+
 void SoakChecker::mixed(const std::string& id, const std::string& what) {
   violation("MIXED", id + ": " + what);
 }
--- a/tests/soak/soak_checker.hpp
+++ b/tests/soak/soak_checker.hpp
@@ -63,6 +63,11 @@
   void not_finished(const std::string& program, const std::string& why);
 
   // Engines.
+  /// The process of an engine ends while it is at work on a request. @param body names the request
+  /// over all its attempts.
+  void engine_ended_under(const std::string& body);
+  /// An attempt of the request was refused because engines ended under it.
+  void quarantined(const std::string& body);
   /// An engine begins to work on a request.
   void run_began(const SeenRequest& seen, net::TimePoint now);
 
@@ -110,6 +115,7 @@
   std::map<std::string, TenantLimit> limits_;
   std::map<std::string, SeenStream> streams_;
   std::map<std::string, int> configurations_;  ///< newest that each process has shown to go by
+  std::map<std::string, int> engines_ended_;   ///< by request
   std::map<int, int> refusals_;
   std::vector<std::string> violations_;
 };
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -13,6 +13,7 @@
 #include "child_process.hpp"
 #include "fault_proxy.hpp"
 #include "quota/limit.hpp"
+#include "soak/poison_traffic.hpp"
 #include "soak/soak_caller.hpp"
 #include "soak/soak_engine.hpp"
 #include "support/loopback_endpoints.hpp"
@@ -112,6 +113,7 @@
       text_ << "  answered " << status << ": " << count << "\n";
     }
     if (options_.versions) describe_streams();
+    if (poison_ != nullptr) text_ << poison_->summary();
     report.text += text_.str();
     return report;
   }
@@ -218,8 +220,10 @@
            route("turns", "stream", true) + "," + route("unsafe", "unsafe", false) +
            (options_.versions ? "," + route("streams", "stream", false, true) : "") +
            (options_.configurations ? "," + public_route(added_route(version)) : "") +
-           R"(],"services":[{"name":"app","engine":{"chunk_tokens":)" +
-           std::to_string(kTokensPerEvent) + R"(}}],"tenants":[)" +
+           (options_.poison ? PoisonTraffic::routes() : "") +
+           R"(],"services":[{"name":"app","health_path":"/healthz","engine":{"chunk_tokens":)" +
+           std::to_string(kTokensPerEvent) + "}}" +
+           (options_.poison ? PoisonTraffic::service() : "") + R"(],"tenants":[)" +
            tenants_text(version % 2 == 0 ? kLoweredShare : 1) +
            R"(],"limits":{"max_header_bytes":4000,"max_body_bytes":100000,)" +
            R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
@@ -229,8 +233,9 @@
 
   std::string engine_text(std::size_t index) const {
     // Seeds of before know no starts of engines.
-    const auto start =
-        options_.overlap ? R"(,"born":)" + std::to_string(engine_starts_[index]) : std::string();
+    const auto start = options_.overlap || options_.poison
+                           ? R"(,"born":)" + std::to_string(engine_starts_[index])
+                           : std::string();
     const auto version =
         options_.versions ? R"(,"version":")" + SoakEngines::version(index) + "\"" : std::string();
     return R"({"service":"app","addr":")" + engine_addresses_[index] + R"(","zone":"zone)" +
@@ -263,6 +268,9 @@
       engine_starts_.push_back(kFirstStart);
       put("servers", engine_name(i), engine_text(i));
     }
+    if (poison_ != nullptr) {
+      for (const auto& [key, entry] : poison_->entries()) put("servers", key, entry);
+    }
     const auto limit = net::Clock::now() + kStartLimit;
     while (net::Clock::now() < limit) {
       auto copy = transaction;
@@ -451,6 +459,7 @@
   }
 
   bool callers_finished() const {
+    if (poison_ != nullptr && !poison_->finished()) return false;
     return std::all_of(callers_.begin(), callers_.end(),
                        [](const auto& caller) { return caller->finished(); });
   }
@@ -458,6 +467,7 @@
   /// Ends what callers are at. @return whether all have ended in time.
   net::asio::awaitable<bool> stop_callers() {
     for (auto& caller : callers_) caller->stop();
+    if (poison_ != nullptr) poison_->stop();
     const auto limit = net::Clock::now() + kFinishLimit;
     while (!callers_finished() && net::Clock::now() < limit) {
       co_await net::sleep_for(context_, kPoll);
@@ -667,6 +677,14 @@
 
   net::asio::awaitable<void> play(SoakReport& report) {
     start_table();
+    if (options_.poison) {
+      poison_ = std::make_unique<PoisonTraffic>(
+          context_, checker_, [this] { return choose_node(); },
+          [this](std::string key, std::string value) {
+            return write_row("servers", std::move(key), std::move(value));
+          },
+          options_.seed);
+    }
     if (!co_await write_rows()) co_return;
     for (int i = 0; i < options_.nodes; ++i) add_node(i);
     for (auto& node : nodes_) start_node(node);
@@ -680,6 +698,7 @@
       const auto& tenant = tenants_[i % tenants_.size()];
       add_caller(tenant, "c" + std::to_string(i / static_cast<int>(tenants_.size())));
     }
+    if (poison_ != nullptr) poison_->start();
     if (options_.burst_losses > 0) {
       co_await lose_all_after_bursts();
     } else {
@@ -707,6 +726,7 @@
   int ended_series_ = 0;  ///< of faults and changes
   std::vector<SoakTenant> tenants_ = make_tenants();
   std::unique_ptr<bench::ChildProcess> standin_;
+  std::unique_ptr<PoisonTraffic> poison_;  ///< nullptr: none
   std::vector<Node> nodes_;
   std::vector<std::unique_ptr<SoakCaller>> callers_;
   std::ostringstream text_;
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -16,6 +16,7 @@
   bool overlap = false;
   /// Each configuration adds a route, by which nodes show the version that they go by.
   bool configurations = false;
+  bool poison = false;    ///< requests that end engines, among harmless ones
   bool versions = false;  ///< engines of two software versions, callers resume streams
   /// Instead of other faults: so many times all nodes are killed right after a burst.
   int burst_losses = 0;
--- a/tests/support/fake_engine.cpp
+++ b/tests/support/fake_engine.cpp
@@ -1,5 +1,7 @@
 #include "support/fake_engine.hpp"
 
+#include <fcntl.h>
+
 #include <cstdio>
 #include <utility>
 
@@ -9,6 +11,7 @@
 
 /// Time in which a peer on loopback reads what was sent to it.
 constexpr net::Millis kReadTime{50};
+const char* const kHealthPath = "/healthz";
 
 std::string id_line(const net::TextRequest& request) {
   const auto id = request["Sailgate-Request-Id"];
@@ -44,9 +47,17 @@
          " Text\r\nSailgate-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
+namespace {
+
+/// Programs that the test starts would keep the socket open after the engine has ended.
+void close_in_children(int socket) { fcntl(socket, F_SETFD, FD_CLOEXEC); }
+
+}  // namespace
+
 FakeEngine::FakeEngine(net::asio::io_context& context)
     : context_(context),
       acceptor_(context, net::Endpoint(net::asio::ip::address_v4::loopback(), 0)) {
+  close_in_children(acceptor_.native_handle());
   net::asio::co_spawn(context_, accept(), net::asio::detached);
 }
 
@@ -56,9 +67,11 @@
     auto socket = co_await acceptor_.async_accept(net::awaiting(error));
     if (error) co_return;
     ++connections_;
+    close_in_children(socket.native_handle());
     auto stream = std::make_shared<net::beast::tcp_stream>(std::move(socket));
     open_.insert(stream);
-    net::asio::co_spawn(context_, serve(std::move(stream)), net::asio::detached);
+    net::asio::co_spawn(context_, serve(stream),
+                        [this, stream](const std::exception_ptr&) { open_.erase(stream); });
   }
 }
 
@@ -69,7 +82,11 @@
 }
 
 void FakeEngine::end(EngineEnd how) {
-  acceptor_.close();
+  if (how == EngineEnd::kUnattended) {
+    acceptor_.cancel();
+  } else {
+    acceptor_.close();
+  }
   const auto open = std::exchange(open_, {});
   for (const auto& stream : open) {
     if (how == EngineEnd::kSilence) {
@@ -87,6 +104,7 @@
   acceptor_.set_option(net::asio::socket_base::reuse_address(true));
   acceptor_.bind(endpoint_);
   acceptor_.listen();
+  close_in_children(acceptor_.native_handle());
   net::asio::co_spawn(context_, accept(), net::asio::detached);
 }
 
@@ -98,8 +116,14 @@
     co_await net::http::async_read(*stream, buffer, request, net::awaiting(error));
     if (silent_.count(stream) > 0) co_return;
     if (error) break;
+    if (request.target() == kHealthPath) {
+      const std::string healthy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      co_await net::asio::async_write(*stream, net::asio::buffer(healthy), net::awaiting(error));
+      continue;
+    }
     requests_.push_back(request);
     const auto reply = script_(request);
+    if (reply.delay.count() > 0) co_await net::sleep_for(context_, reply.delay);
     co_await net::asio::async_write(*stream, net::asio::buffer(reply.bytes), net::awaiting(error));
     if (reply.hold) {
       char byte = 0;
@@ -120,7 +144,6 @@
     }
     if (reply.close_after) break;
   }
-  open_.erase(stream);
   net::Error ignored;
   stream->socket().shutdown(net::asio::ip::tcp::socket::shutdown_both, ignored);
   stream->close();
--- a/tests/support/fake_engine.hpp
+++ b/tests/support/fake_engine.hpp
@@ -14,9 +14,11 @@
 /// How the process of an engine ends.
 enum class EngineEnd {
   kNone,
-  kClose,    ///< its connections are closed
-  kReset,    ///< its connections are reset
-  kSilence,  ///< its connections stay open, and nothing follows on them
+  kClose,       ///< its connections are closed
+  kReset,       ///< its connections are reset
+  kUnattended,  ///< its connections are closed; its address accepts further ones, which nobody
+                ///< reads
+  kSilence,     ///< its connections stay open, and nothing follows on them
 };
 
 /// What the engine does with one request.
@@ -26,8 +28,10 @@
   bool hold = false;                 ///< nothing follows until the caller closes
   bool reset_after = false;          ///< the connection is reset after them
   EngineEnd end = EngineEnd::kNone;  ///< the process ends after them
+  net::Millis delay{0};              ///< of them
 };
 
+/// Answers health checks by itself; the script gets everything else.
 class FakeEngine {
  public:
   using Script = std::function<EngineReply(const net::TextRequest&)>;
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -61,15 +61,15 @@
   void put_configuration(int version, const std::string& more_routes = "",
                          const std::string& tenants = "") {
     const auto named = tenants.empty() ? std::string() : R"("tenants":[)" + tenants + "],";
-    table.put("op", "", "config",
-              R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
-                  route("/safe/", "safe") + "," + route("/unsafe/", "unsafe") + "," +
-                  route("/stream/", "stream") + "," +
-                  route("/resumable/", "stream", R"(,"resumable":true)") + "," +
-                  route("/turns/", "stream", R"(,"retained":true)") + more_routes +
-                  R"(],"services":[{"name":"app","engine":{"chunk_tokens":10}}],)" + named +
-                  R"("limits":{"max_header_bytes":2000,"max_body_bytes":5000,)" +
-                  R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+    table.put(
+        "op", "", "config",
+        R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("/safe/", "safe") +
+            "," + route("/unsafe/", "unsafe") + "," + route("/stream/", "stream") + "," +
+            route("/resumable/", "stream", R"(,"resumable":true)") + "," +
+            route("/turns/", "stream", R"(,"retained":true)") + more_routes +
+            R"(],"services":[{"name":"app","health_path":"/healthz","engine":{"chunk_tokens":10}}],)" +
+            named + R"("limits":{"max_header_bytes":2000,"max_body_bytes":5000,)" +
+            R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
   }
 
   /// @param more fields, each with a comma in front.
