Announce a quarantine to processes that start meanwhile

Told nodes were also remembered by name, so the next process of a node that had answered was left out. Processes are remembered by their incarnation, and the announcement is repeated to new ones for its whole 10 s.

--- a/src/cluster/request_losses.cpp
+++ b/src/cluster/request_losses.cpp
@@ -220,8 +220,9 @@
   std::vector<Target> targets;
   for (const auto& [node, peer] : directory_.peers()) {
     if (only_live && !PeerDirectory::is_live(peer, now, silence)) continue;
-    if (std::find(told.begin(), told.end(), node) != told.end()) continue;
-    targets.push_back({node, clients_.get(peer)});
+    const auto process = node + '@' + std::to_string(peer.incarnation);
+    if (std::find(told.begin(), told.end(), process) != told.end()) continue;
+    targets.push_back({process, clients_.get(peer)});
   }
   return targets;
 }
@@ -247,8 +248,10 @@
   const auto limit = net::Clock::now() + kAnnounceFor;
   while (net::Clock::now() < limit) {
     co_await net::sleep_for(context_, kAnnouncePause);
+    // Processes that started meanwhile may have asked before the announcement.
     auto missed = untold(told, false);
-    if (missed.empty() || !knows(fingerprint)) co_return;
+    if (!knows(fingerprint)) co_return;
+    if (missed.empty()) continue;
     const auto answered =
         co_await call_all(std::move(missed), kSyncPath, message_about(fingerprint));
     told.insert(told.end(), answered.begin(), answered.end());
