Ask an engine for its health before a broken exchange is forgiven

Cause: a connection that an address accepted was taken for the engine's life. Class: a layer below answers for the one meant. Change: the probe asks for the service's health path, now decoded from the configuration, and compares the instance that the answer names. Without an answer in 100 ms the fate is unknown, which counts until some node hears the engine. A caller that leaves at once is looked at too, once the engine has been silent for 0.3 s. A request that is stopped because no peer answered is told that its outcome is unknown, not that it is quarantined.

--- a/src/balancing/engine.hpp
+++ b/src/balancing/engine.hpp
@@ -51,6 +51,7 @@
   net::TimePoint failed_at{};    ///< time of the last failure
   net::TimePoint answered_at{};  ///< time of the last successful response to this node
   net::TimePoint heard_at{};     ///< time of the last bytes that this node received from it
+  net::TimePoint lost_at{};      ///< time of the first request that it may have ended under since
   bool awaiting_probe = false;   ///< fails for several nodes; another node probes it for all
   bool zone_silent = false;      ///< no contact with its zone: other engines are preferred
   net::TimePoint
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -47,6 +47,7 @@
 /// A service and the properties of its engines.
 struct Service {
   std::string name;
+  std::string health_path;   ///< answered by each engine while it works; empty: not told
   int tokens_per_event = 0;  ///< tokens per stream event; 0 for services without streams
   std::int64_t engine_memory_tokens = 0;  ///< capacity for prompts and running requests; 0: unknown
 };
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -337,7 +337,9 @@
     }
     if (call.broken_exchanges >= kMaxBrokenExchanges) break;
     if (!co_await losses_.may_send(call)) {
-      result.failure = DispatchFailure::kQuarantined;
+      const bool quarantined = state_.request_losses.is_quarantined(request_fingerprint(call));
+      result.failure =
+          quarantined ? DispatchFailure::kQuarantined : DispatchFailure::kOutcomeUnknown;
       co_return result;
     }
     auto engine = select(call);
--- a/src/serving/edge_protocol.hpp
+++ b/src/serving/edge_protocol.hpp
@@ -42,6 +42,7 @@
 /// Facts that an engine states in the headers of its response.
 struct AnswerFacts {
   std::string request_id;
+  std::string instance;      ///< id of the engine; only in responses to health checks
   bool sealed = false;       ///< has a signature of the engine
   bool not_run = false;      ///< the engine did not run the request
   bool misdirected = false;  ///< a different run of the engine now has this address
--- a/src/serving/engine_connection_pool.cpp
+++ b/src/serving/engine_connection_pool.cpp
@@ -10,10 +10,6 @@
 
 /// Timeout of the TCP handshake. After it the request goes to another engine.
 constexpr net::Millis kConnectTimeout{600};
-/// A repeat of a request waits so long for word of the engine that it was sent to before.
-constexpr net::Millis kProbeTimeout{40};
-/// Lifetime of an idle connection that has not carried a request.
-constexpr net::Millis kProbeIdleTime{1000};
 
 }  // namespace
 
@@ -39,33 +35,21 @@
   if (auto kept = take_idle(engine.record.id)) co_return kept;
   net::Error error;
   const auto limit = std::min(deadline, net::Clock::now() + kConnectTimeout);
-  co_return co_await connect(engine.record.endpoint, limit, error);
+  co_return co_await connect(engine, limit, error);
 }
 
-net::asio::awaitable<EngineConnectionPointer> EngineConnectionPool::connect(net::Endpoint endpoint,
-                                                                            net::TimePoint deadline,
-                                                                            net::Error& error) {
+net::asio::awaitable<EngineConnectionPointer> EngineConnectionPool::connect(
+    const balancing::Engine& engine, net::TimePoint deadline, net::Error& error) {
   auto connection = std::make_shared<EngineConnection>(context_);
   connection->stream.expires_at(deadline);
   ++opened_;
+  const auto endpoint = engine.record.endpoint;
   co_await connection->stream.async_connect(endpoint, net::awaiting(error));
   if (error) co_return nullptr;
   net::set_tcp_options(connection->stream.socket());
   co_return connection;
 }
 
-net::asio::awaitable<balancing::EngineFate> EngineConnectionPool::probe(
-    const balancing::Engine& engine) {
-  net::Error error;
-  const auto limit = net::Clock::now() + kProbeTimeout;
-  auto connection = co_await connect(engine.record.endpoint, limit, error);
-  if (error == net::asio::error::connection_refused) co_return balancing::EngineFate::kEnded;
-  if (connection == nullptr) co_return balancing::EngineFate::kUnknown;
-  connection->usable_until = net::Clock::now() + kProbeIdleTime;
-  release(engine, std::move(connection));
-  co_return balancing::EngineFate::kAlive;
-}
-
 void EngineConnectionPool::release(const balancing::Engine& engine,
                                    EngineConnectionPointer connection) {
   if (engine.leaving) return;
--- a/src/serving/engine_connection_pool.hpp
+++ b/src/serving/engine_connection_pool.hpp
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "balancing/engine.hpp"
-#include "balancing/engine_loss.hpp"
 #include "net/asio.hpp"
 
 namespace sailgate::serving {
@@ -35,8 +34,9 @@
   /// @return nullptr if no connection could be established before `deadline`.
   net::asio::awaitable<EngineConnectionPointer> acquire(const balancing::Engine& engine,
                                                         net::TimePoint deadline);
-  /// Finds out by a new connection, which is kept in the pool, whether the engine still runs.
-  net::asio::awaitable<balancing::EngineFate> probe(const balancing::Engine& engine);
+  /// Opens a new connection. @param error why there is none. @return nullptr on failure.
+  net::asio::awaitable<EngineConnectionPointer> connect(const balancing::Engine& engine,
+                                                        net::TimePoint deadline, net::Error& error);
   /// Returns a connection to the pool. Its last response must have been read completely.
   void release(const balancing::Engine& engine, EngineConnectionPointer connection);
   /// Closes all idle connections to an engine.
@@ -52,10 +52,6 @@
  private:
   EngineConnectionPointer take_idle(const std::string& engine_id);
 
-  /// Opens a connection. @return nullptr on failure.
-  net::asio::awaitable<EngineConnectionPointer> connect(net::Endpoint endpoint,
-                                                        net::TimePoint deadline, net::Error& error);
-
   net::asio::io_context& context_;
   std::unordered_map<std::string, std::vector<EngineConnectionPointer>> idle_;
   std::uint64_t opened_ = 0;
--- /dev/null
+++ b/src/serving/engine_probe.cpp
@@ -0,0 +1,45 @@
+#include "serving/engine_probe.hpp"
+
+#include "net/endpoint.hpp"
+
+namespace sailgate::serving {
+
+namespace {
+
+namespace http = net::http;
+using balancing::EngineFate;
+
+/// A repeat of the request, or the caller's failure, waits for the answer.
+constexpr net::Millis kProbeTimeout{100};
+/// Lifetime of the probe's connection in the pool.
+constexpr net::Millis kIdleTime{1000};
+
+}  // namespace
+
+net::asio::awaitable<EngineFate> probe_engine(NodeState& state, balancing::EnginePointer engine,
+                                              std::string health_path) {
+  net::Error error;
+  const auto limit = net::Clock::now() + kProbeTimeout;
+  auto connection = co_await state.connections.connect(*engine, limit, error);
+  if (error == net::asio::error::connection_refused) co_return EngineFate::kEnded;
+  if (connection == nullptr) co_return EngineFate::kUnknown;
+  connection->usable_until = net::Clock::now() + kIdleTime;
+  if (health_path.empty()) {
+    state.connections.release(*engine, std::move(connection));
+    co_return EngineFate::kAlive;
+  }
+  http::request<http::empty_body> request(http::verb::get, health_path, 11);
+  request.set(http::field::host, net::format_endpoint(engine->record.endpoint));
+  auto& stream = connection->stream;
+  co_await http::async_write(stream, request, net::awaiting(error));
+  http::response<http::string_body> response;
+  if (!error) co_await http::async_read(stream, connection->buffer, response, net::awaiting(error));
+  if (error) co_return EngineFate::kUnknown;
+  const auto instance = state.protocol.inspect(response.base()).instance;
+  if (!instance.empty() && instance != engine->record.entry_key()) co_return EngineFate::kEnded;
+  engine->heard_at = net::Clock::now();
+  if (response.keep_alive()) state.connections.release(*engine, std::move(connection));
+  co_return EngineFate::kAlive;
+}
+
+}  // namespace sailgate::serving
--- /dev/null
+++ b/src/serving/engine_probe.hpp
@@ -0,0 +1,18 @@
+/// @file Finds out whether an engine that broke an exchange still runs.
+#pragma once
+
+#include <string>
+
+#include "balancing/engine_loss.hpp"
+#include "serving/node_state.hpp"
+
+namespace sailgate::serving {
+
+/// Connects to the engine and asks for its health. That its address accepts a connection says
+/// little: the socket may belong to a process that outlived it.
+/// @param health_path of its service; empty: only a connection is opened.
+net::asio::awaitable<balancing::EngineFate> probe_engine(NodeState& state,
+                                                         balancing::EnginePointer engine,
+                                                         std::string health_path);
+
+}  // namespace sailgate::serving
--- a/src/serving/loss_reporter.cpp
+++ b/src/serving/loss_reporter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "serving/engine_probe.hpp"
 #include "serving/request_fingerprint.hpp"
 
 namespace sailgate::serving {
@@ -24,25 +25,58 @@
   return loss;
 }
 
-}  // namespace
+std::string health_path_of(const Call& call) {
+  const auto* service = call.routes->service(call.service);
+  return service == nullptr ? std::string() : service->health_path;
+}
 
-net::asio::awaitable<EngineFate> LossReporter::probe(balancing::EnginePointer engine,
-                                                     std::string fingerprint, EngineLoss loss) {
-  loss.fate = co_await state_.connections.probe(*engine);
-  auto& losses = state_.request_losses;
+/// Whether the engine gave no sign of life between an earlier loss and this run of a request, which
+/// then cannot have ended it.
+bool silent_before(const balancing::Engine& engine, const EngineLoss& loss) {
+  return engine.lost_at > engine.heard_at && engine.lost_at < loss.began;
+}
+
+/// Probes the engine, and records the loss with what that shows.
+net::asio::awaitable<EngineFate> probe(NodeState& state, balancing::EnginePointer engine,
+                                       std::string fingerprint, EngineLoss loss,
+                                       std::string health_path) {
+  loss.fate = co_await probe_engine(state, engine, std::move(health_path));
+  auto& losses = state.request_losses;
   const auto fate = loss.fate;
   const auto attempt = loss.attempt;
-  losses.record(fingerprint, std::move(loss));
-  state_.metrics.engine_lost(balancing::name_of(fate));
-  state_.log.event("engine_lost")
+  const bool counts = fate != EngineFate::kUnknown || !silent_before(*engine, loss);
+  if (fate != EngineFate::kAlive && engine->lost_at <= engine->heard_at) {
+    engine->lost_at = loss.ended;
+  }
+  if (counts) losses.record(fingerprint, std::move(loss));
+  state.metrics.engine_lost(balancing::name_of(fate));
+  state.log.event("engine_lost")
       .with("attempt", attempt)
       .with("fingerprint", fingerprint)
       .with("engine", engine->record.id)
       .with("fate", balancing::name_of(fate))
+      .with("counts", static_cast<int>(counts))
       .with("engines_lost", losses.lost_engines(fingerprint));
   co_return fate;
 }
 
+/// Waits until the engine has been silent for long enough, then probes it and tells other nodes.
+/// Outlives the call, hence also its reporter.
+net::asio::awaitable<void> probe_and_tell(NodeState& state, balancing::EnginePointer engine,
+                                          std::string fingerprint, EngineLoss loss,
+                                          std::string health_path) {
+  const auto silent_from = std::max(engine->heard_at, loss.began);
+  const auto left = silent_from + kMaxSilence - net::Clock::now();
+  if (left.count() > 0) {
+    co_await net::sleep_for(state.context, std::chrono::duration_cast<net::Millis>(left));
+  }
+  if (engine->heard_at > loss.ended) co_return;
+  co_await probe(state, std::move(engine), fingerprint, std::move(loss), std::move(health_path));
+  co_await state.request_losses.synchronize(std::move(fingerprint));
+}
+
+}  // namespace
+
 void LossReporter::synchronize_in_background(const std::string& fingerprint) {
   net::asio::co_spawn(state_.context, state_.request_losses.synchronize(fingerprint),
                       net::asio::detached);
@@ -52,7 +86,8 @@
   if (!state_.settings.mechanisms.quarantine) co_return true;
   const auto& fingerprint = request_fingerprint(call);
   auto loss = loss_of(call, exchange);
-  const auto fate = co_await probe(exchange.engine_pointer(), fingerprint, std::move(loss));
+  const auto fate = co_await probe(state_, exchange.engine_pointer(), fingerprint, std::move(loss),
+                                   health_path_of(call));
   auto& losses = state_.request_losses;
   if (fate == EngineFate::kAlive) {
     synchronize_in_background(fingerprint);
@@ -63,19 +98,12 @@
   co_return confirmed && !losses.is_quarantined(fingerprint);
 }
 
-net::asio::awaitable<void> LossReporter::inspect(balancing::EnginePointer engine,
-                                                 std::string fingerprint, EngineLoss loss) {
-  co_await probe(std::move(engine), fingerprint, std::move(loss));
-  co_await state_.request_losses.synchronize(std::move(fingerprint));
-}
-
 void LossReporter::report_unfinished(Call& call, const EngineExchange& exchange) {
   if (!state_.settings.mechanisms.quarantine || !exchange.was_sent()) return;
   const auto& engine = exchange.engine_pointer();
-  const auto heard_at = std::max(engine->heard_at, exchange.started_at());
-  if (net::Clock::now() < heard_at + kMaxSilence) return;
   net::asio::co_spawn(state_.context,
-                      inspect(engine, request_fingerprint(call), loss_of(call, exchange)),
+                      probe_and_tell(state_, engine, request_fingerprint(call),
+                                     loss_of(call, exchange), health_path_of(call)),
                       net::asio::detached);
 }
 
--- a/src/serving/loss_reporter.hpp
+++ b/src/serving/loss_reporter.hpp
@@ -26,12 +26,6 @@
   bool is_quarantined(Call& call);
 
  private:
-  net::asio::awaitable<void> inspect(balancing::EnginePointer engine, std::string fingerprint,
-                                     balancing::EngineLoss loss);
-  /// Tries to connect to the engine, and records the loss with what that shows.
-  net::asio::awaitable<balancing::EngineFate> probe(balancing::EnginePointer engine,
-                                                    std::string fingerprint,
-                                                    balancing::EngineLoss loss);
   void synchronize_in_background(const std::string& fingerprint);
 
   NodeState& state_;
