Send no request of a caller that left while the node stood still

A node that was frozen reads what waits in its sockets when it wakes, and sent requests whose callers had closed their connections long ago: the close is noticed by the event loop only after the request was passed on.

--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "balancing/engine_selector.hpp"
+#include "net/socket_state.hpp"
 #include "serving/request_fingerprint.hpp"
 
 namespace sailgate::serving {
@@ -251,7 +252,9 @@
 }
 
 std::optional<DispatchFailure> Dispatcher::stop_reason(const Call& call) {
-  if (call.channel.gone()) return DispatchFailure::kCallerGone;
+  // After a standstill of this process the caller may have left unnoticed.
+  const bool left = net::peek(call.channel.stream().socket()) == net::SocketState::kClosed;
+  if (left || call.channel.gone()) return DispatchFailure::kCallerGone;
   if (call.time_left() <= kDeadlineMargin) return DispatchFailure::kTimedOut;
   return std::nullopt;
 }
