--- a/src/cluster/request_losses.cpp
+++ b/src/cluster/request_losses.cpp
@@ -171,6 +171,7 @@
   const auto peers =
       directory_.rendezvous_peers(key, kHolders, net::Clock::now(), beacons_.silence_limit());
   std::vector<Target> targets;
+  targets.reserve(peers.size());
   for (const auto* peer : peers) targets.push_back({peer->node, clients_.get(*peer)});
   return targets;
 }
