Review case 2: a resumed turn is kept without its first events

Tried: a node killed while turns stream through it on a route that is retained and resumable; the clients take the streams up at another node with Last-Event-Id and then send the next turn. Seen: the engine gets the chain without the events that came before the kill. Cause: StreamCall::complete() records the events of the last attempt alone.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without
-# the SIGTERM.
+# the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 REVIEW_ROOT=$(cd "$here/../.." && pwd)
 export REVIEW_ROOT
--- a/review/lab/engine.hpp
+++ b/review/lab/engine.hpp
@@ -41,6 +41,8 @@
 
 class Engine {
  public:
+  virtual ~Engine() = default;
+
   std::string id;
   std::string service;
   std::string zone = "rennes";
@@ -93,7 +95,7 @@
     send_all(fd, "0\r\n\r\n");
   }
 
-  void run(int fd, const Message& request, const std::string& request_id) {
+  virtual void run(int fd, const Message& request, const std::string& request_id) {
     if (events > 0) return stream(fd, request, request_id);
     const auto index = runs_->begin(request_id, id);
     record().line("run    " + request_id + " begins at " + id);
