--- a/review/lab/engine.hpp
+++ b/review/lab/engine.hpp
@@ -52,15 +52,29 @@
   std::function<long(const Message&)> work_ms = [](const Message&) { return 100L; };
 
   void start(Store& store, Runs& runs) {
+    store_ = &store;
     runs_ = &runs;
     server_.start([this](int fd) { serve(fd); });
-    const Json entry{{"service", service}, {"addr", "127.0.0.1:" + std::to_string(server_.port())},
-                     {"zone", zone},       {"version", "v1"},
-                     {"slots", slots},     {"state", "ready"},
-                     {"cold_left_ms", 0},  {"seq", 1},
-                     {"born", 1764800000000}};
-    store.put("servers", id, entry.dump());
+    write_entry("ready");
   }
+  /// What the engine says of itself.
+  std::string entry(const std::string& state) const {
+    return Json{{"service", service}, {"addr", "127.0.0.1:" + std::to_string(server_.port())},
+                {"zone", zone},       {"version", "v1"},
+                {"slots", slots},     {"state", state},
+                {"cold_left_ms", 0},  {"seq", 1},
+                {"born", born}}
+        .dump();
+  }
+  void write_entry(const std::string& state) { store_->put("servers", id, entry(state)); }
+  void crash() { server_.stop(); }
+  /// Starts again under its id and at its address.
+  void start_again(std::int64_t at) {
+    born = at;
+    server_.start([this](int fd) { serve(fd); }, server_.port());
+    write_entry("ready");
+  }
+  std::int64_t born = 1764800000000;
   int port() const { return server_.port(); }
 
  protected:
@@ -155,6 +169,7 @@
     }
   }
 
+  Store* store_ = nullptr;
   Runs* runs_ = nullptr;
   Server server_;
   std::atomic<int> active_{0};
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -273,18 +273,33 @@
         if (client < 0) return;
         const int one = 1;
         ::setsockopt(client, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+        {
+          const std::lock_guard<std::mutex> guard(mutex_);
+          clients_.insert(client);
+        }
         std::thread([this, client] {
           serve_(client);
+          const std::lock_guard<std::mutex> guard(mutex_);
+          clients_.erase(client);
           ::close(client);
         }).detach();
       }
     }).detach();
     return port_;
   }
+  /// Ends as a process does: the port refuses, all connections close.
+  void stop() {
+    ::shutdown(fd_, SHUT_RDWR);
+    ::close(fd_);
+    const std::lock_guard<std::mutex> guard(mutex_);
+    for (const int client : clients_) ::shutdown(client, SHUT_RDWR);
+  }
   int port() const { return port_; }
 
  private:
   Serve serve_;
+  std::mutex mutex_;
+  std::set<int> clients_;
   int fd_ = -1;
   int port_ = 0;
 };
