--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -96,7 +96,7 @@
     // The first attempts meet the node that is killed.
     const auto node = tries == 0 ? 0 : balancer.pick(static_cast<std::size_t>(number));
     Connection connection;
-    if (!connection.open(nodes[node].front)) {
+    if (!connection.open(nodes[node])) {
       sleep_ms(300);
       continue;
     }
@@ -113,7 +113,7 @@
     sleep_ms(300);
     const auto node = balancer.pick(static_cast<std::size_t>(number));
     Connection connection;
-    if (!connection.open(nodes[node].front)) continue;
+    if (!connection.open(nodes[node])) continue;
     second = Turn{};
     attempt(connection, name, first.id, next_input, second, nodes[node].name);
   }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -42,7 +42,7 @@
   while (now_ms() < kTrafficTo) {
     if (connection.stale()) {
       node = balancer.pick(static_cast<std::size_t>(number));
-      if (!connection.open(nodes[node].front)) {
+      if (!connection.open(nodes[node])) {
         sleep_ms(100);
         continue;
       }
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hpp
@@ -80,18 +80,19 @@
   ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
   return fd;
 }
-inline sockaddr_in loopback(int port) {
+/// An address of the loopback network: 127.0.0.HOST.
+inline sockaddr_in loopback(int port, int host = 1) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<std::uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK - 1 + static_cast<unsigned>(host));
   return address;
 }
-inline int listen_on(int port) {
+inline int listen_on(int port, int host = 1) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int one = 1;
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-  auto address = loopback(port);
+  auto address = loopback(port, host);
   if (::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
       ::listen(fd, 512) != 0) {
     ::close(fd);
@@ -105,16 +106,16 @@
   ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   return ntohs(address.sin_port);
 }
-/// A port that nothing listens on now, by TCP and by UDP; `count` adjacent ones.
-inline int free_ports(int count) {
+/// Ports that nothing listens on now at 127.0.0.HOST, by TCP and by UDP; `count` adjacent ones.
+inline int free_ports(int count, int host) {
   static std::mt19937 random(std::random_device{}());
   for (int tries = 0; tries < 500; ++tries) {
     const int first = 12000 + static_cast<int>(random() % 18000);
     bool free = true;
     for (int i = 0; i < count && free; ++i) {
-      const int tcp = listen_on(first + i);
+      const int tcp = listen_on(first + i, host);
       const int udp = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-      auto address = loopback(first + i);
+      auto address = loopback(first + i, host);
       free = tcp >= 0 &&
              ::bind(udp, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
       if (tcp >= 0) ::close(tcp);
@@ -518,6 +519,7 @@
 struct Node {
   std::string name;
   std::string zone = "rennes";
+  int host = 1;  ///< its address is 127.0.0.HOST
   int front = 0;
   int ready = 0;
   int control = 0;
@@ -541,22 +543,23 @@
 inline void write_settings(Node& node, int store, const std::string& more = "") {
   node.settings = work_directory() + "/" + node.name + ".toml";
   node.log = work_directory() + "/" + node.name + ".log";
-  const auto at = [](int port) { return "127.0.0.1:" + std::to_string(port); };
+  const auto ip = "127.0.0." + std::to_string(node.host);
+  const auto at = [&](int port) { return ip + ":" + std::to_string(port); };
   std::FILE* file = std::fopen(node.settings.c_str(), "w");
   if (file == nullptr) std::exit(2);
   std::fprintf(
       file,
       "node = \"%s\"\nrole = \"gateway\"\nmachine_class = \"edge\"\n"
-      "serves = [\"edge\",\"control\"]\nip = \"127.0.0.1\"\nzone = \"%s\"\nregion = \"bzh\"\n"
+      "serves = [\"edge\",\"control\"]\nip = \"%s\"\nzone = \"%s\"\nregion = \"bzh\"\n"
       "port_range = [%d,%d]\nseeds = []\nbootstrap = true\nheartbeat_ms = 1200\n"
       "[listen]\nfront = \"%s\"\nready = \"%s\"\ncontrol = \"%s\"\n"
       "[bounds]\ncontact_ms = 3000\ndrain_ms = 2000\ngrace_s = 8\nloss_slack_ms = 200\n"
       "config_deadline_ms = 2000\nrecover_s = 12\n%s"
       "[provider]\naddr = \"%s\"\nform = \"table\"\nwrites_per_s = 800\nreads_per_s = 2000\n"
       "row_bytes = 65536\n",
-      node.name.c_str(), node.zone.c_str(), node.first_port, node.first_port + 15,
+      node.name.c_str(), ip.c_str(), node.zone.c_str(), node.first_port, node.first_port + 15,
       at(node.front).c_str(), at(node.ready).c_str(), at(node.control).c_str(), more.c_str(),
-      at(store).c_str());
+      ("127.0.0.1:" + std::to_string(store)).c_str());
   std::fclose(file);
 }
 
@@ -565,7 +568,8 @@
   return the;
 }
 
-/// Starts the gateway with the command of the deploy file.
+/// Starts the gateway with the command of the deploy file. Each node has an address of its own, so
+/// that the port of the metrics is the same on all.
 inline void start_gateway(Node& node) {
   const char* root = std::getenv("REVIEW_ROOT");
   if (root == nullptr) std::exit(2);
@@ -576,9 +580,8 @@
     const int out = ::open(node.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(out, 1);
     ::dup2(out, 2);
-    const auto metrics = std::to_string(node.first_port);
-    ::execl("target/bin/sailgate-gateway", "target/bin/sailgate-gateway", "--metrics-port",
-            metrics.c_str(), static_cast<char*>(nullptr));
+    ::execl("target/bin/sailgate-gateway", "target/bin/sailgate-gateway", "--metrics-port", "9464",
+            static_cast<char*>(nullptr));
     ::_exit(127);
   }
   node.pid = pid;
@@ -590,7 +593,9 @@
   Node node;
   node.name = name;
   node.zone = zone;
-  const int ports = free_ports(20);
+  static int hosts = 1;
+  node.host = ++hosts;
+  const int ports = free_ports(20, node.host);
   node.front = ports;
   node.ready = ports + 1;
   node.control = ports + 2;
@@ -626,7 +631,7 @@
 /// Asks the node's ready address as the platform does. @return whether it answered 200.
 inline bool ask_ready(const Node& node, long wait_ms = 900) {
   const int fd = tcp_socket();
-  auto address = loopback(node.ready);
+  auto address = loopback(node.ready, node.host);
   bool ok = false;
   if (::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0 &&
       send_all(fd, "GET /sailgate/readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")) {
@@ -681,10 +686,10 @@
 class Connection {
  public:
   ~Connection() { close(); }
-  bool open(int port) {
+  bool open(const Node& node) {
     close();
     fd_ = tcp_socket();
-    auto address = loopback(port);
+    auto address = loopback(node.front, node.host);
     if (::connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
       close();
       return false;
