--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,7 @@
 // A planned stop of one of three nodes. Clients hold kept connections that have rested for less
 // than four fifths of idle_timeout_ms and use them again. Shows which requests the stopping node
 // takes, passes on and then drops.
-#include "../lab/engine.hpp"
+#include "../engine.hpp"
 
 using namespace lab;
 
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,7 +1,7 @@
 // A node is killed while turns stream through it. The clients take their streams up at another node
 // with Last-Event-Id, get the rest and go on with a next turn. Shows what the engine gets as the
 // chain of that next turn.
-#include "../lab/engine.hpp"
+#include "../engine.hpp"
 
 using namespace lab;
 
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,7 +1,7 @@
 // An engine crashes and starts again under its id while one of its writes to the store, whose answer
 // was lost, is done late. Long after, it leaves as planned. Shows which requests the nodes send it
 // later than drain_ms after the store has taken its `draining`.
-#include "../lab/engine.hpp"
+#include "../engine.hpp"
 
 using namespace lab;
 
