Admit only requests that a stopping node can finish

Cause: nothing asked whether a request that is read during a stop can end before the process does. Idle connections closed only at the very end, so each brought one more request and kept the node from ending early.

Change: ShutdownSchedule admits a request by its deadline, or by the usual time of its route while callers still arrive; others get 503 `stopping` at once, which is true since they reached no engine. Deadlines never lie behind the exit. Idle connections close with the listener, and others as they become idle; one with a request in it is served. The process ends when no connection is left.

The 3.2 s of the listener now count from SIGTERM, no longer from the end of the row's removal; the comment of the older test says so.

--- a/src/net/asio.hpp
+++ b/src/net/asio.hpp
@@ -41,4 +41,11 @@
   co_await timer.async_wait(awaiting(ignored));
 }
 
+/// Suspends the calling coroutine until `time`.
+inline asio::awaitable<void> sleep_until(asio::io_context& context, TimePoint time) {
+  asio::steady_timer timer(context, time);
+  Error ignored;
+  co_await timer.async_wait(awaiting(ignored));
+}
+
 }  // namespace sailgate::net
--- a/src/serving/call_handler.cpp
+++ b/src/serving/call_handler.cpp
@@ -20,6 +20,9 @@
          request.target().front() == '/';
 }
 
+/// Other nodes serve the caller at once.
+constexpr net::Millis kStoppingRetryAfter{50};
+
 /// Whether a finished request was counted against its tenant's rate limit although no engine ran
 /// it.
 bool quota_refundable(const Call& call) {
@@ -85,10 +88,24 @@
                            ? std::min(*call.description.deadline, call.route->timeout)
                            : call.route->timeout;
   call.deadline = call.received_at + timeout;
+  if (state_.shutdown.begun()) {
+    if (!can_finish_before_exit(call)) {
+      co_return co_await refuse(call, Kind::kStopping, kStoppingRetryAfter);
+    }
+    call.deadline = std::min(call.deadline, state_.shutdown.last_deadline());
+  }
   if (const auto refused = co_await check_quota(call)) co_return *refused;
   co_return co_await run(call);
 }
 
+bool CallHandler::can_finish_before_exit(const Call& call) const {
+  RequestTiming timing;
+  timing.deadline = call.deadline;
+  timing.expected = state_.route_durations.high_estimate(call.route->name);
+  timing.streamed = call.route->kind == routing::RouteKind::kStream;
+  return state_.shutdown.can_finish(timing, net::Clock::now());
+}
+
 net::asio::awaitable<void> CallHandler::decide_admission(Call& call,
                                                          cluster::QuotaRequest request) {
   auto now = net::Clock::now();
@@ -198,6 +215,8 @@
     channel.unwatch();
   }
   --state_.active_requests;
+  const bool answered = std::string_view(end.outcome) == "answered";
+  if (answered) state_.route_durations.observe(call.route->name, call.elapsed());
   if (quota_refundable(call)) state_.quotas.refund(*call.tenant, call.admitted_at);
   log_end(call, end);
   co_return end.connection_usable&& channel.keep_alive();
--- a/src/serving/call_handler.hpp
+++ b/src/serving/call_handler.hpp
@@ -28,6 +28,8 @@
  private:
   net::asio::awaitable<CallEnd> refuse_or_run(Call& call);
   net::asio::awaitable<CallEnd> run(Call& call);
+  /// Whether a request that arrives during a shutdown would end before the process does.
+  bool can_finish_before_exit(const Call& call) const;
   /// Applies the tenant's rate limit. Waits for the reports of other nodes if only their absence
   /// would cause a refusal.
   net::asio::awaitable<void> decide_admission(Call& call, cluster::QuotaRequest request);
--- a/src/serving/caller_session.cpp
+++ b/src/serving/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "serving/caller_session.hpp"
 
+#include "net/socket_state.hpp"
 #include "serving/refusal.hpp"
 
 namespace sailgate::serving {
@@ -83,7 +84,7 @@
   }
   stream.expires_never();
   auto request = parser.release();
-  const bool should_reconnect_elsewhere = state_.stopping || state_.readiness.steps_aside();
+  const bool should_reconnect_elsewhere = state_.shutdown.begun() || state_.readiness.steps_aside();
   if (!request.keep_alive() || should_reconnect_elsewhere) channel_.close_after_answer();
   co_return co_await handler_.handle(channel_, std::move(request), net::Clock::now());
 }
@@ -99,7 +100,10 @@
 }
 
 void CallerSession::close_if_idle() {
-  if (idle_) channel_.stream().close();
+  if (!idle_) return;
+  // A request that has arrived is served, since its caller could not tell that nobody read it.
+  if (net::peek(channel_.stream().socket()) == net::SocketState::kData) return;
+  channel_.stream().close();
 }
 
 }  // namespace sailgate::serving
--- a/src/serving/caller_session.hpp
+++ b/src/serving/caller_session.hpp
@@ -16,8 +16,10 @@
 
   /// Serves requests until the connection is closed.
   net::asio::awaitable<void> run();
-  /// Closes the connection if no request is being read or served.
+  /// Closes the connection if no request is being read or served, nor waits to be read.
   void close_if_idle();
+  /// Makes the next response, or the current one if it has not begun, the last on this connection.
+  void close_after_response() { channel_.close_after_answer(); }
 
  private:
   using Parser = net::http::request_parser<net::http::string_body>;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -14,11 +14,6 @@
 /// Without the readiness mechanism, a node reports itself as not ready after it has not reached the
 /// store for this long.
 constexpr net::Millis kMaxStoreSilence{3500};
-/// On shutdown the listener stays open this long after the load balancer's detection time, because
-/// connections opened until then still arrive.
-constexpr net::Millis kLateConnectionTime{1000};
-/// A graceful shutdown ends this long before the process would be killed.
-constexpr net::Millis kStopMargin{700};
 constexpr net::Millis kStopPollInterval{50};
 /// Time in which the other nodes learn that this one is no longer the home of any program.
 constexpr net::Millis kHomeChangeNotice{300};
@@ -103,7 +98,7 @@
 }
 
 bool Gateway::ready() const {
-  if (state_.stopping || state_.routes == nullptr || !state_.engines_known) return false;
+  if (state_.shutdown.begun() || state_.routes == nullptr || !state_.engines_known) return false;
   if (state_.settings.mechanisms.readiness) return !state_.readiness.steps_aside();
   return net::Clock::now() - feeds_.last_contact() < kMaxStoreSilence;
 }
@@ -186,11 +181,18 @@
   for (const auto& session : sessions) session->close_if_idle();
 }
 
+void Gateway::apply(const NodeSettings& settings) {
+  state_.settings.stop_grace = settings.stop_grace;
+  state_.shutdown.set_grace(settings.stop_grace);
+}
+
 void Gateway::stop() {
-  if (state_.stopping) return;
-  state_.stopping = true;
-  stop_began_ = net::Clock::now();
-  state_.log.event("stopping").with("active_requests", state_.active_requests);
+  if (state_.shutdown.begun()) return;
+  state_.shutdown.begin(net::Clock::now(), state_.settings.stop_grace);
+  state_.log.event("stopping")
+      .with("active_requests", state_.active_requests)
+      .with("connections", sessions_.size());
+  for (const auto& session : sessions_) session->close_after_response();
   net::asio::co_spawn(context_, finish_stop(), net::asio::detached);
 }
 
@@ -222,17 +224,17 @@
 net::asio::awaitable<void> Gateway::finish_stop() {
   co_await feeds_.unregister_self();
   net::asio::co_spawn(context_, release_tokens(), net::asio::detached);
-  co_await net::sleep_for(context_, readiness::kLoadBalancerDetectionTime + kLateConnectionTime);
+  co_await net::sleep_until(context_, state_.shutdown.connections_close_at());
   net::Error ignored;
   acceptor_.close(ignored);
-  const auto limit = stop_began_ + state_.settings.stop_grace - kStopMargin;
-  while (state_.active_requests > 0 && net::Clock::now() < limit) {
+  // Connections whose response began before the shutdown become idle during it.
+  while (!sessions_.empty() && net::Clock::now() < state_.shutdown.exits_at()) {
+    close_idle_sessions();
     co_await net::sleep_for(context_, kStopPollInterval);
   }
-  // NOTE: do not suspend from here on: idle connections could accept requests that would then be
-  // aborted.
-  close_idle_sessions();
-  state_.log.event("stopped").with("active_requests", state_.active_requests);
+  state_.log.event("stopped")
+      .with("active_requests", state_.active_requests)
+      .with("connections", sessions_.size());
   state_.log.flush();
   context_.stop();
 }
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -14,10 +14,10 @@
 namespace sailgate::serving {
 
 /// Runs entirely on the given event loop. Steps of a graceful shutdown:
-///  1. Readiness probes fail and responses carry "Connection: close".
-///  2. Once the load balancer has had time to detect this, the listener closes.
-///  3. When no request is active or the grace period is nearly over, idle connections close and the
-///     event loop ends.
+///  1. Readiness probes fail and responses carry "Connection: close". Requests that could not end
+///     before the process are rejected.
+///  2. Once the load balancer has had time to detect this, the listener and idle connections close.
+///  3. When no connection is left or the grace period is nearly over, the event loop ends.
 class Gateway {
  public:
   /// Starts listening. @throws boost::system::system_error if the address for callers, readiness or
@@ -29,7 +29,7 @@
   /// Starts accepting callers and following the store.
   void start();
   /// Applies the settings that can change while the node runs.
-  void apply(const NodeSettings& settings) { state_.settings.stop_grace = settings.stop_grace; }
+  void apply(const NodeSettings& settings);
   /// Starts a graceful shutdown, at the end of which the event loop stops.
   void stop();
   /// Whether readiness probes succeed, so that the load balancer sends callers here.
@@ -66,7 +66,6 @@
   net::TextServer peer_server_;
   std::unique_ptr<net::TextServer> metrics_;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
-  net::TimePoint stop_began_{};
 };
 
 }  // namespace sailgate::serving
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -31,6 +31,8 @@
 #include "serving/gateway_metrics.hpp"
 #include "serving/held_turns.hpp"
 #include "serving/node_settings.hpp"
+#include "serving/route_durations.hpp"
+#include "serving/shutdown_schedule.hpp"
 #include "serving/turn_times.hpp"
 #include "store/metered_store.hpp"
 
@@ -201,7 +203,8 @@
   CallerWaitEstimator caller_wait_estimator;
   TurnDurationEstimator turn_times;         ///< total times of turns at engines
   TurnDurationEstimator first_event_times;  ///< times to the first event of turns
-  bool stopping = false;
+  RouteDurations route_durations;
+  ShutdownSchedule shutdown;
   int active_requests = 0;
 };
 
--- a/src/serving/reach_watch.cpp
+++ b/src/serving/reach_watch.cpp
@@ -36,7 +36,7 @@
   }
   const bool load_balancer_noticed =
       tracker.time_aside(now) >= readiness::kLoadBalancerDetectionTime;
-  if (!load_balancer_noticed || idle_closed_ || state_.stopping) return;
+  if (!load_balancer_noticed || idle_closed_ || state_.shutdown.begun()) return;
   idle_closed_ = true;
   close_idle_connections_();
 }
--- a/src/serving/store_feeds.cpp
+++ b/src/serving/store_feeds.cpp
@@ -94,7 +94,7 @@
   const auto behind = [this] {
     return state_.configuration_version() < state_.newest_configuration_version();
   };
-  while (!state_.stopping) {
+  while (!state_.shutdown.begun()) {
     // Many nodes may be behind at once.
     const auto jitter = state_.random.below(static_cast<std::uint64_t>(spread.count()));
     co_await net::sleep_for(state_.context, net::Millis(static_cast<std::int64_t>(jitter)));
@@ -132,7 +132,7 @@
   auto delay = kRegisterRetryDelay;
   // An attempt whose answer is lost may have taken effect. Repeating it would send the row to every
   // node of the fleet again, which delays the answers further.
-  while (!state_.stopping && !registered_) {
+  while (!state_.shutdown.begun() && !registered_) {
     store::Transaction transaction;
     transaction.puts.push_back(row);
     const auto result = co_await state_.store.transact(std::move(transaction), kStoreTimeout);
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -203,7 +203,7 @@
     const auto now = net::Clock::now();
     if (call_.channel.gone()) {
       how = "caller_gone";
-    } else if (state_.stopping) {
+    } else if (state_.shutdown.begun()) {
       how = "stopping";
     } else if (state_.readiness.store_lost()) {
       how = "steps_aside";
--- a/src/serving/turn_times.hpp
+++ b/src/serving/turn_times.hpp
@@ -19,9 +19,11 @@
     mean_ms_ += gain * (sample - mean_ms_);
   }
   /// Duration that about nine of ten turns stay within; a default before the first observation.
-  net::Millis upper_estimate() const {
+  net::Millis upper_estimate() const { return upper_estimate(kDeviations); }
+  /// @param deviations above the mean.
+  net::Millis upper_estimate(double deviations) const {
     if (count_ == 0) return kInitialEstimate;
-    return net::Millis(std::llround(mean_ms_ + kDeviations * deviation_ms_));
+    return net::Millis(std::llround(mean_ms_ + deviations * deviation_ms_));
   }
 
  private:
--- a/tests/serving/gateway_test.cpp
+++ b/tests/serving/gateway_test.cpp
@@ -327,8 +327,8 @@
   table.set_mode(test::MemoryTable::Mode::kSilent);
   const auto seen = engine.requests().size();
   gateway->stop();
-  // Unregistering waits 0.7 s for the store, and the listener stays open for 3.2 s after that, so
-  // that at 4.2 s the listener is closed already.
+  // Unregistering waits 0.7 s for the store, and the listener stays open for 3.2 s, so that at 4.2
+  // s the listener is closed already.
   const auto late = [&]() -> net::asio::awaitable<bool> {
     co_await net::sleep_for(context, net::Millis(4200));
     net::Error ignored;
