Keep a resumed turn with the events that its caller has

What callers saw: on a route that is retained and resumable, a turn that its caller took up again after a break was kept with the events of the last attempt alone.

Cause: a stream call collects the output of its own attempt and records it as the turn. The events before the resumption were known to the node that had served them, if at all.

Evidence: the engine of the case got the input and exactly the events after Last-Event-Id as the chain. Only whole attempts are written, so that no write replaced another.

A resumption takes the events up to its caller's last one from here or from peers, and the turn is kept with them. Where nobody who answers knows that event it is refused as not run. Other routes send nothing.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -132,6 +132,29 @@
   2: string version
 }
 
+struct TurnEvent {
+  1: string id
+  2: string data
+}
+
+/** Events of a turn that an attempt of its caller brought, from some event on. */
+struct TurnProgress {
+  /** The same for all attempts of the turn. */
+  1: string turn
+  /** With its tenant. */
+  2: string attempt
+  /** By the store's clock: the latest attempt is the one whose events the caller has. */
+  3: i64 begun_ms
+  /** Position of the first of `events`, counted from the start of the turn. */
+  4: i32 first
+  5: list<TurnEvent> events
+}
+
+/** Question for the latest attempt of a turn. */
+struct TurnProgressQuery {
+  1: string turn
+}
+
 /** A run of a request that its engine may not have survived. Times are ages when it was sent. */
 struct EngineLoss {
   /** Id of the engine's run. */
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -70,6 +70,8 @@
       response = co_await state_.store.serve(std::move(request));
     } else if (cluster::StreamOrigins::serves(path)) {
       response = state_.stream_origins.serve(request);
+    } else if (cluster::TurnProgressLog::serves(path)) {
+      response = state_.turn_progress.serve(request);
     } else if (cluster::RequestLosses::serves(path)) {
       response = state_.request_losses.serve(request);
     } else {
@@ -153,6 +155,7 @@
     state_.quotas.refresh(now, state_.beacons.silence_limit());
     state_.ledger.budgets.evict_idle(now);
     state_.request_losses.expire(now);
+    state_.turn_progress.expire(now);
     engine_state_updater_.maintain(now);
     reachability_monitor_.maintain(now);
     if (state_.settings.mechanisms.fairness) apply_peer_starts(now);
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -83,6 +83,11 @@
                       .Name("sailgate_resumptions_total")
                       .Help("Streams that callers resume, by whether their version was found")
                       .Register(registry);
+  turn_resumptions_ =
+      &prometheus::BuildCounter()
+           .Name("sailgate_turn_resumptions_total")
+           .Help("Retained turns resumed by their callers, by whether the events before are known")
+           .Register(registry);
   discarded_snapshots_ = &prometheus::BuildCounter()
                               .Name("sailgate_discarded_snapshots_total")
                               .Help("Snapshots of a table older than a version known before")
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -41,6 +41,11 @@
   void resumption(bool known) {
     resumptions_->Add({{"origin", known ? "known" : "unknown"}}).Increment();
   }
+  /// Counts a retained turn that its caller resumes.
+  /// @param known whether the events before the resumption were found.
+  void turn_resumption(bool known) {
+    turn_resumptions_->Add({{"events", known ? "known" : "unknown"}}).Increment();
+  }
   /// Counts a snapshot of a table that was discarded because it was older than a known version.
   void snapshot_discarded(const std::string& table) {
     discarded_snapshots_->Add({{"table", table}}).Increment();
@@ -120,6 +125,7 @@
   prometheus::Gauge* configuration_version_;
   prometheus::Gauge* configuration_behind_;
   prometheus::Family<prometheus::Counter>* resumptions_;
+  prometheus::Family<prometheus::Counter>* turn_resumptions_;
   prometheus::Family<prometheus::Counter>* discarded_snapshots_;
   prometheus::Family<prometheus::Counter>* unanswered_feeds_;
   prometheus::Family<prometheus::Counter>* broken_exchanges_;
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -20,6 +20,7 @@
 #include "cluster/stream_origins.hpp"
 #include "cluster/tenant_quotas.hpp"
 #include "cluster/turn_coordinator.hpp"
+#include "cluster/turn_progress.hpp"
 #include "ledger/expiry_sweeper.hpp"
 #include "ledger/program_ledger.hpp"
 #include "observe/structured_log.hpp"
@@ -61,6 +62,7 @@
         turns(loop, ledger, peers, peer_clients, beacons, store, settings.mechanisms,
               structured_log, static_cast<std::uint64_t>(incarnation)),
         stream_origins(loop, peers, peer_clients, beacons),
+        turn_progress(loop, peers, peer_clients, beacons),
         request_losses(loop, peers, peer_clients, beacons, structured_log,
                        [this](const balancing::EngineLoss& loss) {
                          return balancing::may_have_ended(loss, engines);
@@ -192,6 +194,7 @@
   cluster::BeaconSender beacons;
   cluster::TurnCoordinator turns;
   cluster::StreamOrigins stream_origins;
+  cluster::TurnProgressLog turn_progress;
   cluster::RequestLosses request_losses;
   ledger::ExpirySweeper sweeper;
   readiness::ReadinessTracker readiness;  ///< always ready if the mechanism is off
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "serving/program_gate.hpp"
+#include "serving/request_fingerprint.hpp"
 
 namespace sailgate::serving {
 
@@ -61,6 +62,7 @@
 
 net::asio::awaitable<CallEnd> StreamCall::prepare_and_serve() {
   if (const auto refused = co_await find_origin()) co_return *refused;
+  if (const auto refused = co_await restore_events()) co_return *refused;
   if (const auto refused = co_await prepare()) co_return *refused;
   if (const auto refused = co_await apply_load_limit()) {
     end_turn(nullptr, "");
@@ -97,6 +99,55 @@
   co_return co_await refuse(call_, Kind::kNoFeasibleBackend, kUnknownOriginRetryAfter);
 }
 
+std::string StreamCall::turn_identity() const {
+  const auto& description = call_.description;
+  const auto& fingerprint = request_fingerprint(call_);
+  // Turns of a line follow one another, so that no two of them look alike.
+  if (!description.program.empty() && !description.line.empty()) return fingerprint;
+  const bool resumes = !description.last_event_id.empty();
+  const auto& first_attempt = resumes ? description.resumed_attempt : description.request_id;
+  return fingerprint + ' ' + first_attempt;
+}
+
+net::asio::awaitable<std::optional<CallEnd>> StreamCall::restore_events() {
+  const auto& after = call_.description.last_event_id;
+  if (after.empty() || !call_.route->retained) co_return std::nullopt;
+  auto found = co_await state_.turn_progress.find(turn_identity(), after, call_.deadline);
+  state_.metrics.turn_resumption(found.has_value());
+  state_.log.event("turn_resumption")
+      .with("id", call_.description.request_id)
+      .with("program", call_.description.program)
+      .with("fingerprint", call_.fingerprint)
+      .with("after", after)
+      .with("known", static_cast<int>(found.has_value()))
+      .with("events", found ? found->events.size() : 0);
+  // Without them the turn would be kept without its beginning.
+  if (!found) co_return co_await refuse(call_, Kind::kNoFeasibleBackend, kUnknownOriginRetryAfter);
+  earlier_events_ = std::move(*found);
+  for (const auto& event : earlier_events_.events) {
+    output_ += event.data;
+    output_ += '\n';
+  }
+  co_return std::nullopt;
+}
+
+void StreamCall::share_events(const std::vector<StreamEvent>& events) {
+  if (!call_.route->retained || !call_.route->resumable) return;
+  if (shared_events_ == nullptr) {
+    const auto begun = state_.store.clock().now(call_.received_at);
+    shared_events_ = state_.turn_progress.begin(turn_identity(), call_.description.request_id,
+                                                begun.value_or(0), earlier_events_);
+  }
+  cluster::TurnEvents shared;
+  for (const auto& event : events) {
+    wire::TurnEvent copy;
+    copy.id = event.id;
+    copy.data = event.data;
+    shared.push_back(std::move(copy));
+  }
+  state_.turn_progress.append(shared_events_, shared);
+}
+
 bool StreamCall::version_known(const std::string& version) const {
   if (!version.empty()) return true;
   const auto& engines = state_.engines.of_service(call_.service);
@@ -415,6 +466,7 @@
     auto head = exchange.head();
     if (!co_await call_.channel.begin_chunked(std::move(head))) co_return false;
   }
+  share_events(events);
   std::string chunk;
   for (auto& event : events) {
     chunk += event.text;
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -33,6 +33,14 @@
   /// For a stream that the caller resumes: finds the software version that began it.
   /// @return nullopt: the version is known, or the stream is new.
   net::asio::awaitable<std::optional<CallEnd>> find_origin();
+  /// For a turn that the caller resumes: restores the events that the caller has, which are part of
+  /// the turn that is kept.
+  /// @return nullopt: they are known, or none are needed.
+  net::asio::awaitable<std::optional<CallEnd>> restore_events();
+  /// Makes the events known to the nodes where the caller may resume the turn.
+  void share_events(const std::vector<StreamEvent>& events);
+  /// Identity of the turn over all attempts of its caller.
+  std::string turn_identity() const;
   /// Binds a new stream to the software version of the engine that brought its first event.
   void bind_to_version(const EngineExchange& exchange);
   /// Whether engines of the same version text run the same software: without a text only if no
@@ -81,6 +89,8 @@
   cluster::TurnStart start_;
   std::string prompt_;
   std::string output_;  ///< data of all events so far, each followed by a line feed
+  cluster::EarlierEvents earlier_events_;  ///< of the turn, if its caller resumes it
+  std::shared_ptr<cluster::TurnProgressLog::Attempt> shared_events_;
   std::string last_event_id_;
   std::int64_t reserved_tokens_ = 0;
   bool fully_reserved_ = true;  ///< the reservation covers the turn's maximum output
