Order the runs of an engine by their start

What callers saw: an engine crashed, its entry lapsed, it started again under its name, and a lost write of its first run was done late. All nodes then ignored what the living run said.

Cause: any other start was taken for a newer run (decision 0020). The first run's entry had lapsed, so that it was forgotten; its late entry ended the living run for good.

Change: the newest run of each engine is remembered, also after its entry is gone. Entries of an earlier start or of a run that was followed change nothing and are no sign of life. One that stays for four heartbeats is believed, since a clock may have been set back: no run is ignored for good. `engine_entry_outdated` and a metric.

--- a/src/balancing/engine_registry.cpp
+++ b/src/balancing/engine_registry.cpp
@@ -15,9 +15,48 @@
 }  // namespace
 
 void EngineRegistry::put(EngineRecord record) {
-  if (has_ended(record.id)) return;
+  if (is_outdated(record)) {
+    set_aside(std::move(record));
+  } else {
+    apply(std::move(record));
+  }
+}
+
+bool EngineRegistry::is_outdated(const EngineRecord& record) const {
+  const auto newest = newest_runs_.find(record.entry_key());
+  if (newest == newest_runs_.end() || newest->second.id == record.id) return false;
+  if (has_ended(record.id)) return true;
+  const auto& newest_start = newest->second.started_ms;
+  return newest_start && record.started_ms && *record.started_ms < *newest_start;
+}
+
+void EngineRegistry::set_aside(EngineRecord record) {
+  auto& outdated = outdated_[record.entry_key()];
+  if (outdated.record.id != record.id) {
+    outdated.since = net::Clock::now();
+    if (on_outdated_) on_outdated_(record, newest_runs_[record.entry_key()].id);
+  }
+  outdated.record = std::move(record);
+}
+
+void EngineRegistry::adopt_lasting(net::TimePoint now, net::Millis duration) {
+  std::vector<EngineRecord> lasting;
+  for (const auto& [entry_key, outdated] : outdated_) {
+    if (now >= outdated.since + duration) lasting.push_back(outdated.record);
+  }
+  for (auto& record : lasting) {
+    ended_runs_.erase(record.id);
+    // Its start looks newer, so only this tells that its late records are outdated.
+    remember_ended(newest_runs_[record.entry_key()].id);
+    apply(std::move(record));
+  }
+}
+
+void EngineRegistry::apply(EngineRecord record) {
   const auto entry_key = record.entry_key();
+  outdated_.erase(entry_key);
   stale_.erase(entry_key);
+  newest_runs_[entry_key] = {record.id, record.started_ms};
   const auto known = at(entry_key);
   const bool restarted = known != nullptr && known->record.id != record.id;
   if (restarted) {
@@ -89,27 +128,39 @@
   return version;
 }
 
+void EngineRegistry::remember_ended(const std::string& id) {
+  if (!ended_runs_.emplace(id, net::Clock::now()).second) return;
+  ended_runs_fifo_.push_back(id);
+  if (ended_runs_fifo_.size() <= kMaxEndedRuns) return;
+  ended_runs_.erase(ended_runs_fifo_.front());
+  ended_runs_fifo_.pop_front();
+}
+
 void EngineRegistry::end_run(const EnginePointer& engine) {
-  ended_runs_.emplace(engine->record.id, net::Clock::now());
-  ended_runs_fifo_.push_back(engine->record.id);
-  if (ended_runs_fifo_.size() > kMaxEndedRuns) {
-    ended_runs_.erase(ended_runs_fifo_.front());
-    ended_runs_fifo_.pop_front();
-  }
+  remember_ended(engine->record.id);
   detach(engine);
 }
 
 void EngineRegistry::remove(const std::string& entry_key) {
   stale_.erase(entry_key);
-  if (const auto engine = at(entry_key)) detach(engine);
+  outdated_.erase(entry_key);
+  const auto engine = at(entry_key);
+  if (engine == nullptr) return;
+  detach(engine);
+  left_fifo_.push_back(entry_key);
+  if (left_fifo_.size() <= kMaxEndedRuns) return;
+  if (at(left_fifo_.front()) == nullptr) newest_runs_.erase(left_fifo_.front());
+  left_fifo_.pop_front();
 }
 
 void EngineRegistry::mark_stale(const std::string& entry_key) {
+  outdated_.erase(entry_key);
   if (by_entry_key_.count(entry_key) > 0) stale_.insert(entry_key);
 }
 
 void EngineRegistry::suspend(const std::string& entry_key) {
   stale_.erase(entry_key);
+  outdated_.erase(entry_key);
   if (const auto engine = at(entry_key)) engine->entry_unusable = true;
 }
 
--- a/src/balancing/engine_registry.hpp
+++ b/src/balancing/engine_registry.hpp
@@ -27,9 +27,13 @@
     kMarkStale,  ///< see mark_stale()
   };
 
-  /// Adds or updates an engine. A record with a new run id for a known entry key ends the previous
-  /// run for good; later records of an ended run are outdated and ignored.
+  /// Adds or updates an engine. A record of a newer run for a known entry key ends the previous
+  /// run. A record of an older run, which a late write brings back, is outdated: it changes nothing
+  /// unless adopt_lasting() takes it.
   void put(EngineRecord record);
+  /// Takes over outdated records that no other one has replaced for this long. A run whose clock
+  /// was set back looks older than the run before, but keeps its entry.
+  void adopt_lasting(net::TimePoint now, net::Millis duration);
   /// Removes an engine whose entry is gone; it gets no new requests.
   void remove(const std::string& entry_key);
   /// Marks an engine whose entry is missing, possibly only because the store was unavailable. The
@@ -81,14 +85,33 @@
   void on_restart(std::function<void(const Engine& before, const EngineRecord& now)> listener) {
     on_restart_ = std::move(listener);
   }
+  /// Called with an outdated record and the id of the newest known run.
+  void on_outdated(
+      std::function<void(const EngineRecord& record, const std::string& newest)> listener) {
+    on_outdated_ = std::move(listener);
+  }
 
  private:
   /// Limit of remembered ended runs. Entries of an ended run can arrive late, but only for a short
   /// time.
   static constexpr std::size_t kMaxEndedRuns = 4096;
 
+  struct Run {
+    std::string id;
+    std::optional<std::int64_t> started_ms;
+  };
+  struct OutdatedRecord {
+    EngineRecord record;
+    net::TimePoint since{};
+  };
+
+  /// Whether the record is of another run than the newest one, and not of a newer one.
+  bool is_outdated(const EngineRecord& record) const;
+  void set_aside(EngineRecord record);
+  void apply(EngineRecord record);
   /// Records that an engine of this service and version is no longer in the list.
   void record_departure(const EngineRecord& record);
+  void remember_ended(const std::string& id);
   void end_run(const EnginePointer& engine);
   void add(EngineRecord record);
   void detach(const EnginePointer& engine);
@@ -104,8 +127,13 @@
   /// By service and software version: when its last engine left that did.
   std::unordered_map<std::string, std::map<std::string, net::TimePoint>> left_at_;
   std::unordered_set<std::string> stale_;
+  /// By entry key: the newest run, also of engines that left lately.
+  std::unordered_map<std::string, Run> newest_runs_;
+  std::deque<std::string> left_fifo_;                         ///< entry keys
+  std::unordered_map<std::string, OutdatedRecord> outdated_;  ///< by entry key
   std::function<void(const Engine&)> on_unusable_;
   std::function<void(const Engine&, const EngineRecord&)> on_restart_;
+  std::function<void(const EngineRecord&, const std::string&)> on_outdated_;
 };
 
 }  // namespace sailgate::balancing
--- a/src/serving/engine_entries.cpp
+++ b/src/serving/engine_entries.cpp
@@ -21,6 +21,17 @@
     : state_(state), records_(records) {
   state_.engines.on_restart(
       [this](const auto& before, const auto& now) { log_restart(before, now); });
+  state_.engines.on_outdated(
+      [this](const auto& record, const auto& newest) { log_outdated(record, newest); });
+}
+
+void EngineEntries::log_outdated(const balancing::EngineRecord& record, const std::string& newest) {
+  state_.metrics.engine_entry_outdated();
+  state_.log.event("engine_entry_outdated")
+      .with("engine", record.entry_key())
+      .with("run", record.id)
+      .with("newest_run", newest)
+      .with("draining", static_cast<int>(record.draining));
 }
 
 void EngineEntries::log_restart(const balancing::Engine& before,
@@ -55,13 +66,16 @@
       .with("known", static_cast<int>(state_.engines.at(row.id.key) != nullptr));
 }
 
-void EngineEntries::mark_usable(const store::Row& row, const balancing::EngineRecord& record) {
+void EngineEntries::apply_record(const store::Row& row, balancing::EngineRecord record) {
   const bool was_unusable = unusable_.erase(row.id.key) > 0;
   if (was_unusable) state_.metrics.set_unusable_entries(unusable_.size());
-  if (!was_unusable && state_.engines.at(row.id.key) != nullptr) return;
+  const bool was_listed = state_.engines.at(row.id.key) != nullptr;
+  state_.engines.put(std::move(record));
+  const auto engine = state_.engines.at(row.id.key);
+  if (engine == nullptr || (was_listed && !was_unusable)) return;
   state_.log.event("engine_added")
-      .with("engine", record.id)
-      .with("service", record.service)
+      .with("engine", engine->record.id)
+      .with("service", engine->record.service)
       .with("row_version", row.version);
 }
 
@@ -142,8 +156,7 @@
     state_.engines.suspend(row.id.key);
     return;
   }
-  mark_usable(row, *record);
-  state_.engines.put(std::move(*record));
+  apply_record(row, std::move(*record));
 }
 
 }  // namespace sailgate::serving
--- a/src/serving/engine_entries.hpp
+++ b/src/serving/engine_entries.hpp
@@ -32,10 +32,11 @@
   std::optional<balancing::EngineRecord> read(const store::Row& row);
   void apply_removal(const store::Row& row, bool may_reappear);
   void mark_unusable(const store::Row& row, balancing::EntryFault fault, const char* what);
-  void mark_usable(const store::Row& row, const balancing::EngineRecord& record);
+  void apply_record(const store::Row& row, balancing::EngineRecord record);
   /// Whether enough valid entries report their engine's start that one without is invalid.
   bool starts_reported() const;
   void log_restart(const balancing::Engine& before, const balancing::EngineRecord& now);
+  void log_outdated(const balancing::EngineRecord& record, const std::string& newest);
 
   NodeState& state_;
   const PlatformRecords& records_;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -186,6 +186,7 @@
 
 void Gateway::apply(const NodeSettings& settings) {
   state_.settings.stop_grace = settings.stop_grace;
+  state_.settings.engine_heartbeat = settings.engine_heartbeat;
   state_.shutdown.set_grace(settings.stop_grace);
 }
 
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -121,6 +121,11 @@
                           .Help("Engines that started again under their name")
                           .Register(registry)
                           .Add({});
+  outdated_entries_ = &prometheus::BuildCounter()
+                           .Name("sailgate_outdated_engine_entries_total")
+                           .Help("Entries of engines from before their newest start")
+                           .Register(registry)
+                           .Add({});
   slowest_engine_ = &gauge(registry, "sailgate_slowest_engine_speed",
                            "Lowest believed speed of an engine over the usual of its service");
   fastest_engine_ = &gauge(registry, "sailgate_fastest_engine_speed",
--- a/src/serving/gateway_metrics.hpp
+++ b/src/serving/gateway_metrics.hpp
@@ -69,6 +69,7 @@
   void set_engines(std::size_t count) { engines_->Set(static_cast<double>(count)); }
   /// Counts a restart of an engine under the same name.
   void engine_restarted() { engine_restarts_->Increment(); }
+  void engine_entry_outdated() { outdated_entries_->Increment(); }
   /// Sets the number of invalid entries in the engine list.
   void set_unusable_entries(std::size_t count) {
     unusable_entries_->Set(static_cast<double>(count));
@@ -134,6 +135,7 @@
   prometheus::Gauge* engines_;
   prometheus::Gauge* unusable_entries_;
   prometheus::Counter* engine_restarts_;
+  prometheus::Counter* outdated_entries_;
   prometheus::Gauge* slowest_engine_;
   prometheus::Gauge* fastest_engine_;
   prometheus::Gauge* steps_aside_;
--- a/src/serving/node_settings.hpp
+++ b/src/serving/node_settings.hpp
@@ -20,6 +20,7 @@
   std::optional<net::Endpoint> metrics;  ///< listen address for metrics; nullopt: not served
   net::Endpoint store;                   ///< address of the table store
   net::Millis stop_grace{8000};  ///< the process is killed this long after it was told to stop
+  net::Millis engine_heartbeat{1200};  ///< interval at which engines renew their entries
   quota::Bounds quota_bounds;
   base::Mechanisms mechanisms;
 };
--- a/src/serving/settings_reloader.cpp
+++ b/src/serving/settings_reloader.cpp
@@ -24,6 +24,9 @@
   SettingsChange change;
   if (before.store != after.store) change.applied.emplace_back("store");
   if (before.stop_grace != after.stop_grace) change.applied.emplace_back("stop_grace");
+  if (before.engine_heartbeat != after.engine_heartbeat) {
+    change.applied.emplace_back("engine_heartbeat");
+  }
   if (before.node != after.node) change.need_restart.emplace_back("node");
   if (before.zone != after.zone) change.need_restart.emplace_back("zone");
   if (before.callers != after.callers) change.need_restart.emplace_back("callers");
--- a/src/serving/store_feeds.cpp
+++ b/src/serving/store_feeds.cpp
@@ -26,6 +26,9 @@
 /// times a second, whatever their number.
 constexpr double kBatchMsPerNode = 0.25;
 constexpr net::Millis kConfigurationReadTimeout{500};
+/// A running engine replaces an entry that is not its own with its next heartbeat, and an entry that
+/// nobody renews lapses after three.
+constexpr int kLastingHeartbeats = 4;
 constexpr net::Millis kMaxCatchUpDelay{2000};
 /// Shorter lags than this occur with every change, since the nodes' feeds are not simultaneous.
 constexpr net::Millis kLoggedLag{1000};
@@ -52,7 +55,10 @@
 }
 
 void StoreFeeds::maintain(net::TimePoint now) {
-  if (!engine_follower_.entries_may_be_missing(now)) state_.engines.remove_stale();
+  if (!engine_follower_.entries_may_be_missing(now)) {
+    state_.engines.remove_stale();
+    state_.engines.adopt_lasting(now, kLastingHeartbeats * state_.settings.engine_heartbeat);
+  }
   share_store_version();
   update_batch_times();
   observe_configuration_lag(now);
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -27,6 +27,7 @@
 zone = "z"
 port_range = [7380, 7395]
 unknown = 1
+heartbeat_ms = 900
 [listen]
 front = "10.1.0.1:8149"
 ready = "10.1.0.1:8141"
@@ -55,6 +56,7 @@
   REQUIRE(settings.peers.port() == 7381);
   REQUIRE(settings.store.address().to_string() == "10.200.1.7");
   REQUIRE(settings.stop_grace == net::Millis(6500));
+  REQUIRE(settings.engine_heartbeat == net::Millis(900));
   REQUIRE(settings.quota_bounds == quota::Bounds{net::Millis(4000), 0.2, 30});
 }
 
--- a/tests/serving/engine_entries_test.cpp
+++ b/tests/serving/engine_entries_test.cpp
@@ -135,6 +135,24 @@
   REQUIRE(usable("a"));
 }
 
+// A late write of the run before ended the living run in every node, which then ignored its drain.
+TEST_CASE_METHOD(EntriesFixture,
+                 "a late entry of the run before does not hide that an engine drains",
+                 "[serving]") {
+  EngineEntries entries(state(), records);
+  entries.apply_snapshot({row("a", entry(started(1000)))}, false);
+  auto gone = row("a", "");
+  gone.removed = true;
+  entries.apply_change(gone, false);
+  entries.apply_change(row("a", entry(started(2000))), false);
+  const int late_writes = GENERATE(1, 2);
+  for (int i = 0; i < late_writes; ++i) entries.apply_change(row("a", entry(started(1000))), false);
+  entries.apply_change(row("a", entry(started(2000))), false);
+  REQUIRE(usable("a"));
+  entries.apply_change(row("a", entry(started(2000), "draining")), false);
+  REQUIRE_FALSE(usable("a"));
+}
+
 TEST_CASE_METHOD(EntriesFixture,
                  "a restart is detected from the next entry without a removal between",
                  "[serving]") {
