Register again after a late write of the process before

A process registered once, so that peers ignored it for its life.

Change: a node that learns from the feed that its row is not its own writes it again, after 0.3 s, which bounds two processes of one name. The removal at a stop holds only for the row that this process wrote.

Tests: registration_test, fails before for replaced and removed rows and for a late removal; a stop still removes the own row.

--- a/src/serving/store_feeds.cpp
+++ b/src/serving/store_feeds.cpp
@@ -14,6 +14,8 @@
 constexpr net::Millis kRegisterRetryDelay{300};
 /// Peers ignore a node that is not registered, so it must not wait long once the store is back.
 constexpr net::Millis kMaxRegisterRetryDelay{1200};
+/// The second one knows the version of this node's row.
+constexpr int kMaxUnregisterAttempts = 2;
 /// Changes of engines and of the configuration that occur within this time are fetched in one call.
 /// Engines register within a few seconds of each other; without batching, each of 295 nodes made a
 /// call for almost every entry. The delay is small compared with the seconds within which a leaving
@@ -26,8 +28,8 @@
 /// times a second, whatever their number.
 constexpr double kBatchMsPerNode = 0.25;
 constexpr net::Millis kConfigurationReadTimeout{500};
-/// A running engine replaces an entry that is not its own with its next heartbeat, and an entry that
-/// nobody renews lapses after three.
+/// A running engine replaces an entry that is not its own with its next heartbeat, and an entry
+/// that nobody renews lapses after three.
 constexpr int kLastingHeartbeats = 4;
 constexpr net::Millis kMaxCatchUpDelay{2000};
 /// Shorter lags than this occur with every change, since the nodes' feeds are not simultaneous.
@@ -142,17 +144,48 @@
     store::Transaction transaction;
     transaction.puts.push_back(row);
     const auto result = co_await state_.store.transact(std::move(transaction), kStoreTimeout);
-    if (result.status == store::StoreStatus::kDone) co_return;
+    if (result.status == store::StoreStatus::kDone) {
+      confirmed_version_ = result.version;
+      break;
+    }
     const auto jitter = state_.random.below(static_cast<std::uint64_t>(delay.count()));
     co_await net::sleep_for(state_.context, delay / 2 + net::Millis(static_cast<int>(jitter)));
     delay = std::min(2 * delay, kMaxRegisterRetryDelay);
   }
+  registering_ = false;
+}
+
+net::asio::awaitable<void> StoreFeeds::register_again() {
+  // Bounds the writes of two processes that are started under the same name.
+  co_await net::sleep_for(state_.context, kRegisterRetryDelay);
+  co_await register_self();
 }
 
 net::asio::awaitable<void> StoreFeeds::unregister_self() {
-  store::Transaction transaction;
-  transaction.removals.push_back({kPeerTable, "", state_.settings.node});
-  co_await state_.store.transact(std::move(transaction), kStoreTimeout);
+  const store::RowId own_row{kPeerTable, "", state_.settings.node};
+  for (int attempt = 0; attempt < kMaxUnregisterAttempts; ++attempt) {
+    store::Transaction transaction;
+    transaction.removals.push_back(own_row);
+    // The store may execute this when the next process of this node has registered.
+    const auto version = own_row_version_ > 0 ? own_row_version_ : confirmed_version_;
+    if (version > 0) transaction.conditions.push_back({own_row, version});
+    const auto result = co_await state_.store.transact(std::move(transaction), kStoreTimeout);
+    if (result.status != store::StoreStatus::kConflict) co_return;
+    for (const auto& row : result.rows) apply_peer_row(row);
+  }
+}
+
+void StoreFeeds::note_own_row(const store::Row& row, bool written_by_self) {
+  if (written_by_self) own_row_version_ = row.version;
+  const bool older = row.version <= std::max(own_row_version_, confirmed_version_);
+  if (older && !written_by_self) return;
+  registered_ = written_by_self;
+  if (registered_ || registering_ || state_.shutdown.begun()) return;
+  registering_ = true;
+  state_.log.event("registration_lost")
+      .with("row_version", row.version)
+      .with("removed", static_cast<int>(row.removed));
+  net::asio::co_spawn(state_.context, register_again(), net::asio::detached);
 }
 
 store::FollowerCallbacks StoreFeeds::counting_callbacks(const std::string& table) {
@@ -174,13 +207,15 @@
 }
 
 void StoreFeeds::apply_peer_row(const store::Row& row) {
+  const bool own = row.id.key == state_.settings.node;
   if (row.removed) {
+    if (own) note_own_row(row, false);
     state_.peers.remove(row.id.key);
     return;
   }
   try {
     const auto peer = wire::decode<wire::PeerRow>(row.value);
-    if (row.id.key == state_.settings.node) registered_ = peer.incarnation == incarnation_;
+    if (own) note_own_row(row, peer.incarnation == incarnation_);
     state_.peers.put(row.id.key, peer, net::Clock::now());
   } catch (const std::exception& error) {
     state_.log.event("peer_unreadable").with("peer", row.id.key).with("why", error.what());
--- a/src/serving/store_feeds.hpp
+++ b/src/serving/store_feeds.hpp
@@ -22,12 +22,16 @@
   void maintain(net::TimePoint now);
   /// Time of the last answer to the configuration or the engine feed; zero: none yet.
   net::TimePoint last_contact() const { return last_contact_; }
-  /// Removes this node's row from the table of nodes.
+  /// Removes this node's row from the table of nodes, unless another process has written it.
   net::asio::awaitable<void> unregister_self();
 
  private:
   /// Writes this node's row until an answer or the row in the feed confirms it.
   net::asio::awaitable<void> register_self();
+  /// Writes the row again after a late write of the process before has replaced or removed it.
+  net::asio::awaitable<void> register_again();
+  /// Handles news of this node's row.
+  void note_own_row(const store::Row& row, bool written_by_self);
   /// Batch times of the feeds, which grow with the number of nodes.
   void update_batch_times();
   void apply_configuration(const store::Row& row);
@@ -52,7 +56,10 @@
   const PlatformRecords& records_;
   EngineEntries entries_;
   std::int64_t incarnation_;
-  bool registered_ = false;  ///< the row of this process was seen in the feed
+  bool registered_ = false;             ///< the row of this process was seen in the feed
+  bool registering_ = true;             ///< register_self() is to run or running
+  std::int64_t own_row_version_ = 0;    ///< of the row as this process wrote it; 0: not seen yet
+  std::int64_t confirmed_version_ = 0;  ///< of the store when it confirmed the registration
   store::TableFollower configuration_follower_;
   store::TableFollower engine_follower_;
   store::TableFollower peer_follower_;
