--- a/tests/processes/gateway_soak_test.cpp
+++ b/tests/processes/gateway_soak_test.cpp
@@ -118,3 +118,20 @@
   options.poison = true;
   require_no_violation(play(options, "soak-poison"));
 }
+
+TEST_CASE("busy nodes that stop as planned drop no request of a kept connection", "[processes]") {
+  soak::SoakOptions options;
+  options.seed = 1;
+  options.stops = 3;
+  require_no_violation(play(options, "soak-stops"));
+}
+
+TEST_CASE("resumed turns stay whole and late entries end no living engine under faults",
+          "[processes]") {
+  soak::SoakOptions options;
+  options.seed = 1;
+  options.faults = 2;
+  options.resumed_turns = true;
+  options.late_entries = true;
+  require_no_violation(play(options, "soak-late"));
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,6 +19,10 @@
       "overlap", "two series of faults, engines and configurations that change meanwhile")(
       "configurations", "checks which configuration nodes go by")(
       "poison", "requests that end the engines that run them")(
+      "resumed-turns", "retained turns that break off and are resumed at any node")(
+      "stops", options::value<int>()->default_value(0),
+      "instead of other faults, planned stops of busy nodes whose callers keep connections")(
+      "late-entries", "late entries of engines that have started again under their names")(
       "versions", "engines of two software versions and callers that resume streams")(
       "burst-losses", options::value<int>()->default_value(0),
       "instead of other faults, times that all nodes are killed right after a burst")(
@@ -39,6 +43,9 @@
     soak.burst_losses = values["burst-losses"].as<int>();
     soak.configurations = values.count("configurations") > 0;
     soak.poison = values.count("poison") > 0;
+    soak.resumed_turns = values.count("resumed-turns") > 0;
+    soak.late_entries = values.count("late-entries") > 0;
+    soak.stops = values["stops"].as<int>();
     soak.versions = values.count("versions") > 0;
     soak.hard_load = values.count("hard-load") > 0;
     soak.programs_directory =
--- a/tests/soak/soak_checker.cpp
+++ b/tests/soak/soak_checker.cpp
@@ -133,6 +133,14 @@
   violation("RECOVER", program + " did not finish: " + why);
 }
 
+void SoakChecker::dropped(const std::string& id, const std::string& what) {
+  violation("LOST", id + ": " + what);
+}
+
+void SoakChecker::sent_to_drained(const std::string& engine) {
+  violation("DRAIN", engine + " got requests long after it said that it drains");
+}
+
 void SoakChecker::run_began(const SeenRequest& seen, net::TimePoint now) {
   const auto& id = seen.id;
   const auto sent = sent_.find(id);
--- a/tests/soak/soak_checker.hpp
+++ b/tests/soak/soak_checker.hpp
@@ -61,6 +61,10 @@
   /// A success or part of one carried something of another request.
   void mixed(const std::string& id, const std::string& what);
   void not_finished(const std::string& program, const std::string& why);
+  /// A request was passed on to an engine and its caller got no whole response.
+  void dropped(const std::string& id, const std::string& what);
+  /// An engine got a request later than it may while it drains.
+  void sent_to_drained(const std::string& engine);
 
   // Engines.
   /// The process of an engine ends while it is at work on a request. @param body names the request
--- a/tests/soak/soak_checker_test.cpp
+++ b/tests/soak/soak_checker_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "soak/rested_callers.hpp"
+
 using namespace sailgate;
 using soak::SoakChecker;
 
@@ -148,3 +150,21 @@
   run("s2", "in\n");
   REQUIRE(only_violation() == "QUOTA");
 }
+
+TEST_CASE_METHOD(Fixture, "a request that a node dropped is noticed", "[soak]") {
+  checker.dropped("t2", "cut");
+  REQUIRE(only_violation() == "LOST");
+}
+
+TEST_CASE_METHOD(Fixture, "a request to an engine that drains is noticed", "[soak]") {
+  checker.sent_to_drained("e");
+  REQUIRE(only_violation() == "DRAIN");
+}
+
+TEST_CASE("a stop excuses only early requests that are cut near its end", "[soak]") {
+  const soak::NodeStop stop{net::TimePoint(std::chrono::hours(1)), net::Millis(6000)};
+  const auto at = [&](int ms) { return stop.began + net::Millis(ms); };
+  REQUIRE(soak::excuses(stop, at(2900), at(5100)));
+  REQUIRE_FALSE(soak::excuses(stop, at(3100), at(5100)));
+  REQUIRE_FALSE(soak::excuses(stop, at(2900), at(4900)));
+}
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -13,7 +13,10 @@
 #include "child_process.hpp"
 #include "fault_proxy.hpp"
 #include "quota/limit.hpp"
+#include "soak/late_entries.hpp"
 #include "soak/poison_traffic.hpp"
+#include "soak/rested_callers.hpp"
+#include "soak/resumed_turns.hpp"
 #include "soak/soak_caller.hpp"
 #include "soak/soak_engine.hpp"
 #include "support/loopback_endpoints.hpp"
@@ -36,6 +39,12 @@
 constexpr std::size_t kZones = 2;
 constexpr int kStopTimeout = 12'000;
 constexpr net::Millis kStartLimit{30'000};
+constexpr net::Millis kGrace{8000};
+/// Time in which a load balancer takes out a node that is not ready.
+constexpr net::Millis kLoadBalancerTime{2000};
+/// Callers have opened their connections and rested by then.
+constexpr net::Millis kSteadyTime{8000};
+constexpr net::Millis kStopPause{3500};
 constexpr net::Millis kCalm{1500};
 constexpr net::Millis kFaultTime{2500};
 constexpr net::Millis kFinishLimit{60'000};
@@ -114,6 +123,9 @@
     }
     if (options_.versions) describe_streams();
     if (poison_ != nullptr) text_ << poison_->summary();
+    if (resumed_turns_ != nullptr) text_ << resumed_turns_->summary();
+    if (late_entries_ != nullptr) text_ << late_entries_->summary();
+    if (rested_callers_ != nullptr) text_ << rested_callers_->summary();
     report.text += text_.str();
     return report;
   }
@@ -221,9 +233,15 @@
            (options_.versions ? "," + route("streams", "stream", false, true) : "") +
            (options_.configurations ? "," + public_route(added_route(version)) : "") +
            (options_.poison ? PoisonTraffic::routes() : "") +
+           (options_.resumed_turns ? ResumedTurns::route() : "") +
+           (options_.late_entries ? LateEntries::route() : "") +
+           (options_.stops > 0 ? RestedCallers::routes() : "") +
            R"(],"services":[{"name":"app","health_path":"/healthz","engine":{"chunk_tokens":)" +
            std::to_string(kTokensPerEvent) + "}}" +
-           (options_.poison ? PoisonTraffic::service() : "") + R"(],"tenants":[)" +
+           (options_.poison ? PoisonTraffic::service() : "") +
+           (options_.resumed_turns ? ResumedTurns::service() : "") +
+           (options_.late_entries ? LateEntries::service() : "") +
+           (options_.stops > 0 ? RestedCallers::service() : "") + R"(],"tenants":[)" +
            tenants_text(version % 2 == 0 ? kLoweredShare : 1) +
            R"(],"limits":{"max_header_bytes":4000,"max_body_bytes":100000,)" +
            R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
@@ -271,6 +289,15 @@
     if (poison_ != nullptr) {
       for (const auto& [key, entry] : poison_->entries()) put("servers", key, entry);
     }
+    if (resumed_turns_ != nullptr) {
+      for (const auto& [key, entry] : resumed_turns_->entries()) put("servers", key, entry);
+    }
+    if (late_entries_ != nullptr) {
+      for (const auto& [key, entry] : late_entries_->entries()) put("servers", key, entry);
+    }
+    if (rested_callers_ != nullptr) {
+      for (const auto& [key, entry] : rested_callers_->entries()) put("servers", key, entry);
+    }
     const auto limit = net::Clock::now() + kStartLimit;
     while (net::Clock::now() < limit) {
       auto copy = transaction;
@@ -460,6 +487,9 @@
 
   bool callers_finished() const {
     if (poison_ != nullptr && !poison_->finished()) return false;
+    if (resumed_turns_ != nullptr && !resumed_turns_->finished()) return false;
+    if (late_entries_ != nullptr && !late_entries_->finished()) return false;
+    if (rested_callers_ != nullptr && !rested_callers_->finished()) return false;
     return std::all_of(callers_.begin(), callers_.end(),
                        [](const auto& caller) { return caller->finished(); });
   }
@@ -468,6 +498,9 @@
   net::asio::awaitable<bool> stop_callers() {
     for (auto& caller : callers_) caller->stop();
     if (poison_ != nullptr) poison_->stop();
+    if (resumed_turns_ != nullptr) resumed_turns_->stop();
+    if (late_entries_ != nullptr) late_entries_->stop();
+    if (rested_callers_ != nullptr) rested_callers_->stop();
     const auto limit = net::Clock::now() + kFinishLimit;
     while (!callers_finished() && net::Clock::now() < limit) {
       co_await net::sleep_for(context_, kPoll);
@@ -496,6 +529,40 @@
     for (int loss = 0; loss < options_.burst_losses; ++loss) co_await lose_all_after_burst();
   }
 
+  /// Callers reach the node until the load balancer has noticed.
+  net::asio::awaitable<void> stop_under_load(Node& node) {
+    note("SIGTERM of " + node.name + " under load");
+    rested_callers_->node_stops(node.callers, kGrace);
+    node.process->signal(SIGTERM);
+    co_await net::sleep_for(context_, kLoadBalancerTime);
+    node.down = true;
+    const auto limit = net::Clock::now() + net::Millis(kStopTimeout);
+    while (node.process->running() && net::Clock::now() < limit) {
+      co_await net::sleep_for(context_, kPoll);
+    }
+    if (node.process->running() || node.process->exit_code() != 0) {
+      checker_.not_finished(node.name, "no clean exit after SIGTERM");
+    }
+    start_node(node);
+  }
+
+  /// Stops that overlap, each of another node.
+  net::asio::awaitable<void> stop_in_series() {
+    co_await net::sleep_for(context_, kSteadyTime);
+    std::size_t ended = 0;
+    for (int stop = 0; stop < options_.stops; ++stop) {
+      auto& node = nodes_[static_cast<std::size_t>(stop) % nodes_.size()];
+      net::asio::co_spawn(context_, stop_under_load(node),
+                          [&ended](const std::exception_ptr&) { ++ended; });
+      const auto spread = static_cast<std::int64_t>(random_.below(kStopPause.count()));
+      co_await net::sleep_for(context_, kStopPause + net::Millis(spread));
+    }
+    while (ended < static_cast<std::size_t>(options_.stops)) {
+      co_await net::sleep_for(context_, kPoll);
+    }
+    co_await net::sleep_for(context_, kSteadyTime);
+  }
+
   // ---------------------------------------------------------------- changes
 
   /// A moment between two changes.
@@ -685,6 +752,18 @@
           },
           options_.seed);
     }
+    if (options_.resumed_turns) {
+      resumed_turns_ = std::make_unique<ResumedTurns>(
+          context_, checker_, [this] { return choose_node(); }, options_.seed);
+    }
+    if (options_.late_entries) {
+      late_entries_ = std::make_unique<LateEntries>(
+          context_, checker_, table_, [this] { return choose_node(); }, options_.seed);
+    }
+    if (options_.stops > 0) {
+      rested_callers_ = std::make_unique<RestedCallers>(
+          context_, checker_, [this] { return choose_node(); }, options_.seed);
+    }
     if (!co_await write_rows()) co_return;
     for (int i = 0; i < options_.nodes; ++i) add_node(i);
     for (auto& node : nodes_) start_node(node);
@@ -699,13 +778,19 @@
       add_caller(tenant, "c" + std::to_string(i / static_cast<int>(tenants_.size())));
     }
     if (poison_ != nullptr) poison_->start();
+    if (resumed_turns_ != nullptr) resumed_turns_->start();
+    if (late_entries_ != nullptr) late_entries_->start();
+    if (rested_callers_ != nullptr) rested_callers_->start();
     if (options_.burst_losses > 0) {
       co_await lose_all_after_bursts();
+    } else if (options_.stops > 0) {
+      co_await stop_in_series();
     } else {
       co_await inject_series();
     }
     if (!co_await wait_until_ready()) checker_.not_finished("deployment", "not all nodes ready");
     if (options_.configurations) co_await check_last_configuration();
+    if (late_entries_ != nullptr) co_await late_entries_->check_drains();
     if (!co_await stop_callers()) checker_.not_finished("callers", "after everything healed");
   }
 
@@ -726,7 +811,10 @@
   int ended_series_ = 0;  ///< of faults and changes
   std::vector<SoakTenant> tenants_ = make_tenants();
   std::unique_ptr<bench::ChildProcess> standin_;
-  std::unique_ptr<PoisonTraffic> poison_;  ///< nullptr: none
+  std::unique_ptr<PoisonTraffic> poison_;          ///< nullptr: none
+  std::unique_ptr<ResumedTurns> resumed_turns_;    ///< nullptr: none
+  std::unique_ptr<LateEntries> late_entries_;      ///< nullptr: none
+  std::unique_ptr<RestedCallers> rested_callers_;  ///< nullptr: none
   std::vector<Node> nodes_;
   std::vector<std::unique_ptr<SoakCaller>> callers_;
   std::ostringstream text_;
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -16,8 +16,11 @@
   bool overlap = false;
   /// Each configuration adds a route, by which nodes show the version that they go by.
   bool configurations = false;
-  bool poison = false;    ///< requests that end engines, among harmless ones
-  bool versions = false;  ///< engines of two software versions, callers resume streams
+  bool poison = false;         ///< requests that end engines, among harmless ones
+  bool resumed_turns = false;  ///< retained turns that break off and are resumed
+  bool late_entries = false;   ///< late entries of engines that have started again
+  int stops = 0;               ///< instead of other faults, planned stops of nodes that are busy
+  bool versions = false;       ///< engines of two software versions, callers resume streams
   /// Instead of other faults: so many times all nodes are killed right after a burst.
   int burst_losses = 0;
   std::string programs_directory;  ///< holds sailgate-gateway and sailgate-standin
