--- a/src/balancing/engine_registry.cpp
+++ b/src/balancing/engine_registry.cpp
@@ -46,7 +46,7 @@
   }
   for (auto& record : lasting) {
     ended_runs_.erase(record.id);
-    // Its start looks newer, so only this tells that its late records are outdated.
+    // By its start the run before looks newer; this marks its late records as outdated.
     remember_ended(newest_runs_[record.entry_key()].id);
     apply(std::move(record));
   }
