--- a/tests/serving/shutdown_test.cpp
+++ b/tests/serving/shutdown_test.cpp
@@ -48,13 +48,14 @@
     }
   }
 
+  net::asio::awaitable<void> send_later(net::beast::tcp_stream& stream, net::Millis delay,
+                                        std::string id, std::string path) {
+    co_await net::sleep_for(context, delay);
+    co_await send(stream, std::move(id), std::move(path));
+  }
+
   /// Uses each kept connection again, one after the other at this interval.
   void send_on_kept_connections(net::Millis first, net::Millis interval, const std::string& path) {
-    const auto send_later = [this](net::beast::tcp_stream& stream, net::Millis delay,
-                                   std::string id, std::string to) -> net::asio::awaitable<void> {
-      co_await net::sleep_for(context, delay);
-      co_await send(stream, std::move(id), std::move(to));
-    };
     for (std::size_t i = 0; i < kept.size(); ++i) {
       const auto delay = first + static_cast<int>(i) * interval;
       net::asio::co_spawn(context, send_later(*kept[i], delay, "late-" + std::to_string(i), path),
