Tests that fail: engines that end late, requests that differ in headers, resumptions at a new node

- Engines break off, answer the health check and end 30, 150, 400 or 800 ms later: a request sent six times ended 6 (unsafe), 8 to 24 (safe, resumable) engines in all 24 cases; three are allowed.
- A header that engines stumble over, another caller without it in between: 6 engines (unsafe); on safe routes the harmless request was answered 502 in all 12 attempts.
- A resumption that names no attempt, at a node that started when only the newer version served: answered 200.

--- a/tests/serving/request_losses_test.cpp
+++ b/tests/serving/request_losses_test.cpp
@@ -24,6 +24,7 @@
 constexpr int kMostEnds = 3;
 constexpr int kAttempts = 6;
 const char* const kPoison = "a body that ends the engine";
+const char* const kPoisonHeader = "X-Poison";
 /// Between two attempts of a client.
 constexpr net::Millis kRetryPause{50};
 const char* const kDeadline = "500";
@@ -38,6 +39,8 @@
   Phase phase = Phase::kBeforeHead;
   bool entry_goes = false;
   bool starts_again = false;
+  /// The connection breaks at once, the process ends this much later.
+  net::Millis end_delay{0};
 };
 
 /// Several gateways before engines whose process ends when a certain request reaches it.
@@ -69,8 +72,9 @@
   EngineReply answer(const net::TextRequest& request, std::size_t index) {
     const auto target = std::string(request.target().data(), request.target().size());
     const bool streams = target.rfind("/safe", 0) != 0 && target.rfind("/unsafe/", 0) != 0;
-    if (request.body().find(kPoison) != std::string::npos)
-      return run_poison(request, index, streams);
+    const bool ends_engine = request.body().find(kPoison) != std::string::npos ||
+                             !request[kPoisonHeader].empty();
+    if (ends_engine) return run_poison(request, index, streams);
     if (!streams) return EngineReply{test::engine_answer(request, "ok")};
     return EngineReply{stream_head(request) + event_chunk(1, "ok") + kLastChunk};
   }
@@ -81,6 +85,7 @@
     if (trouble.starts_again) start_again_later(index);
     EngineReply reply;
     reply.end = trouble.how;
+    reply.end_delay = trouble.end_delay;
     if (trouble.phase == Phase::kBeforeHead) return reply;
     const auto whole = streams ? stream_head(request) : test::engine_answer(request, "half");
     reply.bytes = streams ? whole : whole.substr(0, whole.size() - 4);
@@ -165,6 +170,15 @@
     context.run_for(time);
   }
 
+  /// A request of any of several callers, which is harmless without further headers.
+  std::string popular_request(const std::string& path, const std::string& program,
+                              const std::string& more = "") {
+    const auto named = program.empty() ? "" : "Sailgate-Program: " + program + "\r\n";
+    return request("POST", path,
+                   "Sailgate-Request-Id: p-" + std::to_string(++attempts) + "\r\n" + named + more,
+                   "popular");
+  }
+
   /// A harmless request of the same program.
   std::string harmless_request(const std::string& path, const std::string& body = "harmless") {
     return request("POST", path,
@@ -225,6 +239,51 @@
   REQUIRE(poisoned_runs <= kMostEnds);
 }
 
+TEST_CASE_METHOD(PoisonFixture,
+                 "a request under which engines answer health checks before they end reaches three",
+                 "[serving]") {
+  trouble.how = EngineEnd::kReset;
+  trouble.phase = GENERATE(Phase::kBeforeHead, Phase::kMidway);
+  trouble.end_delay = net::Millis(GENERATE(30, 150, 400, 800));
+  const std::string path = GENERATE("/safe/x", "/unsafe/x", "/resumable/x");
+  start_nodes();
+  retry_everywhere(path);
+  CAPTURE(path, trouble.end_delay.count(), static_cast<int>(trouble.phase));
+  REQUIRE(poisoned_runs <= kMostEnds);
+}
+
+TEST_CASE_METHOD(PoisonFixture,
+                 "a request whose header ends engines reaches three and another caller's is served",
+                 "[serving]") {
+  const std::string path = GENERATE("/safe/x", "/unsafe/x");
+  const std::string program = GENERATE("", "p");
+  start_nodes();
+  for (int attempt = 0; attempt < kAttempts; ++attempt) {
+    const auto& node = nodes[static_cast<std::size_t>(attempt) % nodes.size()];
+    const auto poison = popular_request(path, program, std::string(kPoisonHeader) + ": 1\r\n");
+    REQUIRE(ask_at(node, poison).status != 200);
+    run_for(kRetryPause);
+    CAPTURE(path, program, attempt);
+    CHECK(ask_at(node, popular_request(path, program)).status == 200);
+    run_for(kRetryPause);
+  }
+  CAPTURE(path, program);
+  REQUIRE(poisoned_runs <= kMostEnds);
+}
+
+TEST_CASE_METHOD(PoisonFixture,
+                 "a request with a header of its own in each attempt reaches three engines",
+                 "[serving]") {
+  start_nodes();
+  for (int attempt = 0; attempt < kAttempts; ++attempt) {
+    const auto& node = nodes[static_cast<std::size_t>(attempt) % nodes.size()];
+    const auto header = std::string(kPoisonHeader) + ": " + std::to_string(attempt) + "\r\n";
+    REQUIRE(ask_at(node, popular_request("/unsafe/x", "p", header)).status != 200);
+    run_for(kRetryPause);
+  }
+  REQUIRE(poisoned_runs <= kMostEnds);
+}
+
 TEST_CASE_METHOD(PoisonFixture, "a request under which engines fall silent reaches three of them",
                  "[serving]") {
   trouble.how = EngineEnd::kSilence;
--- a/tests/serving/stream_versions_test.cpp
+++ b/tests/serving/stream_versions_test.cpp
@@ -141,6 +141,16 @@
   REQUIRE(ask_stream("r-2", "Last-Event-Id: 2\r\n").whole);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "a node that just started refuses a resumption whose version it has not seen",
+                 "[serving]") {
+  // The version that began the stream left before the node started.
+  add_engine("e-2", other, "v2");
+  start_with_engines();
+  REQUIRE(ask_stream("r-2", "Last-Event-Id: 2\r\n").status == 503);
+  REQUIRE(other.requests().empty());
+}
+
 TEST_CASE_METHOD(Fixture, "a resumption that names no attempt is refused where versions are mixed",
                  "[serving]") {
   add_engine("e-1", engine, "v1");
--- a/tests/support/fake_engine.cpp
+++ b/tests/support/fake_engine.cpp
@@ -99,6 +99,11 @@
   }
 }
 
+net::asio::awaitable<void> FakeEngine::end_later(EngineEnd how, net::Millis delay) {
+  co_await net::sleep_for(context_, delay);
+  end(how);
+}
+
 void FakeEngine::start_again() {
   acceptor_.open(endpoint_.protocol());
   acceptor_.set_option(net::asio::socket_base::reuse_address(true));
@@ -134,6 +139,11 @@
     const bool resets = reply.reset_after || reply.end == EngineEnd::kReset;
     // The peer is to read what was written before the reset discards it.
     if (resets && !reply.bytes.empty()) co_await net::sleep_for(context_, kReadTime);
+    if (reply.end_delay.count() > 0) {
+      net::asio::co_spawn(context_, end_later(reply.end, reply.end_delay), net::asio::detached);
+      if (resets) reset(*stream);
+      break;
+    }
     if (reply.end != EngineEnd::kNone) {
       end(reply.end);
       co_return;
--- a/tests/support/fake_engine.hpp
+++ b/tests/support/fake_engine.hpp
@@ -28,6 +28,7 @@
   bool hold = false;                 ///< nothing follows until the caller closes
   bool reset_after = false;          ///< the connection is reset after them
   EngineEnd end = EngineEnd::kNone;  ///< the process ends after them
+  net::Millis end_delay{0};          ///< the connection breaks at once, the process ends later
   net::Millis delay{0};              ///< of them
 };
 
@@ -55,6 +56,7 @@
 
   net::asio::awaitable<void> accept();
   net::asio::awaitable<void> serve(Stream stream);
+  net::asio::awaitable<void> end_later(EngineEnd how, net::Millis delay);
   static void reset(net::beast::tcp_stream& stream);
 
   net::asio::io_context& context_;
