Log lines: headers of requests that lost engines, losses that a success clears

Which headers change with each attempt is decided where names are decoded, in platform/, and for the general ones in request_fingerprint.cpp.

--- a/src/cluster/request_losses.cpp
+++ b/src/cluster/request_losses.cpp
@@ -80,7 +80,11 @@
 }
 
 void RequestLosses::record_success(const std::string& fingerprint, net::TimePoint began) {
-  if (knows(fingerprint)) touch(fingerprint).history.record_success(began);
+  if (!knows(fingerprint)) return;
+  log_.event("losses_cleared")
+      .with("fingerprint", fingerprint)
+      .with("engines_lost", lost_engines(fingerprint));
+  touch(fingerprint).history.record_success(began);
 }
 
 int RequestLosses::lost_engines(const Entry& entry) const {
--- a/src/serving/call.hpp
+++ b/src/serving/call.hpp
@@ -45,6 +45,7 @@
   bool may_have_run = false;           ///< whether any engine may have run it, fully or in part
   int broken_exchanges = 0;            ///< with engines that it was sent to
   std::string fingerprint;             ///< see request_fingerprint(); empty until it is needed
+  std::string header_digest;           ///< see header_digest(); empty until it is needed
   EngineExchange* exchange = nullptr;  ///< in progress; aborted when the caller disconnects
 
   /// Empty for an anonymous request.
--- a/src/serving/edge_protocol.hpp
+++ b/src/serving/edge_protocol.hpp
@@ -56,6 +56,9 @@
   /// Sets the headers that the node controls, and removes the caller's API key and any headers that
   /// callers are not allowed to set.
   virtual void apply_directives(Fields& request, const DispatchDirectives& directives) const = 0;
+  /// Whether a caller's header differs between attempts of the same request, or engines do not get
+  /// it. @param name in lower case.
+  virtual bool differs_between_attempts(const std::string& name) const = 0;
   virtual AnswerFacts inspect(const net::http::response_header<>& answer) const = 0;
   /// Path on which the load balancer in front of the nodes queries whether this node accepts new
   /// connections.
--- a/src/serving/loss_reporter.cpp
+++ b/src/serving/loss_reporter.cpp
@@ -38,8 +38,8 @@
 
 /// Probes the engine, and records the loss with what that shows.
 net::asio::awaitable<EngineFate> probe(NodeState& state, balancing::EnginePointer engine,
-                                       std::string fingerprint, EngineLoss loss,
-                                       std::string health_path) {
+                                       std::string fingerprint, std::string headers,
+                                       EngineLoss loss, std::string health_path) {
   loss.fate = co_await probe_engine(state, engine, std::move(health_path));
   auto& losses = state.request_losses;
   const auto fate = loss.fate;
@@ -53,6 +53,7 @@
   state.log.event("engine_lost")
       .with("attempt", attempt)
       .with("fingerprint", fingerprint)
+      .with("headers", headers)
       .with("engine", engine->record.id)
       .with("fate", balancing::name_of(fate))
       .with("counts", static_cast<int>(counts))
@@ -63,15 +64,16 @@
 /// Waits until the engine has been silent for long enough, then probes it and tells other nodes.
 /// Outlives the call, hence also its reporter.
 net::asio::awaitable<void> probe_and_tell(NodeState& state, balancing::EnginePointer engine,
-                                          std::string fingerprint, EngineLoss loss,
-                                          std::string health_path) {
+                                          std::string fingerprint, std::string headers,
+                                          EngineLoss loss, std::string health_path) {
   const auto silent_from = std::max(engine->heard_at, loss.began);
   const auto left = silent_from + kMaxSilence - net::Clock::now();
   if (left.count() > 0) {
     co_await net::sleep_for(state.context, std::chrono::duration_cast<net::Millis>(left));
   }
   if (engine->heard_at > loss.ended) co_return;
-  co_await probe(state, std::move(engine), fingerprint, std::move(loss), std::move(health_path));
+  co_await probe(state, std::move(engine), fingerprint, std::move(headers), std::move(loss),
+                 std::move(health_path));
   co_await state.request_losses.synchronize(std::move(fingerprint));
 }
 
@@ -86,8 +88,9 @@
   if (!state_.settings.mechanisms.quarantine) co_return true;
   const auto& fingerprint = request_fingerprint(call);
   auto loss = loss_of(call, exchange);
-  const auto fate = co_await probe(state_, exchange.engine_pointer(), fingerprint, std::move(loss),
-                                   health_path_of(call));
+  const auto fate =
+      co_await probe(state_, exchange.engine_pointer(), fingerprint,
+                     header_digest(state_.protocol, call), std::move(loss), health_path_of(call));
   auto& losses = state_.request_losses;
   if (fate == EngineFate::kAlive) {
     synchronize_in_background(fingerprint);
@@ -103,7 +106,8 @@
   const auto& engine = exchange.engine_pointer();
   net::asio::co_spawn(state_.context,
                       probe_and_tell(state_, engine, request_fingerprint(call),
-                                     loss_of(call, exchange), health_path_of(call)),
+                                     header_digest(state_.protocol, call), loss_of(call, exchange),
+                                     health_path_of(call)),
                       net::asio::detached);
 }
 
@@ -125,6 +129,7 @@
   state_.log.event("request_quarantined")
       .with("id", call.description.request_id)
       .with("fingerprint", fingerprint)
+      .with("headers", header_digest(state_.protocol, call))
       .with("engines_lost", losses.lost_engines(fingerprint));
   return true;
 }
--- a/src/serving/request_fingerprint.hpp
+++ b/src/serving/request_fingerprint.hpp
@@ -13,4 +13,8 @@
 /// first use. @return 32 hexadecimal digits.
 const std::string& request_fingerprint(Call& call);
 
+/// Hash of the headers that engines get and that a caller repeats in each attempt. Computed on
+/// first use. @return 16 hexadecimal digits.
+const std::string& header_digest(const EdgeProtocol& protocol, Call& call);
+
 }  // namespace sailgate::serving
