Request losses: tell requests apart by the headers that engines get

Callers saw: where engines stumble over a header, a request sent six times ended six engines as long as somebody else's harmless request that agrees in all but the header was served in between; on safe routes that harmless request was answered 502 request_quarantined each time.

Cause: the fingerprint leaves headers out, so that any success cleared the count and any loss counted against all. Class: a coarser identity used where the exact one decides.

Change: losses and successes carry a digest of the headers that a caller repeats in each attempt. A success clears the losses of its own headers only. Callers may also send headers that change with each attempt and that nobody listed: losses under several different headers count together, except for headers under which a whole response came.

--- a/src/balancing/loss_history.cpp
+++ b/src/balancing/loss_history.cpp
@@ -65,8 +65,18 @@
 }
 
 bool LossHistory::is_cleared(const EngineLoss& loss) const {
-  return std::any_of(succeeded_at_.begin(), succeeded_at_.end(),
-                     [&](const auto& succeeded) { return loss.began < succeeded.second; });
+  const auto succeeded = succeeded_at_.find(loss.headers);
+  return succeeded != succeeded_at_.end() && loss.began < succeeded->second;
+}
+
+bool LossHistory::have_several_headers() const {
+  const EngineLoss* first = nullptr;
+  for (const auto& loss : losses_) {
+    if (is_cleared(loss)) continue;
+    if (first != nullptr && first->headers != loss.headers) return true;
+    first = &loss;
+  }
+  return false;
 }
 
 int LossHistory::engines_in_sequence(const Filter& counts) const {
@@ -103,8 +113,10 @@
   return count;
 }
 
-LossCount LossHistory::count(const Judge& judge, const std::string& /*headers*/) const {
-  return count_for_all(judge);
+LossCount LossHistory::count(const Judge& judge, const std::string& headers) const {
+  const bool harmless = succeeded_at_.count(headers) > 0;
+  if (!harmless && have_several_headers()) return count_for_all(judge);
+  return count_if(judge, [&](const auto& loss) { return loss.headers == headers; });
 }
 
 LossCount LossHistory::count_for_all(const Judge& judge) const {
--- a/src/balancing/loss_history.hpp
+++ b/src/balancing/loss_history.hpp
@@ -34,6 +34,10 @@
 
 /// Losses under requests with the same fingerprint, by whichever node observed them. The result
 /// does not depend on the order in which they become known. Performs no I/O.
+///
+/// Such requests may differ in their headers. Those with the same headers are taken for the same
+/// request. Losses under several different headers count for all, since some callers send headers
+/// that change with each attempt; those that brought a whole response are exempt.
 class LossHistory {
  public:
   using Judge = std::function<LossVerdict(const EngineLoss&)>;
@@ -71,6 +75,7 @@
   void drop_one();
   /// Whether a later run with the same headers brought a whole response.
   bool is_cleared(const EngineLoss& loss) const;
+  bool have_several_headers() const;
   LossCount count_if(const Judge& judge, const Filter& counts) const;
   /// Distinct engines in the longest sequence of losses that follow one another.
   int engines_in_sequence(const Filter& counts) const;
--- a/tests/balancing/loss_history_test.cpp
+++ b/tests/balancing/loss_history_test.cpp
@@ -142,6 +142,26 @@
   REQUIRE(count(history) == 1);
 }
 
+TEST_CASE("losses and successes count for requests with the same headers", "[balancing]") {
+  auto history = history_of({loss("e1", 0, 10), loss("e2", 20, 30), loss("e3", 40, 50)});
+  REQUIRE(count(history, "other") == 0);
+  history.record_success("other", kStart + net::Millis(60));
+  REQUIRE(count(history) == 3);
+}
+
+TEST_CASE("losses under headers that change with each attempt count together", "[balancing]") {
+  LossHistory history;
+  for (int i = 0; i < 3; ++i) {
+    auto each = loss("e" + std::to_string(i), 100 * i, 100 * i + 10);
+    each.headers = std::to_string(i);
+    history.add(each);
+  }
+  REQUIRE(count(history, "next") == 3);
+  history.record_success("harmless", kStart + net::Millis(400));
+  REQUIRE(count(history, "harmless") == 0);
+  REQUIRE(count(history, "next") == 3);
+}
+
 TEST_CASE("a request at the limit stays there under further losses", "[balancing]") {
   auto history = history_of({loss("e1", 0, 10), loss("e2", 20, 30), loss("e3", 40, 50)});
   for (int i = 0; i < 100; ++i) {
