Resumptions without an attempt: refuse where an older version may have left unseen

Reported from a system like this one: after a kill of all nodes, streams that callers took up again were answered 200 with text joined from two software versions. Here it needs a resumption with Last-Event-Id alone, at a node that started when only the newer version served: it was answered 200.

Cause: the node looked back 30 s over departures in its list of engines, but had seen that list for a second. Class: absence of news taken for news of absence.

Change: the registry knows since when it has seen every change: since its first list, since a list that was read anew, since the process last stood still. If nobody can tell, the resumption is refused at once as not run, and the caller begins anew. Engines that report no version at all cannot be told apart and are treated as before.

Evidence: the test at a node that just started failed before (200, joined) and passes. 'goes on in a service of one version' asked for the fault right after a start; it is replaced by one that wants 503 short of the retention and the whole stream after it. New: a peer's answer, a list that was read anew, a process that stood still. Tests of [serving] about streams and turns pass.

Not covered: a list that is late by the feed's 0.3 s.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -130,6 +130,8 @@
   /** Attempt of the caller that brought the first event, with its tenant. */
   1: string attempt
   2: string version
+  /** Asks for the only version that this service has had for as long as streams can be resumed. */
+  3: optional string service_name
 }
 
 struct TurnEvent {
--- a/src/balancing/engine_registry.cpp
+++ b/src/balancing/engine_registry.cpp
@@ -181,6 +181,7 @@
 
 void EngineRegistry::replace(std::vector<EngineRecord> records, AbsentPolicy absent,
                              const std::vector<std::string>& suspended) {
+  restart_observation(net::Clock::now());
   std::unordered_set<std::string> listed(suspended.begin(), suspended.end());
   for (const auto& record : records) listed.insert(record.entry_key());
   std::vector<std::string> unlisted;
--- a/src/balancing/engine_registry.hpp
+++ b/src/balancing/engine_registry.hpp
@@ -43,7 +43,7 @@
   void suspend(const std::string& entry_key);
   /// Removes the engines that were marked stale and whose entries have not come back.
   void remove_stale();
-  /// Replaces the whole list.
+  /// Replaces the whole list. Engines that came and left since the list before are not known.
   /// @param absent what to do with engines missing from the list.
   /// @param suspended keys of invalid entries.
   void replace(std::vector<EngineRecord> records, AbsentPolicy absent = AbsentPolicy::kRemove,
@@ -67,6 +67,10 @@
   /// had; nullopt if there are several, or no engine.
   std::optional<std::string> sole_software_version(const std::string& service,
                                                    net::TimePoint since) const;
+  /// Since when this node has seen every change of the list; nullopt before the first list.
+  std::optional<net::TimePoint> observed_since() const { return observed_since_; }
+  /// Changes of the list may have been missed, or are late.
+  void restart_observation(net::TimePoint now) { observed_since_ = now; }
   std::vector<EnginePointer> all() const;
   /// Engines whose run id has this engine_key(), usually one.
   std::vector<EnginePointer> with_key(std::int32_t key) const;
@@ -124,6 +128,7 @@
   std::unordered_multimap<std::int32_t, EnginePointer> by_key_;
   std::unordered_map<std::string, std::vector<EnginePointer>> by_zone_;
   std::uint64_t membership_version_ = 0;
+  std::optional<net::TimePoint> observed_since_;
   std::unordered_map<std::string, net::TimePoint> ended_runs_;  ///< with the time of notice
   std::deque<std::string> ended_runs_fifo_;
   std::unordered_map<std::string, std::vector<EnginePointer>> by_service_;
--- a/src/cluster/stream_origins.cpp
+++ b/src/cluster/stream_origins.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t kAskedPeers = kCopies + 1;
 constexpr net::Millis kCopyTimeout{400};
 constexpr net::Millis kAskTimeout{120};
-/// Longer than callers return to a stream.
-constexpr net::Millis kRetention{std::chrono::seconds(30)};
 /// Bounds the memory at some 10 MB.
 constexpr std::size_t kMaxEntries = 50'000;
 
@@ -62,9 +60,11 @@
   if (attempt.empty()) co_return std::nullopt;
   const auto known = versions_.find(attempt);
   if (known != versions_.end()) co_return known->second;
+  wire::StreamOrigin question;
+  question.attempt = attempt;
   const auto asked = holders(attempt, kAskedPeers);
   for (const auto& holder : asked) {
-    if (auto version = co_await ask(holder, attempt, deadline)) {
+    if (auto version = co_await ask(holder, question, deadline)) {
       keep(attempt, *version);
       co_return version;
     }
@@ -72,14 +72,23 @@
   co_return std::nullopt;
 }
 
+net::asio::awaitable<std::optional<std::string>> StreamOrigins::find_only(std::string service,
+                                                                          net::TimePoint deadline) {
+  wire::StreamOrigin question;
+  question.__set_service_name(service);
+  const auto asked = holders(service, kAskedPeers);
+  for (const auto& peer : asked) {
+    if (auto version = co_await ask(peer, question, deadline)) co_return version;
+  }
+  co_return std::nullopt;
+}
+
 net::asio::awaitable<std::optional<std::string>> StreamOrigins::ask(Client holder,
-                                                                    std::string attempt,
+                                                                    wire::StreamOrigin question,
                                                                     net::TimePoint deadline) {
   const auto left = std::chrono::duration_cast<net::Millis>(deadline - net::Clock::now());
   if (left.count() <= 0) co_return std::nullopt;
-  wire::StreamOrigin message;
-  message.attempt = std::move(attempt);
-  const auto exchange = co_await holder->exchange(peer_request(kFindPath, wire::encode(message)),
+  const auto exchange = co_await holder->exchange(peer_request(kFindPath, wire::encode(question)),
                                                   std::min(left, kAskTimeout));
   if (!succeeded(exchange)) co_return std::nullopt;
   try {
@@ -98,14 +107,21 @@
     keep(message.attempt, message.version);
     return response;
   }
-  const auto known = versions_.find(message.attempt);
-  if (known == versions_.end()) {
+  const auto version = answer(message);
+  if (!version) {
     response.result(net::http::status::not_found);
     return response;
   }
-  message.version = known->second;
+  message.version = *version;
   response.body() = wire::encode(message);
   return response;
 }
 
+std::optional<std::string> StreamOrigins::answer(const wire::StreamOrigin& question) const {
+  if (question.__isset.service_name) return only_version_(question.service_name);
+  const auto known = versions_.find(question.attempt);
+  if (known == versions_.end()) return std::nullopt;
+  return known->second;
+}
+
 }  // namespace sailgate::cluster
--- a/src/cluster/stream_origins.hpp
+++ b/src/cluster/stream_origins.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,6 +17,7 @@
 #include "cluster/beacon_sender.hpp"
 #include "cluster/peer_clients.hpp"
 #include "cluster/peer_directory.hpp"
+#include "cluster_types.h"
 #include "net/http_client.hpp"
 
 namespace sailgate::cluster {
@@ -25,9 +27,20 @@
 /// that any node knows whom to ask. Not thread-safe.
 class StreamOrigins {
  public:
+  /// The only software version of a service for the retention period; nullopt if there were
+  /// several, or if this node cannot tell.
+  using OnlyVersion = std::function<std::optional<std::string>(const std::string& service)>;
+
   StreamOrigins(net::asio::io_context& context, PeerDirectory& directory, PeerClients& clients,
-                const BeaconSender& beacons)
-      : context_(context), directory_(directory), clients_(clients), beacons_(beacons) {}
+                const BeaconSender& beacons, OnlyVersion only_version)
+      : context_(context),
+        directory_(directory),
+        clients_(clients),
+        beacons_(beacons),
+        only_version_(std::move(only_version)) {}
+
+  /// Longer than callers return to a stream.
+  static constexpr net::Millis kRetention{std::chrono::seconds(30)};
 
   /// Records the version of the engine whose event is about to be the first of the attempt.
   void record(const std::string& attempt, const std::string& version);
@@ -35,6 +48,10 @@
   /// @return nullopt if none of those that answer knows it.
   net::asio::awaitable<std::optional<std::string>> find(std::string attempt,
                                                         net::TimePoint deadline);
+  /// Asks peers that may have followed the list of engines for longer than this node.
+  /// @return nullopt if none of those that answer can tell.
+  net::asio::awaitable<std::optional<std::string>> find_only(std::string service,
+                                                             net::TimePoint deadline);
 
   /// Handles calls of other nodes. @throws std::exception if a message cannot be decoded.
   net::TextResponse serve(const net::TextRequest& request);
@@ -53,13 +70,15 @@
   /// The live peers that keep copies for the attempt, in their common order.
   std::vector<Client> holders(const std::string& attempt, std::size_t count);
   net::asio::awaitable<void> copy_to(Client holder, std::string body);
-  net::asio::awaitable<std::optional<std::string>> ask(Client holder, std::string attempt,
+  net::asio::awaitable<std::optional<std::string>> ask(Client holder, wire::StreamOrigin question,
                                                        net::TimePoint deadline);
+  std::optional<std::string> answer(const wire::StreamOrigin& question) const;
 
   net::asio::io_context& context_;
   PeerDirectory& directory_;
   PeerClients& clients_;
   const BeaconSender& beacons_;
+  OnlyVersion only_version_;
   std::unordered_map<std::string, std::string> versions_;  ///< by attempt
   std::deque<Entry> by_age_;
 };
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -61,7 +61,8 @@
             static_cast<std::uint64_t>(incarnation)),
         turns(loop, ledger, peers, peer_clients, beacons, store, settings.mechanisms,
               structured_log, static_cast<std::uint64_t>(incarnation)),
-        stream_origins(loop, peers, peer_clients, beacons),
+        stream_origins(loop, peers, peer_clients, beacons,
+                       [this](const std::string& service) { return lasting_version(service); }),
         turn_progress(loop, peers, peer_clients, beacons),
         request_losses(loop, peers, peer_clients, beacons, structured_log,
                        [this](const balancing::EngineLoss& loss) {
@@ -139,12 +140,22 @@
                        [](const auto& tenant) { return tenant.limit.limited(); });
   }
 
+  /// The only software version that engines of the service have had for as long as streams can be
+  /// resumed; nullopt if there were several, or if this node has not seen all of that time.
+  std::optional<std::string> lasting_version(const std::string& service) const {
+    const auto since = net::Clock::now() - cluster::StreamOrigins::kRetention;
+    const auto observed_since = engines.observed_since();
+    if (!observed_since || *observed_since > since) return std::nullopt;
+    return engines.sole_software_version(service, since);
+  }
+
   /// Detects that this process was stalled. Must be called about every 0.1 s, and before deciding
   /// which peers are lost.
   void detect_stall(net::TimePoint now) {
     if (stalls.stalled(now, kMaxMaintenanceGap)) {
       const auto since = stalls.ticked_at();
       peers.note_stall(since, now, beacons.silence_limit());
+      engines.restart_observation(now);
       log.event("stood_still")
           .with("for_ms", std::chrono::duration_cast<net::Millis>(now - since).count());
     }
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -39,8 +39,6 @@
 /// Interval at which a held turn checks the store, its caller and shutdown; small compared with the
 /// latency objectives.
 constexpr net::Millis kHoldPoll{10};
-/// Longer than callers return to a stream.
-constexpr net::Millis kLongestStream{std::chrono::seconds(30)};
 /// Nobody who knows the version was reached; another node may reach somebody.
 constexpr net::Millis kUnknownOriginRetryAfter{100};
 
@@ -80,9 +78,7 @@
   const auto& description = call_.description;
   if (description.last_event_id.empty()) co_return std::nullopt;
   if (description.resumed_attempt.empty()) {
-    // Callers that name no attempt do not expect services of several versions.
-    const auto since = net::Clock::now() - kLongestStream;
-    call_.required_version = state_.engines.sole_software_version(call_.service, since);
+    call_.required_version = co_await find_only_version();
   } else {
     const auto attempt = call_.key_of(description.resumed_attempt);
     call_.required_version = co_await state_.stream_origins.find(attempt.text(), call_.deadline);
@@ -99,6 +95,20 @@
   co_return co_await refuse(call_, Kind::kNoFeasibleBackend, kUnknownOriginRetryAfter);
 }
 
+net::asio::awaitable<std::optional<std::string>> StreamCall::find_only_version() {
+  const auto now = net::Clock::now();
+  state_.detect_stall(now);
+  if (const auto version = state_.lasting_version(call_.service)) co_return version;
+  const auto since = now - cluster::StreamOrigins::kRetention;
+  const auto seen = state_.engines.sole_software_version(call_.service, since);
+  if (!seen) co_return std::nullopt;
+  const bool reports_versions = !seen->empty();
+  if (!reports_versions) co_return seen;
+  // Engines of another version may have left before this node saw the list.
+  const auto lasting = co_await state_.stream_origins.find_only(call_.service, call_.deadline);
+  co_return lasting == seen ? lasting : std::nullopt;
+}
+
 std::string StreamCall::turn_identity() const {
   const auto& description = call_.description;
   const auto& fingerprint = request_fingerprint(call_);
--- a/tests/serving/stream_versions_test.cpp
+++ b/tests/serving/stream_versions_test.cpp
@@ -2,6 +2,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <thread>
 
 #include "support/gateway_fixture.hpp"
 
@@ -18,6 +19,8 @@
 
 constexpr int kStreams = 8;
 constexpr net::Millis kTimeToSpread{300};
+constexpr net::Millis kRetention = cluster::StreamOrigins::kRetention;
+constexpr net::Millis kShortOfRetention = kRetention - net::Millis(5000);
 
 std::string text(net::beast::string_view view) { return {view.data(), view.size()}; }
 
@@ -58,6 +61,27 @@
     run_until(context, [&] { return gateway->state().engines.size() == count; });
   }
 
+  /// Makes a node believe that it has seen the list of engines for this long.
+  static void observe_since(serving::Gateway& node, net::Millis duration) {
+    node.state().engines.restart_observation(net::Clock::now() - duration);
+  }
+
+  std::unique_ptr<serving::Gateway> start_second_node() {
+    auto second_settings = make_settings();
+    second_settings.node = "node-2";
+    auto second = std::make_unique<serving::Gateway>(context, second_settings, protocol, records,
+                                                     table, log, 8);
+    second->start();
+    const auto hears = [](serving::Gateway& node, const char* peer) {
+      const auto known = node.state().peers.peers().find(peer);
+      return known != node.state().peers.peers().end() && known->second.has_reported;
+    };
+    run_until(context, [&] {
+      return second->ready() && hears(*gateway, "node-2") && hears(*second, "node-1");
+    });
+    return second;
+  }
+
   test::CallerAnswer ask_stream(const std::string& id, const std::string& more = "") {
     return ask(
         request("POST", "/resumable/x", "Sailgate-Request-Id: " + id + "\r\n" + more, "prompt"));
@@ -134,11 +158,43 @@
   REQUIRE(engine.requests().empty());
 }
 
-TEST_CASE_METHOD(Fixture, "a resumption that names no attempt goes on in a service of one version",
+TEST_CASE_METHOD(Fixture,
+                 "a resumption that names no attempt goes on where one version has served for long",
+                 "[serving]") {
+  add_engine("e-1", engine, "v1");
+  start_with_engines();
+  observe_since(*gateway, kShortOfRetention);
+  REQUIRE(ask_stream("r-2", "Last-Event-Id: 2\r\n").status == 503);
+  observe_since(*gateway, kRetention);
+  REQUIRE(ask_stream("r-3", "Last-Event-Id: 2\r\n").whole);
+}
+
+TEST_CASE_METHOD(Fixture, "a node that just started learns from a peer which version has served",
                  "[serving]") {
   add_engine("e-1", engine, "v1");
   start_with_engines();
-  REQUIRE(ask_stream("r-2", "Last-Event-Id: 2\r\n").whole);
+  const auto second = start_second_node();
+  REQUIRE(ask_stream("r-2", "Last-Event-Id: 2\r\n").status == 503);
+  observe_since(*second, kRetention);
+  REQUIRE(ask_stream("r-3", "Last-Event-Id: 2\r\n").whole);
+  // This node has seen more than its peer.
+  add_engine("e-2", other, "v2");
+  await_engines(2);
+  REQUIRE(ask_stream("r-4", "Last-Event-Id: 2\r\n").status == 503);
+}
+
+TEST_CASE_METHOD(Fixture, "a node that read the list anew or stood still may have missed a version",
+                 "[serving]") {
+  add_engine("e-1", engine, "v1");
+  start_with_engines();
+  observe_since(*gateway, kRetention);
+  auto& engines = gateway->state().engines;
+  SECTION("read anew") { engines.replace({engines.all().front()->record}); }
+  SECTION("stood still") {
+    gateway->state().detect_stall(net::Clock::now());
+    std::this_thread::sleep_for(2 * serving::NodeState::kMaxMaintenanceGap);
+  }
+  REQUIRE(ask_stream("r-2", "Last-Event-Id: 2\r\n").status == 503);
 }
 
 TEST_CASE_METHOD(Fixture,
@@ -157,6 +213,7 @@
   add_engine("e-2", other, "v2");
   start_with_engines();
   await_engines(2);
+  observe_since(*gateway, kRetention);
   REQUIRE(ask_stream("r-2", "Last-Event-Id: 2\r\n").status == 503);
   // Streams of the version that left may still be resumed.
   remove_engine("e-2");
@@ -169,16 +226,7 @@
                  "[serving]") {
   add_engine("e-1", engine, "v1");
   start_with_engines();
-  auto second_settings = make_settings();
-  second_settings.node = "node-2";
-  serving::Gateway second(context, second_settings, protocol, records, table, log, 8);
-  second.start();
-  const auto hears = [](serving::Gateway& node, const char* peer) {
-    const auto known = node.state().peers.peers().find(peer);
-    return known != node.state().peers.peers().end() && known->second.has_reported;
-  };
-  run_until(context,
-            [&] { return second.ready() && hears(*gateway, "node-2") && hears(second, "node-1"); });
+  const auto second = start_second_node();
   for (int stream = 0; stream < kStreams; ++stream) {
     REQUIRE_FALSE(ask_stream("r-" + std::to_string(stream)).whole);
   }
@@ -188,9 +236,9 @@
   add_engine("e-3", third, "v1");
   table.remove("servers", "", "e-1");
   run_until(context, [&] {
-    return second.state().engines.size() == 2 && second.state().engines.at("e-1") == nullptr;
+    return second->state().engines.size() == 2 && second->state().engines.at("e-1") == nullptr;
   });
-  settings.callers = second_settings.callers;
+  settings.callers = second->state().settings.callers;
   for (int stream = 0; stream < kStreams; ++stream) {
     const auto number = std::to_string(stream);
     REQUIRE(resume("again-" + number, "r-" + number).whole);
