Responses: bound what engines that send without end can take

Reported: servers in trouble send bytes that are no answer without end, in a head or a body, until the caller closes. A refusal whose body does not end kept the request until its deadline, though it had not run. Class: a bound for each, none for all.

Change: the bytes of all responses that are not passed on yet are counted, of whole answers and of incomplete events alike; above the limit of the node the largest unfinished one is given up, so that answers of usual size go on beside endless ones. A refusal's body is read for 100 ms and 64 KB at most, to keep the connection. Unread input of a connection is bounded, so that a chunk header without end is an error. An incomplete event is not searched from its start with each read.

Unchanged: answers without a length that end with their connection, long streams, one response of up to 32 MB.

--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -33,6 +33,9 @@
 constexpr std::int64_t kLongPromptTokens = 4096;
 
 constexpr unsigned kFirstServerErrorStatus = 500;
+/// A longer refusal is not read to its end, which would keep the connection: the request waits.
+constexpr std::size_t kMaxRefusalBody = 64U << 10U;
+constexpr net::Millis kRefusalReadTime{100};
 /// Consecutive server errors (5xx) that do not yet cause back-off: tools respond with 500 to about
 /// one call in a hundred, and every failure is reported to the other nodes regardless.
 constexpr int kToleratedServerErrors = 1;
@@ -86,6 +89,26 @@
       .with("why", exchange.failure());
 }
 
+void log_response_given_up(NodeState& state, const EngineExchange& exchange, std::size_t bytes) {
+  state.log.event("response_given_up")
+      .with("engine", exchange.engine().record.id)
+      .with("bytes", bytes)
+      .with("all_bytes", state.response_memory.bytes());
+}
+
+net::asio::awaitable<ReadOutcome> read_body(NodeState& state, EngineExchange& exchange,
+                                            ResponseMemory::Share& memory, std::string& body) {
+  auto outcome = ReadOutcome::kData;
+  while (outcome == ReadOutcome::kData) {
+    outcome = co_await exchange.read_some(body);
+    if (memory.resize(body.size())) continue;
+    log_response_given_up(state, exchange, body.size());
+    co_return ReadOutcome::kBroken;
+  }
+  memory.complete();
+  co_return outcome;
+}
+
 void record_broken_attempt(NodeState& state, Call& call, const EngineExchange& exchange) {
   const auto& engine = exchange.engine().record.id;
   ++call.broken_exchanges;
@@ -261,9 +284,8 @@
 
 net::asio::awaitable<void> Dispatcher::finish_refusal(EngineExchange& exchange) {
   record_refusal(exchange);
-  std::string ignored;
-  while (co_await exchange.read_some(ignored) == ReadOutcome::kData) ignored.clear();
-  exchange.finish();
+  const auto until = net::Clock::now() + kRefusalReadTime;
+  if (co_await exchange.skip_body(kMaxRefusalBody, until) == ReadOutcome::kEnd) exchange.finish();
 }
 
 void Dispatcher::log_broken_exchange(const Call& call, EngineExchange& exchange,
--- a/src/serving/dispatcher.hpp
+++ b/src/serving/dispatcher.hpp
@@ -80,6 +80,13 @@
 void log_broken_response(NodeState& state, const Call& call, const EngineExchange& exchange,
                          std::size_t bytes);
 
+/// Reads the rest of a response. @return kBroken also if it was given up to bound the memory.
+net::asio::awaitable<ReadOutcome> read_body(NodeState& state, EngineExchange& exchange,
+                                            ResponseMemory::Share& memory, std::string& body);
+
+/// Logs that a response was given up to bound the memory.
+void log_response_given_up(NodeState& state, const EngineExchange& exchange, std::size_t bytes);
+
 /// Records that an exchange broke after the request was sent. After a connection reset the engine
 /// may still be working on the attempt; after any other error it is not.
 void record_broken_attempt(NodeState& state, Call& call, const EngineExchange& exchange);
--- a/src/serving/engine_connection_pool.hpp
+++ b/src/serving/engine_connection_pool.hpp
@@ -16,9 +16,12 @@
 
 /// A connection that carries one request at a time.
 struct EngineConnection {
+  static constexpr std::size_t kMaxUnreadBytes = 256U << 10U;
+
   explicit EngineConnection(net::asio::io_context& context) : stream(context) {}
   net::beast::tcp_stream stream;
-  net::beast::flat_buffer buffer;
+  /// Unread input; a message part that does not fit, such as an endless chunk header, is an error.
+  net::beast::flat_buffer buffer{kMaxUnreadBytes};
   net::TimePoint usable_until{};  ///< while idle: until when the engine keeps it open
   bool reused = false;            ///< taken from the pool rather than newly opened
 };
--- a/src/serving/engine_exchange.cpp
+++ b/src/serving/engine_exchange.cpp
@@ -89,13 +89,18 @@
   co_return ReadOutcome::kData;
 }
 
-net::asio::awaitable<ReadOutcome> EngineExchange::skip_body() {
+net::asio::awaitable<ReadOutcome> EngineExchange::skip_body(std::size_t limit,
+                                                            net::TimePoint until) {
   if (parser_->need_eof()) co_return ReadOutcome::kBroken;
+  connection_->stream.expires_at(std::min(until, deadline_));
   std::string ignored;
+  std::size_t skipped = 0;
   auto outcome = ReadOutcome::kData;
   while (outcome == ReadOutcome::kData) {
     ignored.clear();
     outcome = co_await read_some(ignored);
+    skipped += ignored.size();
+    if (skipped > limit) co_return ReadOutcome::kBroken;
   }
   co_return outcome;
 }
@@ -117,7 +122,7 @@
         facts_.request_id == request_id || (facts_.request_id.empty() && facts_.not_run);
     if (matches) co_return OpenOutcome::kAnswered;
     failure_ = "response to another request: " + facts_.request_id;
-    const auto skipped = co_await skip_body();
+    const auto skipped = co_await skip_body(kResponseBodyLimit, deadline_);
     if (skipped == ReadOutcome::kAborted) co_return OpenOutcome::kAborted;
     if (skipped == ReadOutcome::kTimedOut) co_return OpenOutcome::kTimedOut;
     if (skipped != ReadOutcome::kEnd) co_return OpenOutcome::kBroken;
--- a/src/serving/engine_exchange.hpp
+++ b/src/serving/engine_exchange.hpp
@@ -44,6 +44,9 @@
                                          std::string request_id);
   /// Appends the next bytes of the response body to `body`.
   net::asio::awaitable<ReadOutcome> read_some(std::string& body);
+  /// Reads and discards the rest of the body, unless it is larger than `limit`, takes longer than
+  /// `until` or has no length; then the connection cannot be used any more.
+  net::asio::awaitable<ReadOutcome> skip_body(std::size_t limit, net::TimePoint until);
   /// Returns the connection to the pool if the response was read completely and the connection is
   /// reusable.
   void finish();
@@ -82,7 +85,6 @@
 
   void start_write(const std::shared_ptr<const net::TextRequest>& request);
   net::asio::awaitable<ReadOutcome> read_head(bool head_request);
-  net::asio::awaitable<ReadOutcome> skip_body();
   ReadOutcome to_read_outcome(const net::Error& error);
 
   EngineConnectionPool& pool_;
--- a/src/serving/event_scanner.cpp
+++ b/src/serving/event_scanner.cpp
@@ -43,7 +43,7 @@
 std::vector<StreamEvent> EventScanner::feed(std::string_view bytes) {
   pending_.append(bytes);
   std::vector<StreamEvent> events;
-  auto line_end = pending_.find('\n', scanned_);
+  auto line_end = pending_.find('\n', searched_);
   while (line_end != std::string::npos) {
     const auto line =
         strip_carriage_return(std::string_view(pending_).substr(scanned_, line_end - scanned_));
@@ -56,6 +56,7 @@
     }
     line_end = pending_.find('\n', scanned_);
   }
+  searched_ = pending_.size();
   return events;
 }
 
--- a/src/serving/event_scanner.hpp
+++ b/src/serving/event_scanner.hpp
@@ -21,10 +21,12 @@
   std::vector<StreamEvent> feed(std::string_view bytes);
   /// Whether bytes of an incomplete event are buffered.
   bool has_partial_event() const { return !pending_.empty(); }
+  std::size_t partial_bytes() const { return pending_.size(); }
 
  private:
   std::string pending_;
-  std::size_t scanned_ = 0;  ///< offset in pending_ of the first incomplete line
+  std::size_t scanned_ = 0;   ///< offset in pending_ of the first incomplete line
+  std::size_t searched_ = 0;  ///< bytes of pending_ without a line end after `scanned_`
 };
 
 }  // namespace sailgate::serving
--- a/src/serving/node_settings.hpp
+++ b/src/serving/node_settings.hpp
@@ -1,6 +1,7 @@
 /// @file Settings of a serving node.
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
   net::Endpoint store;                   ///< address of the table store
   net::Millis stop_grace{8000};  ///< the process is killed this long after it was told to stop
   net::Millis engine_heartbeat{1200};  ///< interval at which engines renew their entries
+  /// Bound of all responses together that are not passed on yet; one alone may be as large.
+  std::size_t max_response_memory = 32U << 20U;
   quota::Bounds quota_bounds;
   base::Mechanisms mechanisms;
 };
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -32,6 +32,7 @@
 #include "serving/gateway_metrics.hpp"
 #include "serving/held_turns.hpp"
 #include "serving/node_settings.hpp"
+#include "serving/response_memory.hpp"
 #include "serving/route_durations.hpp"
 #include "serving/shutdown_schedule.hpp"
 #include "serving/turn_times.hpp"
@@ -194,6 +195,7 @@
   std::map<std::string, balancing::PromptPlacement> prompt_placements;  ///< by service
   std::int64_t newest_store_version = 0;  ///< highest version seen by this node or a peer
   EngineConnectionPool connections;
+  ResponseMemory response_memory{settings.max_response_memory};
   net::TimePoint started_at = net::Clock::now();
   cluster::StallDetector stalls{started_at};
   cluster::PeerDirectory peers;
--- a/src/serving/plain_call.cpp
+++ b/src/serving/plain_call.cpp
@@ -22,8 +22,8 @@
     }
     auto& exchange = *dispatch.exchange;
     std::string body;
-    auto outcome = ReadOutcome::kData;
-    while (outcome == ReadOutcome::kData) outcome = co_await exchange.read_some(body);
+    ResponseMemory::Share memory(state_.response_memory, [&exchange] { exchange.abort(); });
+    auto outcome = co_await read_body(state_, exchange, memory, body);
     call_.exchange = nullptr;
     if (outcome == ReadOutcome::kEnd) {
       losses_.report_success(call_, exchange);
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -412,8 +412,8 @@
 
 net::asio::awaitable<CallEnd> StreamCall::forward_complete_response(EngineExchange& exchange) {
   std::string body;
-  auto outcome = ReadOutcome::kData;
-  while (outcome == ReadOutcome::kData) outcome = co_await exchange.read_some(body);
+  ResponseMemory::Share memory(state_.response_memory, [&exchange] { exchange.abort(); });
+  const auto outcome = co_await read_body(state_, exchange, memory, body);
   call_.exchange = nullptr;
   if (outcome != ReadOutcome::kEnd || response_started_) {
     log_broken_response(state_, call_, exchange, body.size());
@@ -438,10 +438,12 @@
   const bool prompt_cached = call_.line_engine == exchange.engine().record.id;
   StreamTiming timing(exchange.started_at(), prompt_cached);
   const bool resumed = !last_event_id_.empty();
+  ResponseMemory::Share memory(state_.response_memory, [&exchange] { exchange.abort(); });
   std::string bytes;
   while (true) {
     bytes.clear();
     const auto outcome = co_await exchange.read_some(bytes);
+    if (memory.given_up()) co_return RelayOutcome::kBroken;
     if (outcome == ReadOutcome::kEnd) {
       if (!resumed && !scanner.has_partial_event()) record_timings(exchange, timing);
       co_return scanner.has_partial_event() ? RelayOutcome::kBroken : RelayOutcome::kComplete;
@@ -450,6 +452,10 @@
     if (outcome == ReadOutcome::kAborted) co_return RelayOutcome::kCallerGone;
     if (outcome == ReadOutcome::kBroken) co_return RelayOutcome::kBroken;
     auto events = scanner.feed(bytes);
+    if (!memory.resize(scanner.partial_bytes() + output_.size())) {
+      log_response_given_up(state_, exchange, scanner.partial_bytes() + output_.size());
+      co_return RelayOutcome::kBroken;
+    }
     if (events.empty()) continue;
     if (exceeds_reservation(events.size())) co_return RelayOutcome::kReservationSpent;
     timing.record_events(events.size(), net::Clock::now());
--- a/tests/support/fake_engine.cpp
+++ b/tests/support/fake_engine.cpp
@@ -99,6 +99,16 @@
   }
 }
 
+net::asio::awaitable<void> FakeEngine::write_without_end(Stream stream, EngineReply reply) {
+  net::Error error;
+  co_await net::asio::async_write(*stream, net::asio::buffer(reply.bytes), net::awaiting(error));
+  while (!error) {
+    co_await net::asio::async_write(*stream, net::asio::buffer(reply.endless),
+                                    net::awaiting(error));
+    if (reply.endless_pause.count() > 0) co_await net::sleep_for(context_, reply.endless_pause);
+  }
+}
+
 net::asio::awaitable<void> FakeEngine::end_later(EngineEnd how, net::Millis delay) {
   co_await net::sleep_for(context_, delay);
   end(how);
@@ -121,15 +131,24 @@
     co_await net::http::async_read(*stream, buffer, request, net::awaiting(error));
     if (silent_.count(stream) > 0) co_return;
     if (error) break;
+    if (request.target() == kHealthPath && health_script_) {
+      co_await write_without_end(stream, health_script_(request));
+      break;
+    }
     if (request.target() == kHealthPath) {
       const std::string healthy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
       co_await net::asio::async_write(*stream, net::asio::buffer(healthy), net::awaiting(error));
       continue;
     }
     requests_.push_back(request);
-    const auto reply = script_(request);
+    auto reply = script_(request);
     if (reply.delay.count() > 0) co_await net::sleep_for(context_, reply.delay);
     co_await net::asio::async_write(*stream, net::asio::buffer(reply.bytes), net::awaiting(error));
+    if (!reply.endless.empty()) {
+      reply.bytes.clear();
+      co_await write_without_end(stream, reply);
+      break;
+    }
     if (reply.hold) {
       char byte = 0;
       co_await stream->async_read_some(net::asio::buffer(&byte, 1), net::awaiting(error));
--- a/tests/support/fake_engine.hpp
+++ b/tests/support/fake_engine.hpp
@@ -30,6 +30,8 @@
   EngineEnd end = EngineEnd::kNone;  ///< the process ends after them
   net::Millis end_delay{0};          ///< the connection breaks at once, the process ends later
   net::Millis delay{0};              ///< of them
+  std::string endless{};             ///< written again and again until the caller closes
+  net::Millis endless_pause{0};      ///< between two of these
 };
 
 /// Answers health checks by itself; the script gets everything else.
@@ -39,6 +41,8 @@
 
   explicit FakeEngine(net::asio::io_context& context);
   void set_script(Script script) { script_ = std::move(script); }
+  /// Answers health checks.
+  void set_health_script(Script script) { health_script_ = std::move(script); }
   /// Connections are refused from now on.
   void stop_accepting() { acceptor_.close(); }
   /// Ends the process: connections are refused, the open ones break.
@@ -57,6 +61,7 @@
   net::asio::awaitable<void> accept();
   net::asio::awaitable<void> serve(Stream stream);
   net::asio::awaitable<void> end_later(EngineEnd how, net::Millis delay);
+  net::asio::awaitable<void> write_without_end(Stream stream, EngineReply reply);
   static void reset(net::beast::tcp_stream& stream);
 
   net::asio::io_context& context_;
@@ -65,6 +70,7 @@
   std::set<Stream> open_;
   std::set<Stream> silent_;  ///< of processes that ended without a word
   Script script_;
+  Script health_script_;  ///< empty: healthy
   std::vector<net::TextRequest> requests_;
   int connections_ = 0;
   int abandoned_ = 0;
