Request losses: tell peers of a suspect's run before it is sent

Change: a request that has lost an engine is told to its holders, as a running loss, before it goes to the next one. It counts as open there; the report of its end replaces it, a success clears it, an engine that did not run it withdraws it. Requests under which no exchange broke cost nothing more. The first send of a request is still told to nobody.

Evidence: a node whose second run of a request is silent, and attempts at two further nodes: four engines without the change, three with it (test seen failing with the change taken out).

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -175,6 +175,8 @@
   7: optional string headers
   /** Since `fate` was found. */
   8: optional i32 looked_ms
+  /** The exchange had not ended when this was sent; `ended_ms` is the age of its start. */
+  9: optional bool running
 }
 
 /** A run of a request with these headers brought a whole response. */
--- a/src/balancing/engine_loss.hpp
+++ b/src/balancing/engine_loss.hpp
@@ -35,6 +35,9 @@
   net::TimePoint ended{};
   EngineFate fate = EngineFate::kUnknown;
   net::TimePoint looked_at{};  ///< when `fate` was found
+  /// Told before the request is sent, so that other nodes know of it if this one is lost; `ended`
+  /// is the time of sending.
+  bool running = false;
 
   /// From then on, an engine that is heard has survived.
   net::TimePoint settles_at() const { return ended + kSettleTime; }
--- a/src/balancing/loss_history.cpp
+++ b/src/balancing/loss_history.cpp
@@ -14,6 +14,14 @@
 
 void update(EngineLoss& known, const EngineLoss& told) {
   known.began = std::min(known.began, told.began);
+  if (told.running && !known.running) return;
+  if (known.running && !told.running) {
+    known.ended = told.ended;
+    known.fate = told.fate;
+    known.looked_at = told.looked_at;
+    known.running = false;
+    return;
+  }
   known.ended = std::min(known.ended, told.ended);
   if (known.fate == EngineFate::kEnded) return;
   if (told.fate != EngineFate::kEnded && told.looked_at <= known.looked_at) return;
@@ -24,9 +32,7 @@
 }  // namespace
 
 void LossHistory::add(EngineLoss loss) {
-  const auto known = std::find_if(losses_.begin(), losses_.end(), [&](const auto& other) {
-    return other.engine == loss.engine && other.attempt == loss.attempt;
-  });
+  const auto known = find(loss.engine, loss.attempt);
   if (known == losses_.end()) {
     ++version_;
     losses_.push_back(std::move(loss));
@@ -39,6 +45,21 @@
   if (losses_.size() > kMaxLosses) drop_one();
 }
 
+std::vector<EngineLoss>::iterator LossHistory::find(const std::string& engine,
+                                                    const std::string& attempt) {
+  return std::find_if(losses_.begin(), losses_.end(), [&](const auto& loss) {
+    return loss.engine == engine && loss.attempt == attempt;
+  });
+}
+
+void LossHistory::withdraw(const std::string& engine, const std::string& attempt) {
+  const auto sent = find(engine, attempt);
+  if (sent == losses_.end() || !sent->running) return;
+  sent->running = false;
+  sent->fate = EngineFate::kAlive;
+  sent->looked_at = sent->settles_at();
+}
+
 bool LossHistory::follows(const EngineLoss& loss, const EngineLoss& before) {
   const bool same_attempt = loss.attempt == before.attempt;
   return loss.began >= before.ended + (same_attempt ? net::Millis(0) : kReportDelay);
--- a/src/balancing/loss_history.hpp
+++ b/src/balancing/loss_history.hpp
@@ -45,6 +45,8 @@
   /// Adds a loss, or what is newly known of one: the times only ever grow by the way that the
   /// report took, so the earliest count; an end is final, otherwise the later look counts.
   void add(EngineLoss loss);
+  /// The engine did not run the request that a running loss was recorded for.
+  void withdraw(const std::string& engine, const std::string& attempt);
   /// A run with these headers that began at this time brought a whole response: the request does
   /// not end engines, and those that were lost under earlier runs ended for other reasons.
   void record_success(const std::string& headers, net::TimePoint began);
@@ -69,6 +71,7 @@
 
   using Filter = std::function<bool(const EngineLoss&)>;
 
+  std::vector<EngineLoss>::iterator find(const std::string& engine, const std::string& attempt);
   /// Whether the run began after another one had ended.
   static bool follows(const EngineLoss& loss, const EngineLoss& before);
   /// Drops the first loss that overlaps the one before it, else the first.
--- a/src/cluster/request_losses.cpp
+++ b/src/cluster/request_losses.cpp
@@ -79,6 +79,11 @@
   touch(fingerprint).history.add(std::move(loss));
 }
 
+void RequestLosses::withdraw(const std::string& fingerprint, const std::string& engine,
+                             const std::string& attempt) {
+  if (knows(fingerprint)) touch(fingerprint).history.withdraw(engine, attempt);
+}
+
 void RequestLosses::record_success(const std::string& fingerprint, const std::string& headers,
                                    net::TimePoint began) {
   if (!knows(fingerprint)) return;
@@ -140,6 +145,7 @@
     told.fate = static_cast<std::int32_t>(fate);
     told.__set_looked_ms(age(looked_at, now));
     told.__set_headers(loss.headers);
+    told.__set_running(loss.running);
     message.losses.push_back(std::move(told));
   }
   for (const auto& [headers, began] : entry.history.successes()) {
@@ -165,6 +171,7 @@
     loss.ended = now - net::Millis(told.ended_ms);
     loss.fate = to_fate(told.fate);
     loss.headers = told.headers;
+    loss.running = told.running;
     loss.looked_at = told.__isset.looked_ms ? now - net::Millis(told.looked_ms) : loss.ended;
     entry.history.add(std::move(loss));
   }
--- a/src/cluster/request_losses.hpp
+++ b/src/cluster/request_losses.hpp
@@ -40,6 +40,9 @@
         judge_(std::move(judge)) {}
 
   void record(const std::string& fingerprint, balancing::EngineLoss loss);
+  /// The engine did not run the request that a running loss was recorded for.
+  void withdraw(const std::string& fingerprint, const std::string& engine,
+                const std::string& attempt);
   /// A run with these headers that began at this time brought a whole response. Without effect for
   /// requests that are not known here.
   void record_success(const std::string& fingerprint, const std::string& headers,
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -376,7 +376,11 @@
     }
     auto engine = select(call);
     if (engine == nullptr) break;
-    auto offered = co_await offer(call, std::move(engine), body, last_event_id);
+    if (!co_await losses_.record_send(call, engine)) {
+      result.failure = DispatchFailure::kOutcomeUnknown;
+      co_return result;
+    }
+    auto offered = co_await offer(call, engine, body, last_event_id);
     switch (offered.end) {
       case OfferOutcome::kAnswered:
         result.exchange = std::move(offered.exchange);
@@ -390,11 +394,13 @@
         result.failure = DispatchFailure::kTimedOut;
         co_return result;
       case OfferOutcome::kRefused:
+        losses_.withdraw_send(call, *engine);
         refused = true;
         if (call.attempts.required_engine().empty()) break;
         result.failure = DispatchFailure::kOutcomeUnknown;
         co_return result;
       case OfferOutcome::kNotSent:
+        losses_.withdraw_send(call, *engine);
         break;
       case OfferOutcome::kBroken:
         if (co_await losses_.report(call, *offered.exchange) && repeatable) break;
--- a/src/serving/loss_reporter.cpp
+++ b/src/serving/loss_reporter.cpp
@@ -17,14 +17,20 @@
 /// Interval at which a request that waits checks its caller.
 constexpr net::Millis kWaitPoll{20};
 
-EngineLoss loss_of(const EdgeProtocol& protocol, Call& call, const EngineExchange& exchange) {
+EngineLoss loss_at(const EdgeProtocol& protocol, Call& call, const balancing::Engine& engine) {
   EngineLoss loss;
-  loss.engine = exchange.engine().record.id;
+  loss.engine = engine.record.id;
   loss.attempt = call.key_of(call.description.request_id).text();
   loss.headers = header_digest(protocol, call);
   loss.shared = call.description.program.empty();
+  loss.began = net::Clock::now();
+  loss.ended = loss.began;
+  return loss;
+}
+
+EngineLoss loss_of(const EdgeProtocol& protocol, Call& call, const EngineExchange& exchange) {
+  auto loss = loss_at(protocol, call, exchange.engine());
   loss.began = exchange.started_at();
-  loss.ended = net::Clock::now();
   return loss;
 }
 
@@ -91,6 +97,32 @@
                       net::asio::detached);
 }
 
+bool LossReporter::is_suspect(Call& call) {
+  const auto& losses = state_.request_losses;
+  if (losses.empty() || !state_.settings.mechanisms.quarantine) return false;
+  const auto& fingerprint = request_fingerprint(call);
+  if (!losses.knows(fingerprint)) return false;
+  const auto count = losses.count(fingerprint, header_digest(state_.protocol, call));
+  return count.ended + count.open > 0;
+}
+
+net::asio::awaitable<bool> LossReporter::record_send(Call& call, balancing::EnginePointer engine) {
+  if (!is_suspect(call)) co_return true;
+  auto loss = loss_at(state_.protocol, call, *engine);
+  loss.running = true;
+  const auto& fingerprint = request_fingerprint(call);
+  state_.request_losses.record(fingerprint, std::move(loss));
+  co_return co_await state_.request_losses.publish(fingerprint);
+}
+
+void LossReporter::withdraw_send(Call& call, const balancing::Engine& engine) {
+  if (!is_suspect(call)) return;
+  const auto& fingerprint = request_fingerprint(call);
+  const auto attempt = call.key_of(call.description.request_id).text();
+  state_.request_losses.withdraw(fingerprint, engine.record.id, attempt);
+  synchronize_in_background(fingerprint);
+}
+
 net::asio::awaitable<bool> LossReporter::report(Call& call, const EngineExchange& exchange) {
   if (!state_.settings.mechanisms.quarantine) co_return true;
   const auto& fingerprint = request_fingerprint(call);
@@ -165,13 +197,10 @@
 
 net::asio::awaitable<bool> LossReporter::may_send(Call& call) {
   if (is_quarantined(call)) co_return false;
+  if (!is_suspect(call)) co_return true;
   auto& losses = state_.request_losses;
-  if (losses.empty() || !state_.settings.mechanisms.quarantine) co_return true;
   const auto& fingerprint = request_fingerprint(call);
-  if (!losses.knows(fingerprint)) co_return true;
   const auto& headers = header_digest(state_.protocol, call);
-  const auto known = losses.count(fingerprint, headers);
-  if (known.ended + known.open == 0) co_return true;
   if (!losses.recently_synchronized(fingerprint) && !co_await losses.synchronize(fingerprint)) {
     co_return false;
   }
--- a/src/serving/loss_reporter.hpp
+++ b/src/serving/loss_reporter.hpp
@@ -12,6 +12,11 @@
  public:
   explicit LossReporter(NodeState& state) : state_(state) {}
 
+  /// A request under which engines were lost is about to be sent to an engine. Other nodes know of
+  /// it when this returns. @return whether it may be sent.
+  net::asio::awaitable<bool> record_send(Call& call, balancing::EnginePointer engine);
+  /// The engine did not run the request.
+  void withdraw_send(Call& call, const balancing::Engine& engine);
   /// The exchange broke after the request was sent. Other nodes know of it when this returns.
   /// @return whether the request may be sent to another engine.
   net::asio::awaitable<bool> report(Call& call, const EngineExchange& exchange);
@@ -27,6 +32,8 @@
   bool is_quarantined(Call& call);
 
  private:
+  /// Whether engines were, or may have been, lost under the request.
+  bool is_suspect(Call& call);
   void synchronize_in_background(const std::string& fingerprint);
   /// Asks engines for their health whose losses have settled since.
   net::asio::awaitable<void> look_again(Call& call);
--- a/tests/balancing/loss_history_test.cpp
+++ b/tests/balancing/loss_history_test.cpp
@@ -115,6 +115,22 @@
   REQUIRE(history.count(judge, kHeaders).ended == 1);
 }
 
+TEST_CASE("the end of a run replaces what was told before it was sent", "[balancing]") {
+  auto sent = loss("e1", 0, 0, EngineFate::kUnknown);
+  sent.running = true;
+  auto survived = sent;
+  survived.fate = EngineFate::kAlive;
+  survived.looked_at = survived.settles_at();
+  auto lost = loss("e1", 5, 3000, EngineFate::kAlive);
+  const auto in_order = history_of({sent, survived, lost});
+  const auto out_of_order = history_of({lost, survived, sent});
+  for (const auto& history : {in_order, out_of_order}) {
+    const auto counted = history.count(judge, kHeaders);
+    REQUIRE(counted.open == 1);
+    REQUIRE(counted.settles_at == lost.settles_at());
+  }
+}
+
 TEST_CASE("after three engines survived, a request goes to one at a time", "[balancing]") {
   LossHistory history;
   for (int i = 0; i < 3; ++i) {
--- a/tests/serving/request_losses_test.cpp
+++ b/tests/serving/request_losses_test.cpp
@@ -42,6 +42,8 @@
   bool starts_again = false;
   /// The connection breaks at once, the process ends this much later.
   net::Millis end_delay{0};
+  /// The run, counted from 1, of which nothing is heard; 0: none.
+  int silent_run = 0;
 };
 
 /// Several gateways before engines whose process ends when a certain request reaches it.
@@ -89,6 +91,10 @@
     if (trouble.entry_goes) table.remove("servers", "", engine_id(index));
     if (trouble.starts_again) start_again_later(index);
     EngineReply reply;
+    if (poisoned_runs == trouble.silent_run) {
+      reply.hold = true;
+      return reply;
+    }
     reply.end = trouble.how;
     reply.end_delay = trouble.end_delay;
     if (trouble.phase == Phase::kBeforeHead) return reply;
@@ -283,6 +289,23 @@
   REQUIRE(poisoned_runs <= kMostEnds);
 }
 
+TEST_CASE_METHOD(PoisonFixture,
+                 "a suspect's run that its node has not reported on counts elsewhere",
+                 "[serving]") {
+  trouble.silent_run = 2;
+  start_nodes();
+  REQUIRE(ask_at(nodes[0], poison_request("/unsafe/x")).status != 200);
+  settings.callers = nodes[1].settings.callers;
+  const auto send = [this, bytes = poison_request("/unsafe/x")]() -> net::asio::awaitable<void> {
+    co_await exchange(bytes);
+  };
+  net::asio::co_spawn(context, send, net::asio::detached);
+  run_until(context, [this] { return poisoned_runs == 2; });
+  REQUIRE(ask_at(nodes[2], poison_request("/unsafe/x")).status != 200);
+  REQUIRE(ask_at(nodes[3], poison_request("/unsafe/x")).status != 200);
+  REQUIRE(poisoned_engines.size() == kMostEnds);
+}
+
 TEST_CASE_METHOD(PoisonFixture,
                  "a request with a header of its own in each attempt reaches three engines",
                  "[serving]") {
