Response memory: outlive the node, as calls do

A call that is under way when its event loop ends is destroyed after its node. Its share of the response memory then wrote to the destroyed counter: 'events are passed on as they come' crashed in a run of all tests. Shares now own the counter together with the node.

--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -93,7 +93,7 @@
   state.log.event("response_given_up")
       .with("engine", exchange.engine().record.id)
       .with("bytes", bytes)
-      .with("all_bytes", state.response_memory.bytes());
+      .with("all_bytes", state.response_memory->bytes());
 }
 
 net::asio::awaitable<ReadOutcome> read_body(NodeState& state, EngineExchange& exchange,
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -195,7 +195,8 @@
   std::map<std::string, balancing::PromptPlacement> prompt_placements;  ///< by service
   std::int64_t newest_store_version = 0;  ///< highest version seen by this node or a peer
   EngineConnectionPool connections;
-  ResponseMemory response_memory{settings.max_response_memory};
+  std::shared_ptr<ResponseMemory> response_memory =
+      std::make_shared<ResponseMemory>(settings.max_response_memory);
   net::TimePoint started_at = net::Clock::now();
   cluster::StallDetector stalls{started_at};
   cluster::PeerDirectory peers;
--- a/src/serving/response_memory.cpp
+++ b/src/serving/response_memory.cpp
@@ -1,25 +1,26 @@
 #include "serving/response_memory.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sailgate::serving {
 
-ResponseMemory::Share::Share(ResponseMemory& memory, std::function<void()> give_up)
-    : memory_(memory), give_up_(std::move(give_up)) {
-  memory_.shares_.insert(this);
+ResponseMemory::Share::Share(std::shared_ptr<ResponseMemory> memory, std::function<void()> give_up)
+    : memory_(std::move(memory)), give_up_(std::move(give_up)) {
+  memory_->shares_.insert(this);
 }
 
 ResponseMemory::Share::~Share() {
-  memory_.bytes_ -= bytes_;
-  memory_.shares_.erase(this);
+  memory_->bytes_ -= bytes_;
+  memory_->shares_.erase(this);
 }
 
 bool ResponseMemory::Share::resize(std::size_t bytes) {
   if (given_up_) return false;
-  memory_.bytes_ += bytes - bytes_;
+  memory_->bytes_ += bytes - bytes_;
   bytes_ = bytes;
-  memory_.enforce_limit(*this);
-  memory_.peak_ = std::max(memory_.peak_, memory_.bytes_);
+  memory_->enforce_limit(*this);
+  memory_->peak_ = std::max(memory_->peak_, memory_->bytes_);
   return !given_up_;
 }
 
--- a/src/serving/response_memory.hpp
+++ b/src/serving/response_memory.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <set>
 
 namespace sailgate::serving {
@@ -17,7 +18,7 @@
   class Share {
    public:
     /// @param give_up stops the exchange; called at most once, not from within resize().
-    Share(ResponseMemory& memory, std::function<void()> give_up);
+    Share(std::shared_ptr<ResponseMemory> memory, std::function<void()> give_up);
     ~Share();
     Share(const Share&) = delete;
     Share& operator=(const Share&) = delete;
@@ -31,7 +32,7 @@
    private:
     friend class ResponseMemory;
 
-    ResponseMemory& memory_;
+    std::shared_ptr<ResponseMemory> memory_;  ///< calls may outlive their node
     std::function<void()> give_up_;
     std::size_t bytes_ = 0;
     bool complete_ = false;
--- a/tests/serving/endless_responses_test.cpp
+++ b/tests/serving/endless_responses_test.cpp
@@ -63,8 +63,8 @@
   start();
   ask_many("/unsafe/x");
   for (const auto& answer : answers) CHECK(answer.status == kBadGateway);
-  REQUIRE(gateway->state().response_memory.peak() <= kLimit);
-  REQUIRE(gateway->state().response_memory.bytes() == 0);
+  REQUIRE(gateway->state().response_memory->peak() <= kLimit);
+  REQUIRE(gateway->state().response_memory->bytes() == 0);
 }
 
 TEST_CASE_METHOD(Fixture, "endless events to many calls at once stay within the memory limit",
@@ -76,8 +76,8 @@
   start();
   ask_many("/stream/x");
   for (const auto& answer : answers) CHECK(answer.status == kBadGateway);
-  REQUIRE(gateway->state().response_memory.peak() <= kLimit);
-  REQUIRE(gateway->state().response_memory.bytes() == 0);
+  REQUIRE(gateway->state().response_memory->peak() <= kLimit);
+  REQUIRE(gateway->state().response_memory->bytes() == 0);
 }
 
 TEST_CASE_METHOD(Fixture, "a whole answer is delivered beside endless ones", "[serving]") {
--- a/tests/serving/response_memory_test.cpp
+++ b/tests/serving/response_memory_test.cpp
@@ -14,15 +14,15 @@
 }
 
 TEST_CASE("a response that fits alone is not given up", "[serving]") {
-  ResponseMemory memory(100);
+  const auto memory = std::make_shared<ResponseMemory>(100);
   ResponseMemory::Share share(memory, kIgnore);
   REQUIRE(share.resize(100));
   REQUIRE_FALSE(share.resize(101));
-  REQUIRE(memory.bytes() == 0);
+  REQUIRE(memory->bytes() == 0);
 }
 
 TEST_CASE("the largest unfinished response is given up for the others", "[serving]") {
-  ResponseMemory memory(100);
+  const auto memory = std::make_shared<ResponseMemory>(100);
   int given_up = 0;
   ResponseMemory::Share complete(memory, [] { FAIL("is complete"); });
   ResponseMemory::Share large(memory, [&] { ++given_up; });
@@ -34,12 +34,12 @@
   REQUIRE(given_up == 1);
   REQUIRE(large.given_up());
   REQUIRE_FALSE(large.resize(1));
-  REQUIRE(memory.bytes() == 65);
+  REQUIRE(memory->bytes() == 65);
 }
 
 TEST_CASE("responses never exceed the limit together, whatever their order", "[serving]") {
   const bool passed = rc::check("limit", [] {
-    ResponseMemory memory(1000);
+    const auto memory = std::make_shared<ResponseMemory>(1000);
     std::vector<std::unique_ptr<ResponseMemory::Share>> shares;
     std::vector<std::size_t> sizes;
     for (int i = 0; i < 8; ++i) {
@@ -54,10 +54,10 @@
         shares[i] = std::make_unique<ResponseMemory::Share>(memory, kIgnore);
         sizes[i] = 0;
       }
-      RC_ASSERT(memory.bytes() <= 1000U);
+      RC_ASSERT(memory->bytes() <= 1000U);
     }
     shares.clear();
-    RC_ASSERT(memory.bytes() == 0U);
+    RC_ASSERT(memory->bytes() == 0U);
   });
   REQUIRE(passed);
 }
