Suspects: withdraw a run at an engine that had been silent before

A loss at an engine that was silent since before the request was sent does not count. The running loss told before the send stayed open in that case and counted once it had settled. Found by reading, not shown by a test.

--- a/src/serving/loss_reporter.cpp
+++ b/src/serving/loss_reporter.cpp
@@ -59,7 +59,11 @@
   if (fate != EngineFate::kAlive && engine->lost_at <= engine->heard_at) {
     engine->lost_at = loss.ended;
   }
-  if (counts) losses.record(fingerprint, std::move(loss));
+  if (counts) {
+    losses.record(fingerprint, std::move(loss));
+  } else {
+    losses.withdraw(fingerprint, engine->record.id, attempt);
+  }
   state.metrics.engine_lost(balancing::name_of(fate));
   const auto count = losses.count(fingerprint, headers);
   state.log.event("engine_lost")
