Resumptions without an attempt: find the version by the request

Change: the version of a stream is copied to the holders of its request, not of its attempt, with the request's fingerprint. A resumption that names no attempt goes on at the version that all streams of its request began at, as far as this node and four peers know; where they began at several, it is refused. Only where nobody knows the request, the list of engines decides as before. No message more for a stream. This also holds where the list of engines is late, since the version comes from the stream itself.

Tests: goes on at its request's version beside another one, finds it at a peer, is refused where its request began at several.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -132,6 +132,13 @@
   2: string version
   /** Asks for the only version that this service has had for as long as streams can be resumed. */
   3: optional string service_name
+  /** Fingerprint of the request, the same for all attempts of its caller. */
+  4: optional string request
+}
+
+/** Versions of the streams of one request; the answer where a question names no attempt. */
+struct StreamVersions {
+  1: list<string> versions
 }
 
 struct TurnEvent {
--- a/src/cluster/stream_origins.hpp
+++ b/src/cluster/stream_origins.hpp
@@ -1,14 +1,17 @@
 /// @file Which software version began a stream, known wherever its caller may resume it.
 ///
 /// What engines of two software versions write does not fit together, and engines do not check it.
-/// A caller resumes a broken stream at any node and names the attempt that brought the first event.
-/// The node that served that attempt may have been restarted since or be out of reach.
+/// A caller resumes a broken stream at any node. It may name the attempt that brought the first
+/// event; else its request tells. The node that served it may have been restarted since or be out
+/// of reach.
 #pragma once
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -23,7 +26,7 @@
 namespace sailgate::cluster {
 
 /// Keeps the versions of streams that began lately: those of this node, and copies for others. A
-/// stream's version is copied to the first live peers in the rendezvous order of its attempt, so
+/// stream's version is copied to the first live peers in the rendezvous order of its request, so
 /// that any node knows whom to ask. Not thread-safe.
 class StreamOrigins {
  public:
@@ -42,12 +45,20 @@
   /// Longer than callers return to a stream.
   static constexpr net::Millis kRetention{std::chrono::seconds(30)};
 
-  /// Records the version of the engine whose event is about to be the first of the attempt.
-  void record(const std::string& attempt, const std::string& version);
+  /// A stream by its request, and by the attempt that brought its first event.
+  struct Stream {
+    std::string request;  ///< fingerprint
+    std::string attempt;
+  };
+
+  /// Records the version of the engine whose event is about to be the first of the stream.
+  void record(const Stream& stream, const std::string& version);
   /// Looks the version up here and then at the peers that keep copies.
   /// @return nullopt if none of those that answer knows it.
-  net::asio::awaitable<std::optional<std::string>> find(std::string attempt,
-                                                        net::TimePoint deadline);
+  net::asio::awaitable<std::optional<std::string>> find(Stream stream, net::TimePoint deadline);
+  /// Versions of all streams of the request, as far as this node and those peers that answer know.
+  net::asio::awaitable<std::set<std::string>> find_all(std::string request,
+                                                       net::TimePoint deadline);
   /// Asks peers that may have followed the list of engines for longer than this node.
   /// @return nullopt if none of those that answer can tell.
   net::asio::awaitable<std::optional<std::string>> find_only(std::string service,
@@ -62,17 +73,25 @@
  private:
   using Client = std::shared_ptr<net::HttpClient>;
   struct Entry {
-    std::string attempt;
+    Stream stream;
+    std::string version;
     net::TimePoint kept_until{};
   };
 
-  void keep(const std::string& attempt, const std::string& version);
-  /// The live peers that keep copies for the attempt, in their common order.
-  std::vector<Client> holders(const std::string& attempt, std::size_t count);
+  void keep(const Stream& stream, const std::string& version);
+  void drop_oldest();
+  /// The live peers that keep copies for the request, in their common order.
+  std::vector<Client> holders(const std::string& request, std::size_t count);
   net::asio::awaitable<void> copy_to(Client holder, std::string body);
-  net::asio::awaitable<std::optional<std::string>> ask(Client holder, wire::StreamOrigin question,
+  /// @return body of the answer; nullopt if there is none.
+  net::asio::awaitable<std::optional<std::string>> ask(Client holder, const char* path,
+                                                       wire::StreamOrigin question,
                                                        net::TimePoint deadline);
+  net::asio::awaitable<std::optional<std::string>> ask_version(Client holder,
+                                                               wire::StreamOrigin question,
+                                                               net::TimePoint deadline);
   std::optional<std::string> answer(const wire::StreamOrigin& question) const;
+  std::set<std::string> versions_of(const std::string& request) const;
 
   net::asio::io_context& context_;
   PeerDirectory& directory_;
@@ -80,6 +99,8 @@
   const BeaconSender& beacons_;
   OnlyVersion only_version_;
   std::unordered_map<std::string, std::string> versions_;  ///< by attempt
+  /// Number of streams by request and version.
+  std::unordered_map<std::string, std::map<std::string, int>> by_request_;
   std::deque<Entry> by_age_;
 };
 
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -80,8 +80,10 @@
   if (description.resumed_attempt.empty()) {
     call_.required_version = co_await find_only_version();
   } else {
-    const auto attempt = call_.key_of(description.resumed_attempt);
-    call_.required_version = co_await state_.stream_origins.find(attempt.text(), call_.deadline);
+    cluster::StreamOrigins::Stream stream;
+    stream.request = request_fingerprint(call_);
+    stream.attempt = call_.key_of(description.resumed_attempt).text();
+    call_.required_version = co_await state_.stream_origins.find(std::move(stream), call_.deadline);
   }
   const bool known = call_.required_version.has_value();
   state_.metrics.resumption(known);
@@ -96,6 +98,10 @@
 }
 
 net::asio::awaitable<std::optional<std::string>> StreamCall::find_only_version() {
+  const auto begun =
+      co_await state_.stream_origins.find_all(request_fingerprint(call_), call_.deadline);
+  if (begun.size() == 1) co_return *begun.begin();
+  if (!begun.empty()) co_return std::nullopt;
   const auto now = net::Clock::now();
   state_.detect_stall(now);
   if (const auto version = state_.lasting_version(call_.service)) co_return version;
@@ -171,7 +177,10 @@
   call_.required_version = version;
   origin_known_ = version_known(version);
   if (!call_.route->resumable || !origin_known_) return;
-  state_.stream_origins.record(call_.key_of(call_.description.request_id).text(), version);
+  cluster::StreamOrigins::Stream stream;
+  stream.request = request_fingerprint(call_);
+  stream.attempt = call_.key_of(call_.description.request_id).text();
+  state_.stream_origins.record(stream, version);
 }
 
 cluster::TurnRequest StreamCall::turn_request() const {
--- a/src/serving/stream_call.hpp
+++ b/src/serving/stream_call.hpp
@@ -37,8 +37,8 @@
   /// the turn that is kept.
   /// @return nullopt: they are known, or none are needed.
   net::asio::awaitable<std::optional<CallEnd>> restore_events();
-  /// The version of a stream whose caller names no attempt: the only one of the service since any
-  /// stream may have begun that is resumed now.
+  /// The version of a stream whose caller names no attempt: the one at which its request began. If
+  /// nobody knows, the only one of the service since any stream may have begun that is resumed now.
   net::asio::awaitable<std::optional<std::string>> find_only_version();
   /// Makes the events known to the nodes where the caller may resume the turn.
   void share_events(const std::vector<StreamEvent>& events);
--- a/tests/serving/stream_versions_test.cpp
+++ b/tests/serving/stream_versions_test.cpp
@@ -158,6 +158,52 @@
   REQUIRE(engine.requests().empty());
 }
 
+TEST_CASE_METHOD(Fixture, "a resumption that names no attempt goes on at its request's version",
+                 "[serving]") {
+  add_engine("e-1", engine, "v1");
+  start_with_engines();
+  REQUIRE_FALSE(ask_stream("r-1").whole);
+  add_engine("e-2", other, "v2");
+  add_engine("e-3", third, "v1");
+  await_engines(3);
+  remove_engine("e-1");
+  REQUIRE(ask_stream("r-2", "Last-Event-Id: 2\r\n").whole);
+  REQUIRE(other.requests().empty());
+}
+
+TEST_CASE_METHOD(Fixture, "a resumption whose request began at several versions is refused",
+                 "[serving]") {
+  add_engine("e-1", engine, "v1");
+  start_with_engines();
+  REQUIRE_FALSE(ask_stream("r-1").whole);
+  add_engine("e-2", other, "v2");
+  await_engines(2);
+  remove_engine("e-1");
+  REQUIRE_FALSE(ask_stream("r-2").whole);
+  const auto sent = other.requests().size();
+  REQUIRE(ask_stream("r-3", "Last-Event-Id: 2\r\n").status == 503);
+  REQUIRE(other.requests().size() == sent);
+}
+
+TEST_CASE_METHOD(Fixture, "a resumption without an attempt finds its request's version at a peer",
+                 "[serving]") {
+  add_engine("e-1", engine, "v1");
+  start_with_engines();
+  const auto second = start_second_node();
+  REQUIRE_FALSE(ask_stream("r-1").whole);
+  context.restart();
+  context.run_for(kTimeToSpread);
+  add_engine("e-2", other, "v2");
+  add_engine("e-3", third, "v1");
+  table.remove("servers", "", "e-1");
+  run_until(context, [&] {
+    return second->state().engines.size() == 2 && second->state().engines.at("e-1") == nullptr;
+  });
+  settings.callers = second->state().settings.callers;
+  REQUIRE(ask_stream("r-2", "Last-Event-Id: 2\r\n").whole);
+  REQUIRE(other.requests().empty());
+}
+
 TEST_CASE_METHOD(Fixture,
                  "a resumption that names no attempt goes on where one version has served for long",
                  "[serving]") {
