--- a/src/balancing/loss_history.cpp
+++ b/src/balancing/loss_history.cpp
@@ -57,7 +57,9 @@
   if (sent == losses_.end() || !sent->running) return;
   sent->running = false;
   sent->fate = EngineFate::kAlive;
-  sent->looked_at = sent->settles_at();
+  sent->looked_at = sent->began;
+  // So that it has settled, also where peers round the times.
+  sent->ended = sent->began - 2 * EngineLoss::kSettleTime;
 }
 
 bool LossHistory::follows(const EngineLoss& loss, const EngineLoss& before) {
@@ -102,13 +104,17 @@
 
 int LossHistory::engines_in_sequence(const Filter& counts) const {
   std::set<std::string> engines;
+  std::set<std::string> ended;
   const EngineLoss* before = nullptr;
   // Choosing the earliest end among the runs that do not overlap gives the longest sequence.
   for (const auto& loss : losses_) {
     if (is_cleared(loss) || !counts(loss)) continue;
     const bool overlaps = loss.shared && before != nullptr && !follows(loss, *before);
     if (overlaps) continue;
-    engines.insert(loss.engine);
+    // A run that had ended before was another process, whose entry its node had not read yet.
+    const bool restarted = ended.count(loss.engine) > 0;
+    engines.insert(restarted ? loss.engine + ' ' + loss.attempt : loss.engine);
+    if (loss.fate == EngineFate::kEnded) ended.insert(loss.engine);
     before = &loss;
   }
   return static_cast<int>(engines.size());
--- a/src/cluster/request_losses.cpp
+++ b/src/cluster/request_losses.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t kParallelCalls = 64;
 /// Nodes that were frozen or cut off for this long still learn of a quarantine.
 constexpr net::Millis kAnnounceFor{std::chrono::seconds(10)};
+constexpr net::Millis kFirstAnnouncePause{20};
 constexpr net::Millis kAnnouncePause{500};
 constexpr net::Millis kCatchUpFor{std::chrono::seconds(10)};
 constexpr net::Millis kCatchUpPause{100};
@@ -285,8 +286,10 @@
 net::asio::awaitable<void> RequestLosses::repeat_announcement(std::string fingerprint,
                                                               std::vector<std::string> told) {
   const auto limit = net::Clock::now() + kAnnounceFor;
+  auto pause = kFirstAnnouncePause;
   while (net::Clock::now() < limit) {
-    co_await net::sleep_for(context_, kAnnouncePause);
+    co_await net::sleep_for(context_, pause);
+    pause = std::min(2 * pause, kAnnouncePause);
     // Processes that started meanwhile may have asked before the announcement.
     auto missed = untold(told, false);
     if (!knows(fingerprint)) co_return;
@@ -300,11 +303,10 @@
 net::asio::awaitable<void> RequestLosses::catch_up() {
   const auto limit = net::Clock::now() + kCatchUpFor;
   while (net::Clock::now() < limit) {
-    co_await net::sleep_for(context_, kCatchUpPause);
     auto asked = holders(directory_.self());
-    if (asked.empty()) continue;
     const auto answered = co_await call_all(std::move(asked), kQuarantinePath, std::string());
     if (!answered.empty()) co_return;
+    co_await net::sleep_for(context_, kCatchUpPause);
   }
 }
 
--- a/src/cluster/request_losses.hpp
+++ b/src/cluster/request_losses.hpp
@@ -65,7 +65,7 @@
   /// Synchronizes after a loss was recorded here, and announces the request to all nodes when no
   /// further engine may get it, for good or until open losses settle. @return as synchronize().
   net::asio::awaitable<bool> publish(std::string fingerprint);
-  /// After a start: learns from peers which requests are quarantined.
+  /// After a start or a standstill: learns from peers which requests are quarantined.
   net::asio::awaitable<void> catch_up();
   /// Forgets requests that were not heard of for the retention period.
   void expire(net::TimePoint now);
--- a/tests/balancing/loss_history_test.cpp
+++ b/tests/balancing/loss_history_test.cpp
@@ -131,6 +131,26 @@
   }
 }
 
+TEST_CASE("a run that was withdrawn counts nowhere, whoever hears of it", "[balancing]") {
+  auto sent = loss("e1", 0, 0, EngineFate::kUnknown);
+  sent.running = true;
+  auto here = history_of({sent});
+  here.withdraw("e1", "a");
+  REQUIRE(count(here) == 0);
+  auto elsewhere = history_of({sent});
+  auto told = here.losses().front();
+  told.looked_at -= net::Millis(1);
+  elsewhere.add(told);
+  REQUIRE(count(elsewhere) == 0);
+}
+
+TEST_CASE("a run that had ended before was another process of its engine", "[balancing]") {
+  const auto history =
+      history_of({loss("e1", 0, 10), loss("e2", 20, 30),
+                  loss("e1", 400, 410, EngineFate::kEnded, "b"), loss("e3", 420, 430)});
+  REQUIRE(count(history) == 4);
+}
+
 TEST_CASE("after three engines survived, a request goes to one at a time", "[balancing]") {
   LossHistory history;
   for (int i = 0; i < 3; ++i) {
