--- a/src/cluster/request_losses.cpp
+++ b/src/cluster/request_losses.cpp
@@ -26,7 +26,6 @@
 constexpr net::Millis kFirstAnnouncePause{20};
 constexpr net::Millis kAnnouncePause{500};
 constexpr net::Millis kCatchUpFor{std::chrono::seconds(10)};
-constexpr net::Millis kCatchUpPause{100};
 
 std::int32_t age(net::TimePoint at, net::TimePoint now) {
   const auto passed = std::chrono::duration_cast<net::Millis>(now - at);
@@ -300,8 +299,9 @@
   }
 }
 
-net::asio::awaitable<void> RequestLosses::catch_up() {
+net::asio::awaitable<void> RequestLosses::catch_up(net::Millis delay) {
   const auto limit = net::Clock::now() + kCatchUpFor;
+  if (delay.count() > 0) co_await net::sleep_for(context_, delay);
   while (net::Clock::now() < limit) {
     auto asked = holders(directory_.self());
     const auto answered = co_await call_all(std::move(asked), kQuarantinePath, std::string());
--- a/src/cluster/request_losses.hpp
+++ b/src/cluster/request_losses.hpp
@@ -66,7 +66,9 @@
   /// further engine may get it, for good or until open losses settle. @return as synchronize().
   net::asio::awaitable<bool> publish(std::string fingerprint);
   /// After a start or a standstill: learns from peers which requests are quarantined.
-  net::asio::awaitable<void> catch_up();
+  /// @param delay of the first question; right after a start, peers are not known yet.
+  net::asio::awaitable<void> catch_up(net::Millis delay);
+  static constexpr net::Millis kCatchUpPause{100};
   /// Forgets requests that were not heard of for the retention period.
   void expire(net::TimePoint now);
 
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -116,7 +116,9 @@
   net::asio::co_spawn(context_, maintain(), net::asio::detached);
   net::asio::co_spawn(context_, state_.sweeper.run(), net::asio::detached);
   if (state_.settings.mechanisms.quarantine) {
-    net::asio::co_spawn(context_, state_.request_losses.catch_up(), net::asio::detached);
+    net::asio::co_spawn(context_,
+                        state_.request_losses.catch_up(cluster::RequestLosses::kCatchUpPause),
+                        net::asio::detached);
   }
   if (state_.settings.mechanisms.escrow) {
     state_.ledger.escrow.enable(escrow_peers());
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -158,7 +158,7 @@
       peers.note_stall(since, now, beacons.silence_limit());
       engines.restart_observation(now);
       if (settings.mechanisms.quarantine) {
-        net::asio::co_spawn(context, request_losses.catch_up(), net::asio::detached);
+        net::asio::co_spawn(context, request_losses.catch_up(net::Millis(0)), net::asio::detached);
       }
       log.event("stood_still")
           .with("for_ms", std::chrono::duration_cast<net::Millis>(now - since).count());
