Registry: bound the runs whose entries are gone

A run that left before a newer one took its place was never forgotten (a leak of one text for each restart after a lapse), and when too many engines had left, the time of the newest was dropped in place of the oldest. Runs that were superseded had a bounded list beside it: both now use RecentRuns, which drops the run that was added first.

--- a/src/balancing/engine_registry.cpp
+++ b/src/balancing/engine_registry.cpp
@@ -47,7 +47,7 @@
   for (auto& record : lasting) {
     ended_runs_.erase(record.id);
     // By its start the run before looks newer; this marks its late records as outdated.
-    remember_ended(newest_runs_[record.entry_key()].id);
+    ended_runs_.add(newest_runs_[record.entry_key()].id, now);
     apply(std::move(record));
   }
 }
@@ -129,16 +129,8 @@
   return version;
 }
 
-void EngineRegistry::remember_ended(const std::string& id) {
-  if (!ended_runs_.emplace(id, net::Clock::now()).second) return;
-  ended_runs_fifo_.push_back(id);
-  if (ended_runs_fifo_.size() <= kMaxEndedRuns) return;
-  ended_runs_.erase(ended_runs_fifo_.front());
-  ended_runs_fifo_.pop_front();
-}
-
 void EngineRegistry::end_run(const EnginePointer& engine) {
-  remember_ended(engine->record.id);
+  ended_runs_.add(engine->record.id, net::Clock::now());
   detach(engine);
 }
 
@@ -148,21 +140,13 @@
   const auto engine = at(entry_key);
   if (engine == nullptr) return;
   detach(engine);
-  removed_runs_[engine->record.id] = net::Clock::now();
+  removed_runs_.add(engine->record.id, net::Clock::now());
   left_fifo_.push_back(entry_key);
   if (left_fifo_.size() <= kMaxEndedRuns) return;
-  forget_removed(left_fifo_.front());
+  if (at(left_fifo_.front()) == nullptr) newest_runs_.erase(left_fifo_.front());
   left_fifo_.pop_front();
 }
 
-void EngineRegistry::forget_removed(const std::string& entry_key) {
-  if (at(entry_key) != nullptr) return;
-  const auto newest = newest_runs_.find(entry_key);
-  if (newest == newest_runs_.end()) return;
-  removed_runs_.erase(newest->second.id);
-  newest_runs_.erase(newest);
-}
-
 void EngineRegistry::mark_stale(const std::string& entry_key) {
   outdated_.erase(entry_key);
   if (by_entry_key_.count(entry_key) > 0) stale_.insert(entry_key);
@@ -200,11 +184,8 @@
 }
 
 std::optional<net::TimePoint> EngineRegistry::gone_at(const std::string& id) const {
-  const auto ended = ended_runs_.find(id);
-  if (ended != ended_runs_.end()) return ended->second;
-  const auto removed = removed_runs_.find(id);
-  if (removed != removed_runs_.end()) return removed->second;
-  return std::nullopt;
+  const auto ended = ended_runs_.time_of(id);
+  return ended ? ended : removed_runs_.time_of(id);
 }
 
 EnginePointer EngineRegistry::find(const std::string& id) const {
--- a/src/balancing/engine_registry.hpp
+++ b/src/balancing/engine_registry.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "balancing/engine.hpp"
+#include "balancing/recent_runs.hpp"
 
 namespace sailgate::balancing {
 
@@ -55,7 +56,7 @@
   /// @return the latest run for this entry key; nullptr if there is none.
   EnginePointer at(const std::string& entry_key) const;
   /// Whether the run was superseded by a newer one; it has lost its cache and its requests.
-  bool has_ended(const std::string& id) const { return ended_runs_.count(id) > 0; }
+  bool has_ended(const std::string& id) const { return ended_runs_.contains(id); }
   /// When this node learned that a newer run superseded this one, or that its entry is gone;
   /// nullopt if it is listed or was never known.
   std::optional<net::TimePoint> gone_at(const std::string& id) const;
@@ -116,12 +117,9 @@
   void apply(EngineRecord record);
   /// Records that an engine of this service and version is no longer in the list.
   void record_departure(const EngineRecord& record);
-  void remember_ended(const std::string& id);
   void end_run(const EnginePointer& engine);
   void add(EngineRecord record);
   void detach(const EnginePointer& engine);
-  /// Forgets an engine that left long ago.
-  void forget_removed(const std::string& entry_key);
 
   std::unordered_map<std::string, EnginePointer> by_entry_key_;
   std::unordered_map<std::string, EnginePointer> by_id_;
@@ -129,17 +127,16 @@
   std::unordered_map<std::string, std::vector<EnginePointer>> by_zone_;
   std::uint64_t membership_version_ = 0;
   std::optional<net::TimePoint> observed_since_;
-  std::unordered_map<std::string, net::TimePoint> ended_runs_;  ///< with the time of notice
-  std::deque<std::string> ended_runs_fifo_;
+  RecentRuns ended_runs_{kMaxEndedRuns};    ///< superseded by newer ones, with the time of notice
+  RecentRuns removed_runs_{kMaxEndedRuns};  ///< whose entries are gone, with the time of notice
   std::unordered_map<std::string, std::vector<EnginePointer>> by_service_;
   /// By service and software version: when its last engine left that did.
   std::unordered_map<std::string, std::map<std::string, net::TimePoint>> left_at_;
   std::unordered_set<std::string> stale_;
   /// By entry key: the newest run, also of engines that left lately.
   std::unordered_map<std::string, Run> newest_runs_;
-  std::deque<std::string> left_fifo_;                             ///< entry keys
-  std::unordered_map<std::string, net::TimePoint> removed_runs_;  ///< by id; time of notice
-  std::unordered_map<std::string, OutdatedRecord> outdated_;      ///< by entry key
+  std::deque<std::string> left_fifo_;                         ///< entry keys
+  std::unordered_map<std::string, OutdatedRecord> outdated_;  ///< by entry key
   std::function<void(const Engine&)> on_unusable_;
   std::function<void(const Engine&, const EngineRecord&)> on_restart_;
   std::function<void(const EngineRecord&, const std::string&)> on_outdated_;
