Losses: keep the order when a run is withdrawn, tell peers and the log only what is new

A withdrawn run changed its end in place, though losses are sorted by it and counted in that order; it now goes through add() like any other news. Peers were told after each refused or failed offer of a suspect, also where nothing had been recorded for it, and the count was computed for that; losses_cleared was logged with each success of a request for ten minutes after one lost exchange. Both now happen only where something changes.

--- a/src/balancing/loss_history.cpp
+++ b/src/balancing/loss_history.cpp
@@ -52,14 +52,17 @@
   });
 }
 
-void LossHistory::withdraw(const std::string& engine, const std::string& attempt) {
+bool LossHistory::withdraw(const std::string& engine, const std::string& attempt) {
   const auto sent = find(engine, attempt);
-  if (sent == losses_.end() || !sent->running) return;
-  sent->running = false;
-  sent->fate = EngineFate::kAlive;
-  sent->looked_at = sent->began;
+  if (sent == losses_.end() || !sent->running) return false;
+  auto withdrawn = *sent;
+  withdrawn.running = false;
+  withdrawn.fate = EngineFate::kAlive;
+  withdrawn.looked_at = withdrawn.began;
   // So that it has settled, also where peers round the times.
-  sent->ended = sent->began - 2 * EngineLoss::kSettleTime;
+  withdrawn.ended = withdrawn.began - 2 * EngineLoss::kSettleTime;
+  add(std::move(withdrawn));
+  return true;
 }
 
 bool LossHistory::follows(const EngineLoss& loss, const EngineLoss& before) {
@@ -79,12 +82,17 @@
   losses_.erase(losses_.begin());
 }
 
-void LossHistory::record_success(const std::string& headers, net::TimePoint began) {
+bool LossHistory::record_success(const std::string& headers, net::TimePoint began) {
+  const bool clears = std::any_of(losses_.begin(), losses_.end(), [&](const auto& loss) {
+    return loss.headers == headers && loss.began < began && !is_cleared(loss);
+  });
   auto& succeeded_at = succeeded_at_[headers];
   succeeded_at = std::max(succeeded_at, began);
-  if (succeeded_at_.size() <= kMaxSuccesses) return;
-  const auto earlier = [](const auto& a, const auto& b) { return a.second < b.second; };
-  succeeded_at_.erase(std::min_element(succeeded_at_.begin(), succeeded_at_.end(), earlier));
+  if (succeeded_at_.size() > kMaxSuccesses) {
+    const auto earlier = [](const auto& a, const auto& b) { return a.second < b.second; };
+    succeeded_at_.erase(std::min_element(succeeded_at_.begin(), succeeded_at_.end(), earlier));
+  }
+  return clears;
 }
 
 bool LossHistory::is_cleared(const EngineLoss& loss) const {
--- a/src/balancing/loss_history.hpp
+++ b/src/balancing/loss_history.hpp
@@ -46,10 +46,12 @@
   /// report took, so the earliest count; an end is final, otherwise the later look counts.
   void add(EngineLoss loss);
   /// The engine did not run the request that a running loss was recorded for.
-  void withdraw(const std::string& engine, const std::string& attempt);
+  /// @return whether there is such a loss.
+  bool withdraw(const std::string& engine, const std::string& attempt);
   /// A run with these headers that began at this time brought a whole response: the request does
   /// not end engines, and those that were lost under earlier runs ended for other reasons.
-  void record_success(const std::string& headers, net::TimePoint began);
+  /// @return whether it clears a loss.
+  bool record_success(const std::string& headers, net::TimePoint began);
 
   /// Of a shared request, losses whose runs overlap count once: one caller's attempts follow one
   /// another, while a crash of many engines breaks many runs of a popular request at once. For each
--- a/src/cluster/request_losses.cpp
+++ b/src/cluster/request_losses.cpp
@@ -79,16 +79,16 @@
   touch(fingerprint).history.add(std::move(loss));
 }
 
-void RequestLosses::withdraw(const std::string& fingerprint, const std::string& engine,
+bool RequestLosses::withdraw(const std::string& fingerprint, const std::string& engine,
                              const std::string& attempt) {
-  if (knows(fingerprint)) touch(fingerprint).history.withdraw(engine, attempt);
+  return knows(fingerprint) && touch(fingerprint).history.withdraw(engine, attempt);
 }
 
 void RequestLosses::record_success(const std::string& fingerprint, const std::string& headers,
                                    net::TimePoint began) {
   if (!knows(fingerprint)) return;
+  if (!touch(fingerprint).history.record_success(headers, began)) return;
   log_.event("losses_cleared").with("fingerprint", fingerprint).with("headers", headers);
-  touch(fingerprint).history.record_success(headers, began);
 }
 
 balancing::LossCount RequestLosses::count(const std::string& fingerprint,
--- a/src/cluster/request_losses.hpp
+++ b/src/cluster/request_losses.hpp
@@ -41,7 +41,8 @@
 
   void record(const std::string& fingerprint, balancing::EngineLoss loss);
   /// The engine did not run the request that a running loss was recorded for.
-  void withdraw(const std::string& fingerprint, const std::string& engine,
+  /// @return whether there is such a loss.
+  bool withdraw(const std::string& fingerprint, const std::string& engine,
                 const std::string& attempt);
   /// A run with these headers that began at this time brought a whole response. Without effect for
   /// requests that are not known here.
--- a/src/serving/loss_reporter.cpp
+++ b/src/serving/loss_reporter.cpp
@@ -120,11 +120,13 @@
 }
 
 void LossReporter::withdraw_send(Call& call, const balancing::Engine& engine) {
-  if (!is_suspect(call)) return;
+  auto& losses = state_.request_losses;
+  if (losses.empty()) return;
   const auto& fingerprint = request_fingerprint(call);
   const auto attempt = call.key_of(call.description.request_id).text();
-  state_.request_losses.withdraw(fingerprint, engine.record.id, attempt);
-  synchronize_in_background(fingerprint);
+  if (losses.withdraw(fingerprint, engine.record.id, attempt)) {
+    synchronize_in_background(fingerprint);
+  }
 }
 
 net::asio::awaitable<bool> LossReporter::report(Call& call, const EngineExchange& exchange) {
