Streams and memory: one place each for what two had written

- find_only_version asked for the only version twice, once through lasting_version; one question and one look at how long the list was seen.
- Responses that are given up were logged in two places and, for streams that another response's growth ended, not at all: hold_bytes accounts and logs.
- succeeded_ms of RequestLosses is no longer written nor read: removed.

--- a/idl/cluster.thrift
+++ b/idl/cluster.thrift
@@ -198,8 +198,6 @@
   /** The same for all attempts of its caller. */
   1: string fingerprint
   2: list<EngineLoss> losses
-  /** Since the start of the last run that brought a whole response, whatever its headers. */
-  3: optional i32 succeeded_ms
   /** The last one for each set of headers. */
   4: optional list<RequestSuccess> successes
 }
--- a/src/balancing/engine_registry.hpp
+++ b/src/balancing/engine_registry.hpp
@@ -68,8 +68,10 @@
   /// had; nullopt if there are several, or no engine.
   std::optional<std::string> sole_software_version(const std::string& service,
                                                    net::TimePoint since) const;
-  /// Since when this node has seen every change of the list; nullopt before the first list.
-  std::optional<net::TimePoint> observed_since() const { return observed_since_; }
+  /// Whether this node has seen every change of the list since then.
+  bool observed_all_since(net::TimePoint time) const {
+    return observed_since_ && *observed_since_ <= time;
+  }
   /// Changes of the list may have been missed, or are late.
   void restart_observation(net::TimePoint now) { observed_since_ = now; }
   std::vector<EnginePointer> all() const;
@@ -126,7 +128,7 @@
   std::unordered_multimap<std::int32_t, EnginePointer> by_key_;
   std::unordered_map<std::string, std::vector<EnginePointer>> by_zone_;
   std::uint64_t membership_version_ = 0;
-  std::optional<net::TimePoint> observed_since_;
+  std::optional<net::TimePoint> observed_since_;  ///< nullopt before the first list
   RecentRuns ended_runs_{kMaxEndedRuns};    ///< superseded by newer ones, with the time of notice
   RecentRuns removed_runs_{kMaxEndedRuns};  ///< whose entries are gone, with the time of notice
   std::unordered_map<std::string, std::vector<EnginePointer>> by_service_;
--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -89,11 +89,14 @@
       .with("why", exchange.failure());
 }
 
-void log_response_given_up(NodeState& state, const EngineExchange& exchange, std::size_t bytes) {
+bool hold_bytes(NodeState& state, const EngineExchange& exchange, ResponseMemory::Share& memory,
+                std::size_t bytes) {
+  if (memory.resize(bytes)) return true;
   state.log.event("response_given_up")
       .with("engine", exchange.engine().record.id)
       .with("bytes", bytes)
       .with("all_bytes", state.response_memory->bytes());
+  return false;
 }
 
 net::asio::awaitable<ReadOutcome> read_body(NodeState& state, EngineExchange& exchange,
@@ -101,9 +104,7 @@
   auto outcome = ReadOutcome::kData;
   while (outcome == ReadOutcome::kData) {
     outcome = co_await exchange.read_some(body);
-    if (memory.resize(body.size())) continue;
-    log_response_given_up(state, exchange, body.size());
-    co_return ReadOutcome::kBroken;
+    if (!hold_bytes(state, exchange, memory, body.size())) co_return ReadOutcome::kBroken;
   }
   memory.complete();
   co_return outcome;
--- a/src/serving/dispatcher.hpp
+++ b/src/serving/dispatcher.hpp
@@ -84,8 +84,10 @@
 net::asio::awaitable<ReadOutcome> read_body(NodeState& state, EngineExchange& exchange,
                                             ResponseMemory::Share& memory, std::string& body);
 
-/// Logs that a response was given up to bound the memory.
-void log_response_given_up(NodeState& state, const EngineExchange& exchange, std::size_t bytes);
+/// Accounts for bytes of a response that are held. @return false: the response is given up, which
+/// is logged.
+bool hold_bytes(NodeState& state, const EngineExchange& exchange, ResponseMemory::Share& memory,
+                std::size_t bytes);
 
 /// Records that an exchange broke after the request was sent. After a connection reset the engine
 /// may still be working on the attempt; after any other error it is not.
--- a/src/serving/node_state.hpp
+++ b/src/serving/node_state.hpp
@@ -145,8 +145,7 @@
   /// resumed; nullopt if there were several, or if this node has not seen all of that time.
   std::optional<std::string> lasting_version(const std::string& service) const {
     const auto since = net::Clock::now() - cluster::StreamOrigins::kRetention;
-    const auto observed_since = engines.observed_since();
-    if (!observed_since || *observed_since > since) return std::nullopt;
+    if (!engines.observed_all_since(since)) return std::nullopt;
     return engines.sole_software_version(service, since);
   }
 
--- a/src/serving/stream_call.cpp
+++ b/src/serving/stream_call.cpp
@@ -104,12 +104,10 @@
   if (!begun.empty()) co_return std::nullopt;
   const auto now = net::Clock::now();
   state_.detect_stall(now);
-  if (const auto version = state_.lasting_version(call_.service)) co_return version;
   const auto since = now - cluster::StreamOrigins::kRetention;
   const auto seen = state_.engines.sole_software_version(call_.service, since);
-  if (!seen) co_return std::nullopt;
-  const bool reports_versions = !seen->empty();
-  if (!reports_versions) co_return seen;
+  const bool reports_versions = seen && !seen->empty();
+  if (!reports_versions || state_.engines.observed_all_since(since)) co_return seen;
   // Engines of another version may have left before this node saw the list.
   const auto lasting = co_await state_.stream_origins.find_only(call_.service, call_.deadline);
   co_return lasting == seen ? lasting : std::nullopt;
@@ -452,7 +450,9 @@
   while (true) {
     bytes.clear();
     const auto outcome = co_await exchange.read_some(bytes);
-    if (memory.given_up()) co_return RelayOutcome::kBroken;
+    auto events = scanner.feed(bytes);
+    const auto held = scanner.partial_bytes() + output_.size();
+    if (!hold_bytes(state_, exchange, memory, held)) co_return RelayOutcome::kBroken;
     if (outcome == ReadOutcome::kEnd) {
       if (!resumed && !scanner.has_partial_event()) record_timings(exchange, timing);
       co_return scanner.has_partial_event() ? RelayOutcome::kBroken : RelayOutcome::kComplete;
@@ -460,11 +460,6 @@
     if (outcome == ReadOutcome::kTimedOut) co_return RelayOutcome::kTimedOut;
     if (outcome == ReadOutcome::kAborted) co_return RelayOutcome::kCallerGone;
     if (outcome == ReadOutcome::kBroken) co_return RelayOutcome::kBroken;
-    auto events = scanner.feed(bytes);
-    if (!memory.resize(scanner.partial_bytes() + output_.size())) {
-      log_response_given_up(state_, exchange, scanner.partial_bytes() + output_.size());
-      co_return RelayOutcome::kBroken;
-    }
     if (events.empty()) continue;
     if (exceeds_reservation(events.size())) co_return RelayOutcome::kReservationSpent;
     timing.record_events(events.size(), net::Clock::now());
