--- a/review/lab-2.hpp
+++ b/review/lab-2.hpp
@@ -16,6 +16,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -27,6 +28,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <thread>
 #include <tuple>
@@ -359,12 +361,12 @@
     erase({table, "", key});
     changed_.notify_all();
   }
-  std::size_t count(const std::string& table) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    std::size_t found = 0;
-    for (const auto& [id, row] : rows_) found += std::get<0>(id) == table ? 1 : 0;
-    return found;
+  /// While the store is down it answers 503 to all calls: nothing was done.
+  void set_down(bool down) {
+    down_ = down;
+    changed_.notify_all();
   }
+  bool down() const { return down_; }
 
  private:
   using Id = std::tuple<std::string, std::string, std::string>;
@@ -461,7 +463,7 @@
       }
       return !rows.empty();
     };
-    while (!find() && changed_.wait_until(lock, until) == std::cv_status::no_timeout) {
+    while (!find() && !down_ && changed_.wait_until(lock, until) == std::cv_status::no_timeout) {
     }
     answer["rows"] = rows;
     answer["ver"] = version_;
@@ -477,9 +479,13 @@
       try {
         const auto target = request.target();
         const auto path = target.substr(0, target.find('?'));
-        if (path == "/sailgate/rows-tx") status = transact(Json::parse(request.body), answer);
-        if (path == "/sailgate/rows-get") status = get(query_of(target), answer);
-        if (path == "/sailgate/rows-feed") status = feed(query_of(target), answer);
+        if (down_) {
+          status = 503;
+        } else if (path == "/sailgate/rows-tx") {
+          status = transact(Json::parse(request.body), answer);
+        }
+        if (!down_ && path == "/sailgate/rows-get") status = get(query_of(target), answer);
+        if (!down_ && path == "/sailgate/rows-feed") status = feed(query_of(target), answer);
       } catch (const std::exception&) {
         status = 400;
       }
@@ -496,6 +502,7 @@
   std::map<Id, Row> rows_;
   std::vector<Change> changes_;
   long version_ = 1;
+  std::atomic<bool> down_{false};
   Server server_;
 };
 
