Review case 8: a turn begun with too few tokens is cut while the store is away

Tried: programs of four turns within a budget of eight, while the store answers 503 for 4.5 s; a SIGHUP before; two gateways, one sound engine. Seen: the fourth turn of 8 of 8 programs is run and cut after 16 of 30 events. Found: while the store does not answer, a turn is begun with as little as half of its most.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.."
+[ -x target/review-2/case8 ] || exit 2
+exec timeout -s KILL 100 target/review-2/case8 "$here/record.txt"
