--- a/review/lab-2.hpp
+++ b/review/lab-2.hpp
@@ -1,5 +1,5 @@
-// Stand-ins and helpers of the review scripts of part two of the numbers (review/4 and on): a table
-// store, engines, callers and gateway processes, all on loopback addresses.
+// Stand-ins and helpers of the scripts in review/4 to review/8: a table store, engines, callers and
+// gateway processes, all on loopback addresses.
 //
 // Each simulated machine has an address of its own in 127.0.0.0/8, so that all nodes use the same
 // ports, as on the users' machines.
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -554,6 +555,7 @@
     if (::access(program, X_OK) != 0) cannot_run("target/bin/sailgate-gateway is not built");
     pid_ = ::fork();
     if (pid_ != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // also ends if the script is ended
     const int out = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(out, 1);
     ::dup2(out, 2);
