Tests: a stand-in engine does with a health reply what the reply asks for

The test "a health response whose head is cut is no sign of life" failed on x86-64 (8 cores) in 3 of 3 plays before this change: "the awaited state was not reached" at sizes 2, 3 and 7.

Cause: replies of a health script went another way than all others, write_without_end, which wrote an empty buffer again and again where the reply had nothing endless. close_after and hold were never looked at. The spinning stand-in used up the 200,000 events of run_until (122 to 218 ms of it seen here) about when the probe's limit of 100 ms passed, so the verdict hung on the machine's speed. Where the test passed, it passed through the probe's time limit: no close was ever played.

Change: one path for all replies (reply_to, then carry_out), so delay, close, hold, reset, end and endless mean the same for health checks; the endless writer is only entered with something to write. The stand-in counts the replies whose close it has done. The probe takes its time limit as an argument (100 ms by default, as before), and the test gives one of an hour: only the close can end the probe, and the count shows that it was done. No time is measured. The case that the old test played by accident, a health response that falls silent and is ended by the limit of 100 ms, is a test of its own.

Delays and the other ends of a process have no test of their own.

No fault of the product was seen.

--- a/src/serving/engine_probe.cpp
+++ b/src/serving/engine_probe.cpp
@@ -9,8 +9,6 @@
 namespace http = net::http;
 using balancing::EngineFate;
 
-/// A repeat of the request, or the caller's failure, waits for the answer.
-constexpr net::Millis kProbeTimeout{100};
 constexpr std::uint32_t kMaxAnswerBytes = 16U << 10U;
 /// Lifetime of the probe's connection in the pool.
 constexpr net::Millis kIdleTime{1000};
@@ -18,9 +16,9 @@
 }  // namespace
 
 net::asio::awaitable<EngineFate> probe_engine(NodeState& state, balancing::EnginePointer engine,
-                                              std::string health_path) {
+                                              std::string health_path, net::Millis timeout) {
   net::Error error;
-  const auto limit = net::Clock::now() + kProbeTimeout;
+  const auto limit = net::Clock::now() + timeout;
   auto connection = co_await state.connections.connect(*engine, limit, error);
   if (error == net::asio::error::connection_refused) co_return EngineFate::kEnded;
   if (connection == nullptr) co_return EngineFate::kUnknown;
--- a/tests/serving/cut_responses_test.cpp
+++ b/tests/serving/cut_responses_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <functional>
 #include <string>
 
@@ -12,11 +13,13 @@
 using test::GatewayFixture;
 using test::id_line;
 using test::run;
+using test::run_until;
 
 namespace {
 
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
+const std::string kHealthy = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 using Response = std::function<std::string(const net::TextRequest&)>;
 
@@ -93,6 +96,12 @@
     REQUIRE(ask(next_request("/unsafe/")).status == 200);
   }
 
+  balancing::EnginePointer listed_engine() {
+    const auto listed = gateway->state().engines.find("e-1");
+    REQUIRE(listed != nullptr);
+    return listed;
+  }
+
   static bool is_success(const test::CallerAnswer& answer) {
     return answer.whole && answer.status >= 200 && answer.status < 300;
   }
@@ -174,24 +183,41 @@
 }
 
 TEST_CASE_METHOD(Fixture, "a health response whose head is cut is no sign of life", "[serving]") {
-  const std::string healthy = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  // Longer than the test can wait, so that only the engine's close ends the probe.
+  constexpr net::Millis kNoTimeout = std::chrono::hours(1);
   start();
   std::size_t size = 0;
   engine.set_health_script([&](const auto&) {
-    EngineReply reply{healthy.substr(0, size)};
+    EngineReply reply{kHealthy.substr(0, size)};
     reply.close_after = true;
     return reply;
   });
-  auto& state = gateway->state();
-  const auto listed = state.engines.find("e-1");
-  REQUIRE(listed != nullptr);
-  for (; size < healthy.size(); ++size) {
+  const auto listed = listed_engine();
+  for (; size < kHealthy.size(); ++size) {
     CAPTURE(size);
-    const auto fate = run(context, serving::probe_engine(state, listed, "/healthz"));
+    const auto closes = engine.closed_after();
+    const auto fate =
+        run(context, serving::probe_engine(gateway->state(), listed, "/healthz", kNoTimeout));
     REQUIRE(fate == balancing::EngineFate::kUnknown);
+    REQUIRE(engine.closed_after() == closes + 1);
   }
 }
 
+TEST_CASE_METHOD(Fixture, "a health response that falls silent is no sign of life", "[serving]") {
+  const auto size = GENERATE(std::size_t{0}, kHealthy.find("\r\n\r\n"), kHealthy.size() - 1);
+  start();
+  engine.set_health_script([&](const auto&) {
+    EngineReply reply{kHealthy.substr(0, size)};
+    reply.hold = true;
+    return reply;
+  });
+  CAPTURE(size);
+  const auto fate =
+      run(context, serving::probe_engine(gateway->state(), listed_engine(), "/healthz"));
+  REQUIRE(fate == balancing::EngineFate::kUnknown);
+  run_until(context, [this] { return engine.abandoned() == 1; });
+}
+
 TEST_CASE_METHOD(Fixture, "a response of the store or of a peer that is cut is none", "[serving]") {
   const Shape shape = GENERATE(Shape{"length",
                                      [](const auto&) {
--- a/tests/support/fake_engine.cpp
+++ b/tests/support/fake_engine.cpp
@@ -12,6 +12,7 @@
 /// Time in which a peer on loopback reads what was sent to it.
 constexpr net::Millis kReadTime{50};
 const char* const kHealthPath = "/healthz";
+const char* const kHealthy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
 std::string chunk(const std::string& bytes) {
   char size[20];
@@ -101,7 +102,6 @@
 
 net::asio::awaitable<void> FakeEngine::write_without_end(Stream stream, EngineReply reply) {
   net::Error error;
-  co_await net::asio::async_write(*stream, net::asio::buffer(reply.bytes), net::awaiting(error));
   while (!error) {
     co_await net::asio::async_write(*stream, net::asio::buffer(reply.endless),
                                     net::awaiting(error));
@@ -123,56 +123,61 @@
   net::asio::co_spawn(context_, accept(), net::asio::detached);
 }
 
+EngineReply FakeEngine::reply_to(const net::TextRequest& request) {
+  if (request.target() == kHealthPath) {
+    return health_script_ ? health_script_(request) : EngineReply{kHealthy};
+  }
+  requests_.push_back(request);
+  return script_(request);
+}
+
+net::asio::awaitable<FakeEngine::Next> FakeEngine::carry_out(Stream stream, EngineReply reply) {
+  net::Error error;
+  if (reply.delay.count() > 0) co_await net::sleep_for(context_, reply.delay);
+  co_await net::asio::async_write(*stream, net::asio::buffer(reply.bytes), net::awaiting(error));
+  if (!reply.endless.empty()) {
+    co_await write_without_end(stream, reply);
+    co_return Next::kClose;
+  }
+  if (reply.hold) {
+    char byte = 0;
+    co_await stream->async_read_some(net::asio::buffer(&byte, 1), net::awaiting(error));
+    ++abandoned_;
+    co_return Next::kClose;
+  }
+  const bool resets = reply.reset_after || reply.end == EngineEnd::kReset;
+  // The peer is to read what was written before the reset discards it.
+  if (resets && !reply.bytes.empty()) co_await net::sleep_for(context_, kReadTime);
+  if (reply.end_delay.count() > 0) {
+    net::asio::co_spawn(context_, end_later(reply.end, reply.end_delay), net::asio::detached);
+    if (resets) reset(*stream);
+    co_return Next::kClose;
+  }
+  if (reply.end != EngineEnd::kNone) {
+    end(reply.end);
+    co_return Next::kNothing;
+  }
+  if (resets) {
+    reset(*stream);
+    co_return Next::kClose;
+  }
+  if (reply.close_after) ++closed_after_;
+  co_return error || reply.close_after ? Next::kClose : Next::kRead;
+}
+
 net::asio::awaitable<void> FakeEngine::serve(Stream stream) {
   net::beast::flat_buffer buffer;
-  net::Error error;
-  while (!error) {
+  auto next = Next::kRead;
+  while (next == Next::kRead) {
+    net::Error error;
     net::TextRequest request;
     co_await net::http::async_read(*stream, buffer, request, net::awaiting(error));
     if (silent_.count(stream) > 0) co_return;
     if (error) break;
-    if (request.target() == kHealthPath && health_script_) {
-      co_await write_without_end(stream, health_script_(request));
-      break;
-    }
-    if (request.target() == kHealthPath) {
-      const std::string healthy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-      co_await net::asio::async_write(*stream, net::asio::buffer(healthy), net::awaiting(error));
-      continue;
-    }
-    requests_.push_back(request);
-    auto reply = script_(request);
-    if (reply.delay.count() > 0) co_await net::sleep_for(context_, reply.delay);
-    co_await net::asio::async_write(*stream, net::asio::buffer(reply.bytes), net::awaiting(error));
-    if (!reply.endless.empty()) {
-      reply.bytes.clear();
-      co_await write_without_end(stream, reply);
-      break;
-    }
-    if (reply.hold) {
-      char byte = 0;
-      co_await stream->async_read_some(net::asio::buffer(&byte, 1), net::awaiting(error));
-      ++abandoned_;
-      break;
-    }
-    const bool resets = reply.reset_after || reply.end == EngineEnd::kReset;
-    // The peer is to read what was written before the reset discards it.
-    if (resets && !reply.bytes.empty()) co_await net::sleep_for(context_, kReadTime);
-    if (reply.end_delay.count() > 0) {
-      net::asio::co_spawn(context_, end_later(reply.end, reply.end_delay), net::asio::detached);
-      if (resets) reset(*stream);
-      break;
-    }
-    if (reply.end != EngineEnd::kNone) {
-      end(reply.end);
-      co_return;
-    }
-    if (resets) {
-      reset(*stream);
-      break;
-    }
-    if (reply.close_after) break;
+    auto reply = reply_to(request);
+    next = co_await carry_out(stream, std::move(reply));
   }
+  if (next == Next::kNothing) co_return;
   net::Error ignored;
   stream->socket().shutdown(net::asio::ip::tcp::socket::shutdown_both, ignored);
   stream->close();
--- a/tests/support/fake_engine.hpp
+++ b/tests/support/fake_engine.hpp
@@ -34,7 +34,7 @@
   net::Millis endless_pause{0};      ///< between two of these
 };
 
-/// Answers health checks by itself; the script gets everything else.
+/// Answers health checks by itself unless a script does; another script answers everything else.
 class FakeEngine {
  public:
   using Script = std::function<EngineReply(const net::TextRequest&)>;
@@ -53,13 +53,23 @@
 
   const std::vector<net::TextRequest>& requests() const { return requests_; }
   int connections() const { return connections_; }
-  int abandoned() const { return abandoned_; }  ///< held requests whose caller closed
+  int abandoned() const { return abandoned_; }        ///< held requests whose caller closed
+  int closed_after() const { return closed_after_; }  ///< replies whose `close_after` was done
 
  private:
   using Stream = std::shared_ptr<net::beast::tcp_stream>;
 
+  /// What becomes of a connection after a reply.
+  enum class Next {
+    kRead,
+    kClose,
+    kNothing,  ///< the process has ended and did with it what its end says
+  };
+
   net::asio::awaitable<void> accept();
   net::asio::awaitable<void> serve(Stream stream);
+  EngineReply reply_to(const net::TextRequest& request);
+  net::asio::awaitable<Next> carry_out(Stream stream, EngineReply reply);
   net::asio::awaitable<void> end_later(EngineEnd how, net::Millis delay);
   net::asio::awaitable<void> write_without_end(Stream stream, EngineReply reply);
   static void reset(net::beast::tcp_stream& stream);
@@ -74,6 +84,7 @@
   std::vector<net::TextRequest> requests_;
   int connections_ = 0;
   int abandoned_ = 0;
+  int closed_after_ = 0;
 };
 
 /// Header line that names the request which an answer belongs to.
