Tests: a call to a peer's old incarnation gets its answer after the restart

"a restart of a peer does not disturb calls to its old incarnation" plays an old incarnation that never answers: the call ends by its own limit of 50 ms whether it was disturbed or not. It still shows that a failed old call leaves the new client in place, so it stays as it is.

The new test lets the old incarnation answer after the restart is known, with a limit of an hour on the call, and asks for the answer and for the new client. Not seen failing on a fault: a client has no way to end a call that is open.

--- a/tests/cluster/cluster_test.cpp
+++ b/tests/cluster/cluster_test.cpp
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
 
 #include "ledger/turn_row.hpp"
 #include "support/gateway_fixture.hpp"
@@ -146,6 +148,35 @@
   REQUIRE(clients.get(peer) == replaced);
 }
 
+TEST_CASE_METHOD(Fixture, "a call to a peer's old incarnation is answered after its restart",
+                 "[cluster]") {
+  // Longer than the test can wait, so that only the answer ends the call.
+  constexpr net::Millis kNoTimeout = std::chrono::hours(1);
+  engine.set_script([](const auto&) {
+    test::EngineReply reply{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+    reply.delay = net::Millis(20);
+    return reply;
+  });
+  cluster::Peer peer;
+  peer.node = "third";
+  peer.incarnation = 1;
+  peer.endpoint = engine.endpoint();
+  auto& clients = first.state().peer_clients;
+  std::optional<net::ExchangeResult> result;
+  const auto call = [&]() -> net::asio::awaitable<void> {
+    const auto http = clients.get(peer);
+    auto request = cluster::peer_request("/peer/any", "");
+    result = co_await http->exchange(std::move(request), kNoTimeout);
+  };
+  net::asio::co_spawn(context, call(), net::asio::detached);
+  run_until(context, [this] { return engine.requests().size() == 1; });
+  peer.incarnation = 2;
+  const auto replaced = clients.get(peer);
+  run_until(context, [&] { return result.has_value(); });
+  REQUIRE(cluster::succeeded(*result));
+  REQUIRE(clients.get(peer) == replaced);
+}
+
 TEST_CASE_METHOD(Fixture, "malformed peer messages are refused and do not end the process",
                  "[cluster]") {
   net::HttpClient client(context, first.settings.peers);
