Known failures: a release floods a store that throttles writes

Found by the search for waits that pass through a time limit: in "an idle program is not evicted while the store is unavailable" the store's retries reached their deadline 2,989 times in one eviction.

A real store is called as often as its answers allow.

Cause: RetryingStore::transact retries with a growing delay and returns when the next delay would pass the deadline, up to 375 ms before it. BudgetLedger::write_share takes every result but done and full as a reason to go round again until the deadline, meant for conflicts. Refused and throttled calls return at once, so nothing paces the rest. Releases asked for by peers, evictions, refreshes and the release of a stopping node (several programs side by side) go this way; reservations don't.

--- a/tests/ledger/store_rates_test.cpp
+++ b/tests/ledger/store_rates_test.cpp
@@ -60,6 +60,19 @@
   REQUIRE(table.writes() <= kMaxCalls);
 }
 
+TEST_CASE_METHOD(Fixture,
+                 "a budget is released once per retry delay while the store throttles writes",
+                 "[ledger][rates]") {
+  table.set_mode(MemoryTable::Mode::kUp);
+  REQUIRE(run(context, ledger.budgets.reserve("program", 100, 1000, deadline())) ==
+          ReserveOutcome::kReserved);
+  const int before = table.writes();
+  table.set_mode(MemoryTable::Mode::kThrottles);
+  const auto released = run(context, ledger.budgets.release("program", deadline()));
+  REQUIRE_FALSE(released.complete);
+  REQUIRE(table.writes() - before <= kMaxCalls);
+}
+
 TEST_CASE_METHOD(Fixture, "a turn's row is stored as soon as the store accepts writes again",
                  "[ledger][rates]") {
   auto turn = std::make_shared<const Turn>(Turn{"turn", "input", "output\n", nullptr});
