Tests: spending records are seen after two handovers

The last check of "spending records survive two handovers" asks only that a reservation at the third owner is unavailable while the store refuses, which the store's deadline gives: also if the third owner had no escrow at all.

--- a/tests/ledger/escrow_claims_test.cpp
+++ b/tests/ledger/escrow_claims_test.cpp
@@ -131,6 +131,9 @@
   stop(second);
   claim(third, {shard});
   table.set_mode(MemoryTable::Mode::kRefuses);
+  REQUIRE(third.ledger.escrow.owns(program));
+  REQUIRE(third.ledger.escrow.may_spend(program));
+  REQUIRE(third.ledger.escrow.previously_spent(program) == 2 * 200);
   // The escrow for a turn of 200 tokens is 333 tokens; what remains of it is too small for a turn.
   REQUIRE(reserve(third, 200) == ReserveOutcome::kUnavailable);
 }
