--- a/tests/support/fake_engine_test.cpp
+++ b/tests/support/fake_engine_test.cpp
@@ -20,7 +20,7 @@
   net::asio::io_context context;
   FakeEngine engine{context};
   net::beast::tcp_stream stream{context};
-  std::string path = GENERATE("/healthz", "/work");
+  std::string path = GENERATE("/healthz", "/safe/x");
 
   void answer_with(const EngineReply& reply) {
     const auto script = [reply](const net::TextRequest&) { return reply; };
