Budgets: tokens for the next turn are granted while the store answers

Now a reservation and its end look whether the tokens on hand cover a further turn of that size, and otherwise raise the grant in the background, with one attempt, while the store answers. The budget's rows and conditions are the same as for any grant, so that the sum stays within the budget. A node that returns its tokens for a stop takes none ahead.

--- a/src/cluster/turn_coordinator.cpp
+++ b/src/cluster/turn_coordinator.cpp
@@ -96,7 +96,18 @@
         ledger_.budgets.reserve_available(request.program.text(), request.tokens, request.budget);
     start.reservation = reserved ? ReserveOutcome::kReserved : ReserveOutcome::kUnavailable;
   }
-  if (start.reservation == ReserveOutcome::kReserved) start.reserved = request.tokens;
+  if (start.reservation != ReserveOutcome::kReserved) co_return;
+  start.reserved = request.tokens;
+  raise_ahead(request.program.text());
+}
+
+void TurnCoordinator::settle(const std::string& program, std::int64_t reserved, std::int64_t used) {
+  ledger_.budgets.settle(program, reserved, used);
+  raise_ahead(program);
+}
+
+void TurnCoordinator::raise_ahead(const std::string& program) {
+  if (store_.answers()) ledger_.budgets.raise_ahead(program);
 }
 
 net::asio::awaitable<ReserveOutcome> TurnCoordinator::reserve_from_store(const TurnRequest& request,
@@ -239,7 +250,7 @@
 
 void TurnCoordinator::end(const TurnEnd& end, const TurnStart& start) {
   if (start.reservation_node.empty()) {
-    if (end.reserved > 0) ledger_.budgets.settle(end.program.text(), end.reserved, end.used);
+    if (end.reserved > 0) settle(end.program.text(), end.reserved, end.used);
     if (!end.engine.empty()) placements_.note(end.program.text(), end.line, end.engine);
     return;
   }
@@ -332,7 +343,7 @@
 void TurnCoordinator::serve_end(const net::TextRequest& request) {
   const auto message = wire::decode<wire::EndTurn>(request.body());
   if (message.reserved > 0) {
-    ledger_.budgets.settle(message.program, message.reserved, message.used);
+    settle(message.program, message.reserved, message.used);
   }
   record_end(message);
 }
@@ -341,7 +352,7 @@
   const auto message = wire::decode<wire::EndTurn>(request.body());
   const auto open = reservations_.close(message.reservation_id, net::Clock::now());
   if (!open) return;
-  ledger_.budgets.settle(open->program, open->tokens, message.used);
+  settle(open->program, open->tokens, message.used);
   record_end(message);
 }
 
--- a/src/cluster/turn_coordinator.hpp
+++ b/src/cluster/turn_coordinator.hpp
@@ -98,6 +98,9 @@
   /// Reserves tokens, drawing on the budget's rows and on unused tokens of other holders if needed.
   net::asio::awaitable<ledger::ReserveOutcome> reserve_from_store(const TurnRequest& request,
                                                                   net::TimePoint deadline);
+  /// Ends a reservation held here.
+  void settle(const std::string& program, std::int64_t reserved, std::int64_t used);
+  void raise_ahead(const std::string& program);
   /// Whether this node can decide that the program's budget is exhausted.
   bool has_full_budget_view(const std::string& program) const;
   /// Asks the other holders of a program's tokens to return unused ones.
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -86,8 +86,33 @@
   return entry->account.reserve(tokens);
 }
 
+void BudgetLedger::raise_ahead(const std::string& id) {
+  const auto found = programs_.find(id);
+  if (found == programs_.end() || found->second->raising_ahead || releasing_all_) return;
+  auto& program = *found->second;
+  const auto from_rows = update_escrow(id, program, program.turn_tokens, program.budget);
+  if (program.account.available() >= program.turn_tokens) return;
+  if (!program.account.can_hold(program.turn_tokens, from_rows)) return;
+  program.raising_ahead = true;
+  net::asio::co_spawn(context_, grant_ahead(id, found->second), net::asio::detached);
+}
+
+net::asio::awaitable<void> BudgetLedger::grant_ahead(std::string id, ProgramPointer program) {
+  const auto guard = co_await program->mutex.lock();
+  const auto now = net::Clock::now();
+  // One attempt: a turn that needs the tokens before they are there requests them itself.
+  TokenRequest request{program->turn_tokens, 0, now, now + store_.attempt_timeout()};
+  request.from_rows = update_escrow(id, *program, request.tokens, program->budget);
+  if (program->account.available() < request.tokens && !releasing_all_) {
+    co_await raise_grant(id, program, request);
+  }
+  program->raising_ahead = false;
+}
+
 std::int64_t BudgetLedger::update_escrow(const std::string& id, Program& program,
                                          std::int64_t tokens, std::int64_t budget) {
+  program.turn_tokens = tokens;
+  program.budget = budget;
   const auto division = escrow_.division(id, budget, tokens);
   program.account.set_escrow(division.escrow);
   return division.from_rows;
@@ -313,6 +338,7 @@
 }
 
 net::asio::awaitable<void> BudgetLedger::release_all(net::TimePoint deadline) {
+  releasing_all_ = true;
   auto releases = std::make_shared<Releases>();
   releases->programs = programs_by_last_use();
   releases->deadline = deadline;
--- a/src/ledger/budget_ledger.hpp
+++ b/src/ledger/budget_ledger.hpp
@@ -44,6 +44,9 @@
                                                std::int64_t budget, net::TimePoint deadline);
   /// Reserves `tokens` without accessing the store. @return false if fewer are on hand.
   bool reserve_available(const std::string& program, std::int64_t tokens, std::int64_t budget);
+  /// Unless the tokens on hand cover another turn of the size last requested, requests a larger
+  /// grant in the background, so that the next turn can begin during a store outage.
+  void raise_ahead(const std::string& program);
   /// Records that the budget does not cover a turn of this size and that no other holder returns
   /// tokens. The result is cached for a short time, because programs in an endless loop keep
   /// asking.
@@ -91,6 +94,9 @@
     net::TimePoint last_used{};
     net::TimePoint last_written = net::Clock::now();  ///< last write of any row of the budget
     bool evicting = false;                            ///< eviction is in progress
+    bool raising_ahead = false;                       ///< grant_ahead() is in progress
+    std::int64_t turn_tokens = 0;                     ///< requested by the last turn
+    std::int64_t budget = 0;                          ///< stated by the last turn
     std::int64_t exhausted_tokens = 0;
     net::TimePoint exhausted_until{};
   };
@@ -124,6 +130,7 @@
                                                        PlanWrite plan, net::TimePoint deadline);
   net::asio::awaitable<ReserveOutcome> raise_grant(std::string id, ProgramPointer program,
                                                    TokenRequest request);
+  net::asio::awaitable<void> grant_ahead(std::string id, ProgramPointer program);
   /// Increases the grant in one share after the other until the request is covered.
   /// @return status of the last write; nullopt if no share is known to have unallocated tokens.
   net::asio::awaitable<std::optional<store::StoreStatus>> raise_grant_in_shares(
@@ -163,6 +170,7 @@
   observe::StructuredLog& log_;
   std::int64_t holder_;
   std::unordered_map<std::string, ProgramPointer> programs_;
+  bool releasing_all_ = false;  ///< for shutdown: nothing is granted ahead any more
   net::TimePoint next_eviction_{};
 };
 
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -54,6 +54,57 @@
 
 }  // namespace
 
+TEST_CASE_METHOD(Fixture, "tokens for the next turn are granted while the store answers",
+                 "[ledger]") {
+  REQUIRE(reserve(first, 300) == ReserveOutcome::kReserved);
+  first.budgets.settle("program", 300, 250);
+  first.budgets.raise_ahead("program");
+  context.restart();
+  context.run();
+  const int writes = table.writes();
+  first.budgets.raise_ahead("program");
+  context.restart();
+  context.run();
+  REQUIRE(table.writes() == writes);
+  table.set_mode(MemoryTable::Mode::kRefuses);
+  REQUIRE(first.budgets.reserve_available("program", 300, kBudget));
+  REQUIRE_FALSE(first.budgets.reserve_available("program", 300, kBudget));
+}
+
+TEST_CASE_METHOD(Fixture, "tokens granted ahead never exceed the budget", "[ledger]") {
+  REQUIRE(reserve(first, 400) == ReserveOutcome::kReserved);
+  first.budgets.raise_ahead("program");
+  REQUIRE(reserve(second, 200) == ReserveOutcome::kReserved);
+  second.budgets.raise_ahead("program");
+  first.budgets.settle("program", 400, 400);
+  second.budgets.settle("program", 200, 200);
+  first.budgets.raise_ahead("program");
+  second.budgets.raise_ahead("program");
+  context.restart();
+  context.run();
+  table.set_mode(MemoryTable::Mode::kRefuses);
+  std::int64_t more = 0;
+  while (first.budgets.reserve_available("program", 10, kBudget)) more += 10;
+  while (second.budgets.reserve_available("program", 10, kBudget)) more += 10;
+  REQUIRE(more <= kBudget - 600);
+}
+
+TEST_CASE_METHOD(Fixture, "a node that has returned its tokens for a stop is granted none ahead",
+                 "[ledger][shutdown]") {
+  REQUIRE(reserve(first, 300) == ReserveOutcome::kReserved);
+  first.budgets.settle("program", 300, 100);
+  net::asio::co_spawn(context, first.budgets.release_all(net::Clock::now() + net::Millis(200)),
+                      net::asio::detached);
+  context.restart();
+  context.run();
+  const int writes = table.writes();
+  first.budgets.raise_ahead("program");
+  context.restart();
+  context.run();
+  REQUIRE(table.writes() == writes);
+  REQUIRE(reserve(second, 900) == ReserveOutcome::kReserved);
+}
+
 TEST_CASE_METHOD(Fixture, "turns covered by a grant make no store calls", "[ledger]") {
   REQUIRE(reserve(first, 100) == ReserveOutcome::kReserved);
   const int writes = table.writes();
--- a/tests/serving/stream_call_test.cpp
+++ b/tests/serving/stream_call_test.cpp
@@ -304,7 +304,7 @@
 
 namespace {
 
-/// A program with 70 reserved tokens and turns of at most 100 tokens during a store outage.
+/// A program that has used 30 of its 250 tokens, in turns of at most 100, during a store outage.
 struct OutageFixture : GatewayFixture {
   explicit OutageFixture(bool holding = true) {
     settings.mechanisms.holding = holding;
@@ -473,6 +473,14 @@
   REQUIRE(table.writes_of("budgets") == writes);
 }
 
+TEST_CASE_METHOD(RefusingFixture, "during a store outage a program takes its next turn",
+                 "[serving][escrow]") {
+  answer_with(10);
+  const auto got = turn("t-2");
+  REQUIRE(got.status == 200);
+  REQUIRE(got.whole);
+}
+
 TEST_CASE_METHOD(OutageFixture, "a turn without tokens waits for a store that may be back in time",
                  "[serving][outage][escrow]") {
   answer_with(10);
