Engine exchanges: a reset during the upload is not the end of the response

Cause: a socket reports a reset once. The write of the upload takes it, and the read that follows sees an ordinary end, which ends a response without a length. With uploads that fit into the buffers the write is done, the read gets the reset and the response is broken: the parser is not at fault.

Change: such a response is complete only once the write of the request has ended without an error of the transport. Closing the connection ends a write that still waits for the engine, so that this neither hangs nor depends on which completion runs first. An engine that ends its response in order while it reads no more of the request is not in trouble: a reset after its end is reported as a broken pipe. An error of a read is kept for the next read.

--- a/src/serving/engine_exchange.cpp
+++ b/src/serving/engine_exchange.cpp
@@ -63,13 +63,15 @@
 void EngineExchange::start_write(const std::shared_ptr<const net::TextRequest>& request) {
   sent_ = true;
   auto connection = connection_;
-  auto state = write_;
   auto& stream = connection->stream;
+  write_ = std::make_shared<WriteState>(stream.get_executor());
+  auto state = write_;
   const auto& message = *request;
   http::async_write(stream, message,
                     [connection, state, request](const net::Error& error, std::size_t) {
                       state->done = true;
                       state->error = error;
+                      state->ended.cancel();
                     });
 }
 
@@ -147,17 +149,38 @@
       co_return ReadOutcome::kData;
     }
     if (parser_->is_done()) {
+      if (parser_->need_eof() && !response_complete_) {
+        const auto end = co_await end_with_connection();
+        if (end != ReadOutcome::kEnd) co_return end;
+      }
       response_complete_ = true;
       co_return ReadOutcome::kEnd;
     }
-    net::Error error;
+    if (read_error_) co_return to_read_outcome(read_error_);
     co_await http::async_read_some(connection_->stream, connection_->buffer, *parser_,
-                                   net::awaiting(error));
-    if (error && received.empty()) co_return to_read_outcome(error);
+                                   net::awaiting(read_error_));
+    if (read_error_) continue;
     engine_->heard_at = net::Clock::now();
   }
 }
 
+net::asio::awaitable<ReadOutcome> EngineExchange::end_with_connection() {
+  // A reset is reported to the read or to the write of the request, whichever comes first; the
+  // other one sees an ordinary end. Closing ends a write that still waits for the engine.
+  connection_->stream.close();
+  if (!write_->done) {
+    net::Error ignored;
+    co_await write_->ended.async_wait(net::awaiting(ignored));
+  }
+  if (aborted_) co_return ReadOutcome::kAborted;
+  const auto& error = write_->error;
+  // An engine that ended its response in order may read no more of the request: a reset after that
+  // is reported as a broken pipe.
+  const bool in_order = !error || error == net::asio::error::operation_aborted ||
+                        error == net::asio::error::broken_pipe;
+  co_return in_order ? ReadOutcome::kEnd : to_read_outcome(error);
+}
+
 void EngineExchange::finish() {
   if (!response_complete_ || aborted_ || connection_ == nullptr) return;
   const bool clean =
--- a/src/serving/engine_exchange.hpp
+++ b/src/serving/engine_exchange.hpp
@@ -78,13 +78,19 @@
 
  private:
   using Parser = net::http::response_parser<net::http::string_body>;
+  /// Progress of sending the request.
   struct WriteState {
+    explicit WriteState(const net::beast::tcp_stream::executor_type& executor)
+        : ended(executor, net::TimePoint::max()) {}
     bool done = false;
     net::Error error;
+    net::asio::steady_timer ended;  ///< cancelled when `done` is set
   };
 
   void start_write(const std::shared_ptr<const net::TextRequest>& request);
   net::asio::awaitable<ReadOutcome> read_head(bool head_request);
+  /// Tells whether a body that ended with its connection is complete. Closes the connection.
+  net::asio::awaitable<ReadOutcome> end_with_connection();
   ReadOutcome to_read_outcome(const net::Error& error);
 
   EngineConnectionPool& pool_;
@@ -94,8 +100,9 @@
   net::TimePoint began_at_ = net::Clock::now();
   net::TimePoint deadline_;
   EngineConnectionPointer connection_;
-  std::shared_ptr<WriteState> write_ = std::make_shared<WriteState>();
+  std::shared_ptr<WriteState> write_;  ///< nullptr before the request is sent
   std::optional<Parser> parser_;
+  net::Error read_error_;  ///< the socket reports an error only once
   AnswerFacts facts_;
   std::string failure_;
   bool sent_ = false;
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -35,6 +35,7 @@
   FakeEngine other{context};
   serving::NodeSettings settings = make_settings();
   std::unique_ptr<serving::Gateway> gateway;
+  int max_body_bytes = 5000;
 
   serving::NodeSettings make_settings() {
     serving::NodeSettings made;
@@ -68,15 +69,20 @@
             route("/resumable/", "stream", R"(,"resumable":true)") + "," +
             route("/turns/", "stream", R"(,"retained":true)") + more_routes +
             R"(],"services":[{"name":"app","health_path":"/healthz","engine":{"chunk_tokens":10}}],)" +
-            named + R"("limits":{"max_header_bytes":2000,"max_body_bytes":5000,)" +
+            named + R"("limits":{"max_header_bytes":2000,"max_body_bytes":)" +
+            std::to_string(max_body_bytes) + R"(,)" +
             R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
   }
 
   /// @param more fields, each with a comma in front.
   void put_engine(const std::string& id, const FakeEngine& fake, const char* state = "ready",
                   const std::string& more = "") {
+    put_engine(id, fake.endpoint(), state, more);
+  }
+  void put_engine(const std::string& id, const net::Endpoint& endpoint, const char* state = "ready",
+                  const std::string& more = "") {
     table.put("servers", "", id,
-              R"({"service":"app","addr":"127.0.0.1:)" + std::to_string(fake.endpoint().port()) +
+              R"({"service":"app","addr":"127.0.0.1:)" + std::to_string(endpoint.port()) +
                   R"(","zone":"zone","slots":4,"state":")" + state + "\"" + more + "}");
   }
 
