Own interface: back ends' responses are read by the project's own client

Cause: the HTTP library of src/http checks little of a head and hides the rest (contradicting lengths are joined, lines without a colon dropped), so that no check behind it could tell.

Change: http/client_connection, one blocking connection over Beast, with the same check of heads as the gateway; HttpClient keeps its interface. The time-out now bounds the whole exchange. Calls that may run only once use a connection of their own, as before.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,119 +1,107 @@
 #include "http/http_client.hpp"
 
-#include <cpprest/containerstream.h>
-#include <cpprest/http_client.h>
-
 #include <utility>
 
+#include "http/client_connection.hpp"
+
 namespace sailgate::http {
 namespace {
 
-namespace rest = web::http;
-
-/// Start of the library's message when no connection could be made. Its error code is shared with
-/// failures of a connection that had been made, so that only the message tells.
-constexpr const char* kConnectFailure = "Failed to connect";
+/// Kept connections of one address.
+constexpr std::size_t kMaxIdleConnections = 8;
 constexpr std::size_t kMaximumErrorBody = 64U << 10U;
+constexpr int kOk = 200;
 
-rest::http_request convert(const HttpRequest& request) {
-  rest::http_request result(request.method);
-  web::uri_builder builder;
-  for (const auto& segment : request.path) {
-    builder.append_path_raw(web::uri::encode_data_string(segment));
+/// Cuts the data of a body into lines.
+class LineSplitter {
+ public:
+  explicit LineSplitter(const HttpClient::LineHandler& on_line) : on_line_(on_line) {}
+
+  /// @return false when the handler breaks the stream off.
+  bool take(const std::string& data) {
+    rest_ += data;
+    std::size_t start = 0;
+    for (auto end = rest_.find('\n'); end != std::string::npos; end = rest_.find('\n', start)) {
+      if (!hand_over(rest_.substr(start, end - start))) return false;
+      start = end + 1;
+    }
+    rest_.erase(0, start);
+    return true;
   }
-  result.set_request_uri(builder.to_uri());
-  for (const auto& [name, value] : request.headers) result.headers().add(name, value);
-  if (!request.body.empty()) result.set_body(request.body, "application/json");
-  return result;
-}
-
-HttpResult failure(const std::exception& error) {
-  HttpResult result;
-  result.error = error.what();
-  const bool unsent = result.error.rfind(kConnectFailure, 0) == 0;
-  result.delivery = unsent ? Delivery::kUnsent : Delivery::kLost;
-  return result;
-}
+  /// @return false when the handler breaks the stream off.
+  bool finish() { return rest_.empty() || hand_over(std::exchange(rest_, {})); }
 
-void take_head(const rest::http_response& response, HttpResult& result) {
-  result.delivery = Delivery::kAnswered;
-  result.response.status = response.status_code();
-  for (const auto& header : response.headers()) {
-    result.response.headers[header.first] = header.second;
+ private:
+  bool hand_over(std::string line) {
+    if (!line.empty() && line.back() == '\r') line.pop_back();
+    return on_line_(line);
   }
-}
 
-}  // namespace
+  const HttpClient::LineHandler& on_line_;
+  std::string rest_;
+};
 
-class HttpClient::Connection {
- public:
-  Connection(const std::string& address, std::chrono::milliseconds timeout)
-      : client("http://" + address, configuration(timeout)) {}
+HttpResult exchange_whole(ClientConnection& connection, const HttpRequest& request,
+                          net::TimePoint deadline) {
+  std::string body;
+  auto result =
+      connection.exchange(request, deadline, [&body](const HttpResult&, const std::string& data) {
+        body += data;
+        return true;
+      });
+  result.response.body = std::move(body);
+  return result;
+}
 
-  rest::client::http_client client;
+}  // namespace
 
- private:
-  static rest::client::http_client_config configuration(std::chrono::milliseconds timeout) {
-    rest::client::http_client_config config;
-    config.set_timeout(timeout);
-    return config;
+std::shared_ptr<ClientConnection> HttpClient::take_kept(const std::string& address) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  auto& kept = kept_[address];
+  while (!kept.empty()) {
+    auto connection = std::move(kept.back());
+    kept.pop_back();
+    if (connection->idle()) return connection;
   }
-};
+  return nullptr;
+}
 
-std::shared_ptr<HttpClient::Connection> HttpClient::connection(const std::string& address,
-                                                               std::chrono::milliseconds timeout,
-                                                               bool fresh) {
-  if (fresh) return std::make_shared<Connection>(address, timeout);
-  const auto key = address + '|' + std::to_string(timeout.count());
+void HttpClient::keep(const std::string& address, std::shared_ptr<ClientConnection> connection) {
+  if (!connection->reusable()) return;
   const std::lock_guard<std::mutex> lock(mutex_);
-  auto& kept = connections_[key];
-  if (!kept) kept = std::make_shared<Connection>(address, timeout);
-  return kept;
+  auto& kept = kept_[address];
+  if (kept.size() < kMaxIdleConnections) kept.push_back(std::move(connection));
 }
 
 HttpResult HttpClient::send(const std::string& address, const HttpRequest& request,
                             std::chrono::milliseconds timeout, bool fresh_connection) {
-  HttpResult result;
-  try {
-    const auto used = connection(address, timeout, fresh_connection);
-    auto response = used->client.request(convert(request)).get();
-    take_head(response, result);
-    const auto body = response.extract_vector().get();
-    result.response.body.assign(body.begin(), body.end());
-    result.body_complete = true;
-  } catch (const std::exception& error) {
-    if (result.delivery != Delivery::kAnswered) return failure(error);
-    result.error = error.what();
+  const auto deadline = net::Clock::now() + timeout;
+  if (const auto kept = fresh_connection ? nullptr : take_kept(address)) {
+    auto result = exchange_whole(*kept, request, deadline);
+    keep(address, kept);
+    const bool answered = result.delivery == Delivery::kAnswered;
+    if (answered || net::Clock::now() >= deadline) return result;
   }
+  const auto connection = std::make_shared<ClientConnection>(address);
+  auto result = exchange_whole(*connection, request, deadline);
+  if (!fresh_connection) keep(address, connection);
   return result;
 }
 
 HttpResult HttpClient::stream(const std::string& address, const HttpRequest& request,
                               std::chrono::milliseconds timeout, const LineHandler& on_line) {
-  HttpResult result;
-  try {
-    const auto used = connection(address, timeout, true);
-    auto response = used->client.request(convert(request)).get();
-    take_head(response, result);
-    auto body = response.body();
-    while (true) {
-      concurrency::streams::stringstreambuf line;
-      const auto taken = body.read_line(line).get();
-      const bool at_end = body.is_eof();
-      if (taken == 0 && at_end) break;
-      const auto& text = line.collection();
-      if (result.response.status != 200) {
-        if (result.response.body.size() < kMaximumErrorBody) result.response.body += text;
-      } else if (!on_line(text)) {
-        return result;
-      }
-      if (at_end) break;
-    }
-    result.body_complete = true;
-  } catch (const std::exception& error) {
-    if (result.delivery != Delivery::kAnswered) return failure(error);
-    result.error = error.what();
-  }
+  ClientConnection connection(address);
+  LineSplitter lines(on_line);
+  std::string error_body;
+  auto result = connection.exchange(request, net::Clock::now() + timeout,
+                                    [&](const HttpResult& head, const std::string& data) {
+                                      if (head.response.status == kOk) return lines.take(data);
+                                      if (error_body.size() < kMaximumErrorBody) error_body += data;
+                                      return true;
+                                    });
+  result.response.body = std::move(error_body);
+  const bool ended = result.body_complete && result.response.status == kOk;
+  if (ended && !lines.finish()) result.body_complete = false;
   return result;
 }
 
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -7,11 +7,14 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "http/http_message.hpp"
 
 namespace sailgate::http {
 
+class ClientConnection;
+
 /// What became of a request.
 enum class Delivery {
   kAnswered,  ///< a status line came back; a streamed body may still have been cut
@@ -27,17 +30,17 @@
   std::string error;
 };
 
-/// Client for many servers. Thread-safe. Must not be used on a thread of the HTTP library.
+/// Client for many servers. Thread-safe; each exchange blocks its caller.
 class HttpClient {
  public:
   /// Called with each line of a streamed answer; return false to break the stream off.
   using LineHandler = std::function<bool(const std::string& line)>;
 
   /// Sends a request to `address` ("host:port") and waits for the whole answer.
-  /// @param fresh_connection uses a connection of its own: the library repeats a request by itself
-  /// when a kept connection turns out closed, which must not happen to a call that may run only
-  /// once (docs/decisions/0005-no-silent-repeat.md). Kept connections are one per address and
-  /// timeout, so that a timeout that differs from request to request needs a fresh one too.
+  /// @param timeout of the whole exchange.
+  /// @param fresh_connection uses a connection of its own: a request on a kept connection that
+  /// turns out closed is repeated, which must not happen to a call that may run only once
+  /// (docs/decisions/0005-no-silent-repeat.md).
   HttpResult send(const std::string& address, const HttpRequest& request,
                   std::chrono::milliseconds timeout, bool fresh_connection = false);
 
@@ -47,12 +50,12 @@
                     std::chrono::milliseconds timeout, const LineHandler& on_line);
 
  private:
-  class Connection;
-  std::shared_ptr<Connection> connection(const std::string& address,
-                                         std::chrono::milliseconds timeout, bool fresh);
+  /// @return nullptr if no kept connection to the address is usable.
+  std::shared_ptr<ClientConnection> take_kept(const std::string& address);
+  void keep(const std::string& address, std::shared_ptr<ClientConnection> connection);
 
   std::mutex mutex_;
-  std::map<std::string, std::shared_ptr<Connection>> connections_;
+  std::map<std::string, std::vector<std::shared_ptr<ClientConnection>>> kept_;
 };
 
 }  // namespace sailgate::http
