--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -1,44 +1,25 @@
 #include "http/client_connection.hpp"
 
-#include <array>
-#include <cctype>
-#include <string_view>
+#include <cpprest/base_uri.h>
+
+#include <optional>
 #include <utility>
 
 #include "net/http_client.hpp"
-#include "net/response_head.hpp"
+#include "net/response_reader.hpp"
 #include "net/socket_state.hpp"
 
 namespace sailgate::http {
 namespace {
 
 namespace wire_http = net::http;
-using Parser = wire_http::response_parser<wire_http::string_body>;
 
-/// Size limits of a response, which bound its memory use.
-constexpr std::uint32_t kMaxHeadBytes = 64U << 10U;
-constexpr std::uint64_t kMaxBodyBytes = 32U << 20U;
+constexpr net::ResponseLimits kResponseLimits{64U << 10U, 32U << 20U};
 constexpr int kHttp11 = 11;
 
-std::string percent_encode(const std::string& text) {
-  constexpr std::string_view kUnreserved = "-._~";
-  constexpr std::array kDigits{'0', '1', '2', '3', '4', '5', '6', '7',
-                               '8', '9', 'A', 'B', 'C', 'D', 'E', 'F'};
-  std::string encoded;
-  for (const char c : text) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (std::isalnum(byte) != 0 || kUnreserved.find(c) != std::string_view::npos) {
-      encoded += c;
-    } else {
-      encoded += {'%', kDigits[byte >> 4U], kDigits[byte & 15U]};
-    }
-  }
-  return encoded;
-}
-
 net::TextRequest convert(const HttpRequest& request, const std::string& address) {
   std::string target;
-  for (const auto& segment : request.path) target += '/' + percent_encode(segment);
+  for (const auto& segment : request.path) target += '/' + web::uri::encode_data_string(segment);
   net::TextRequest converted;
   converted.version(kHttp11);
   converted.method_string(request.method);
@@ -105,21 +86,6 @@
   co_return error;
 }
 
-net::asio::awaitable<net::Error> ClientConnection::read_head(std::optional<Parser>& parser) {
-  for (int interim = 0; interim <= net::kMaxInterimResponses; ++interim) {
-    parser.emplace();
-    parser->header_limit(kMaxHeadBytes);
-    parser->body_limit(kMaxBodyBytes);
-    net::Error error;
-    co_await wire_http::async_read_header(stream_, buffer_, *parser, net::awaiting(error));
-    if (error) co_return error;
-    const auto kind = net::classify(parser->get());
-    if (kind == net::ResponseHead::kFinal) co_return net::Error{};
-    if (kind == net::ResponseHead::kInvalid) break;
-  }
-  co_return net::invalid_head_error();
-}
-
 net::asio::awaitable<void> ClientConnection::run(const HttpRequest& request,
                                                  net::TimePoint deadline,
                                                  const DataHandler& on_data, HttpResult& result) {
@@ -133,8 +99,8 @@
   }
   const auto message = convert(request, address_);
   co_await wire_http::async_write(stream_, message, net::awaiting(error));
-  std::optional<Parser> parser;
-  if (!error) error = co_await read_head(parser);
+  std::optional<net::ResponseParser> parser;
+  if (!error) error = co_await net::read_final_head(stream_, buffer_, parser, kResponseLimits);
   if (error) {
     closed_unanswered_ = buffer_.size() == 0 && is_close(error);
     result.error = error.message();
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <functional>
-#include <optional>
 #include <string>
 
 #include "http/http_client.hpp"
@@ -34,9 +33,6 @@
   net::asio::awaitable<void> run(const HttpRequest& request, net::TimePoint deadline,
                                  const DataHandler& on_data, HttpResult& result);
   net::asio::awaitable<net::Error> connect();
-  /// Reads heads up to the final one into `parser`.
-  net::asio::awaitable<net::Error> read_head(
-      std::optional<net::http::response_parser<net::http::string_body>>& parser);
 
   std::string address_;
   net::asio::io_context context_{1};
--- a/src/net/response_head.cpp
+++ b/src/net/response_head.cpp
@@ -28,6 +28,4 @@
   return status < kMinFinalStatus ? ResponseHead::kInterim : ResponseHead::kFinal;
 }
 
-Error invalid_head_error() { return make_error_code(boost::system::errc::protocol_error); }
-
 }  // namespace sailgate::net
--- a/src/net/response_head.hpp
+++ b/src/net/response_head.hpp
@@ -11,13 +11,7 @@
   kInvalid,  ///< the message is not a response to any request of this client
 };
 
-/// Responses to one request that precede the final one; more are an error of the server.
-inline constexpr int kMaxInterimResponses = 16;
-
 /// This client accepts no transfer coding but "chunked" and asks for no other protocol.
 ResponseHead classify(const http::response_header<>& head);
 
-/// Error of a response whose head is invalid.
-Error invalid_head_error();
-
 }  // namespace sailgate::net
--- a/src/serving/engine_exchange.cpp
+++ b/src/serving/engine_exchange.cpp
@@ -2,17 +2,13 @@
 
 #include <charconv>
 
-#include "net/response_head.hpp"
-
 namespace sailgate::serving {
 
 namespace {
 
 namespace http = net::http;
 
-/// Size limits of a response, which bound its memory use.
-constexpr std::uint64_t kResponseBodyLimit = 32U << 20U;
-constexpr std::uint32_t kResponseHeaderLimit = 64U << 10U;
+constexpr net::ResponseLimits kResponseLimits{64U << 10U, 32U << 20U};
 /// Maximum number of responses to other requests that are skipped before the expected one.
 constexpr int kMaxForeignResponses = 4;
 /// Lifetime of an idle connection if the response has no Keep-Alive timeout.
@@ -76,27 +72,15 @@
 }
 
 net::asio::awaitable<ReadOutcome> EngineExchange::read_head(bool head_request) {
-  for (int interim = 0; interim <= net::kMaxInterimResponses; ++interim) {
-    parser_.emplace();
-    // NOTE: Boost 1.74 treats an absent limit as zero.
-    parser_->body_limit(kResponseBodyLimit);
-    parser_->header_limit(kResponseHeaderLimit);
-    parser_->skip(head_request);
-    net::Error error;
-    co_await http::async_read_header(connection_->stream, connection_->buffer, *parser_,
-                                     net::awaiting(error));
-    if (error) co_return to_read_outcome(error);
-    engine_->heard_at = net::Clock::now();
-    const auto kind = net::classify(head());
-    if (kind == net::ResponseHead::kInterim) continue;
-    if (kind == net::ResponseHead::kInvalid) break;
-    // NOTE: The parser must not be eager. An eager parser continues into the next chunk header,
-    // which starts with the line end of the previous chunk, and delivers no data until the end of
-    // the response.
-    facts_ = protocol_.inspect(head());
-    co_return ReadOutcome::kData;
-  }
-  co_return to_read_outcome(net::invalid_head_error());
+  const auto error =
+      co_await net::read_final_head(connection_->stream, connection_->buffer, parser_,
+                                    kResponseLimits, head_request, &engine_->heard_at);
+  if (error) co_return to_read_outcome(error);
+  // NOTE: The parser must not be eager. An eager parser continues into the next chunk header, which
+  // starts with the line end of the previous chunk, and delivers no data until the end of the
+  // response.
+  facts_ = protocol_.inspect(head());
+  co_return ReadOutcome::kData;
 }
 
 net::asio::awaitable<ReadOutcome> EngineExchange::skip_body(std::size_t limit,
@@ -132,7 +116,7 @@
         facts_.request_id == request_id || (facts_.request_id.empty() && facts_.not_run);
     if (matches) co_return OpenOutcome::kAnswered;
     failure_ = "response to another request: " + facts_.request_id;
-    const auto skipped = co_await skip_body(kResponseBodyLimit, deadline_);
+    const auto skipped = co_await skip_body(kResponseLimits.body_bytes, deadline_);
     if (skipped == ReadOutcome::kAborted) co_return OpenOutcome::kAborted;
     if (skipped == ReadOutcome::kTimedOut) co_return OpenOutcome::kTimedOut;
     if (skipped != ReadOutcome::kEnd) co_return OpenOutcome::kBroken;
--- a/src/serving/engine_exchange.hpp
+++ b/src/serving/engine_exchange.hpp
@@ -7,6 +7,7 @@
 
 #include "balancing/engine.hpp"
 #include "net/http_client.hpp"
+#include "net/response_reader.hpp"
 #include "serving/edge_protocol.hpp"
 #include "serving/engine_connection_pool.hpp"
 
@@ -77,7 +78,6 @@
   bool on_reused_connection() const { return connection_ != nullptr && connection_->reused; }
 
  private:
-  using Parser = net::http::response_parser<net::http::string_body>;
   /// Progress of sending the request.
   struct WriteState {
     explicit WriteState(const net::beast::tcp_stream::executor_type& executor)
@@ -101,7 +101,7 @@
   net::TimePoint deadline_;
   EngineConnectionPointer connection_;
   std::shared_ptr<WriteState> write_;  ///< nullptr before the request is sent
-  std::optional<Parser> parser_;
+  std::optional<net::ResponseParser> parser_;
   net::Error read_error_;  ///< the socket reports an error only once
   AnswerFacts facts_;
   std::string failure_;
