Reservations: one place gives them back, the last turn is noted where it asks

begin_remotely gave a reservation back in two places. update_escrow, which looks up what this node may spend, also noted the last turn's size and budget, so that raise_ahead assigned them to themselves; reserve and reserve_available note them now. The two tests with a scripted home share its fixture, the ledger's tests the loop that runs the background work; assertions as before.

--- a/src/cluster/turn_coordinator.cpp
+++ b/src/cluster/turn_coordinator.cpp
@@ -195,15 +195,13 @@
         .with("waited_ms", timeout.count())
         .with("sent", static_cast<int>(exchange.failure != net::ExchangeFailure::kNotSent));
     if (exchange.failure != net::ExchangeFailure::kNotSent && request.tokens > 0) {
-      net::asio::co_spawn(context_, close_remotely(home, unused_turn_end(message)),
-                          net::asio::detached);
+      return_reservation(home, message);
     }
     co_return false;
   }
   if (reply->reserved > 0 && reply->reserved < request.tokens) {
     // A home of an earlier version: the turn could not end on so few tokens.
-    net::asio::co_spawn(context_, close_remotely(home, unused_turn_end(message)),
-                        net::asio::detached);
+    return_reservation(home, message);
     co_return false;
   }
   start.reservation_node = home.node;
@@ -221,6 +219,10 @@
       ReserveOutcome::kUnavailable;
 }
 
+void TurnCoordinator::return_reservation(const Peer& home, const wire::BeginTurn& begun) {
+  net::asio::co_spawn(context_, close_remotely(home, unused_turn_end(begun)), net::asio::detached);
+}
+
 std::optional<Peer> TurnCoordinator::home_of(const std::string& program) const {
   if (!mechanisms_.homes) return std::nullopt;
   const auto now = net::Clock::now();
--- a/src/cluster/turn_coordinator.hpp
+++ b/src/cluster/turn_coordinator.hpp
@@ -113,6 +113,8 @@
   /// @return the status of the answer; nullopt if there was none.
   net::asio::awaitable<std::optional<net::http::status>> close_remotely(Peer home,
                                                                         wire::EndTurn message);
+  /// Gives a reservation back to its home unused, in the background.
+  void return_reservation(const Peer& home, const wire::BeginTurn& begun);
   void log_undelivered_end(const Peer& home, const wire::EndTurn& message);
   net::asio::awaitable<void> serve_begin(const net::TextRequest& request,
                                          net::TextResponse& response);
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -63,6 +63,8 @@
                                                            std::int64_t budget,
                                                            net::TimePoint deadline) {
   auto entry = program(id);
+  entry->turn_tokens = tokens;
+  entry->budget = budget;
   update_escrow(id, *entry, tokens, budget);
   if (entry->account.reserve(tokens)) co_return ReserveOutcome::kReserved;
   if (recently_exhausted(id, tokens)) co_return ReserveOutcome::kExhausted;
@@ -82,6 +84,8 @@
 bool BudgetLedger::reserve_available(const std::string& id, std::int64_t tokens,
                                      std::int64_t budget) {
   auto entry = program(id);
+  entry->turn_tokens = tokens;
+  entry->budget = budget;
   update_escrow(id, *entry, tokens, budget);
   return entry->account.reserve(tokens);
 }
@@ -111,8 +115,6 @@
 
 std::int64_t BudgetLedger::update_escrow(const std::string& id, Program& program,
                                          std::int64_t tokens, std::int64_t budget) {
-  program.turn_tokens = tokens;
-  program.budget = budget;
   const auto division = escrow_.division(id, budget, tokens);
   program.account.set_escrow(division.escrow);
   return division.from_rows;
--- a/tests/cluster/turn_coordinator_test.cpp
+++ b/tests/cluster/turn_coordinator_test.cpp
@@ -127,72 +127,65 @@
   REQUIRE(begin(program, kTurnTokens).reservation == ReserveOutcome::kUnavailable);
 }
 
-TEST_CASE_METHOD(test::GatewayFixture,
-                 "a reservation is closed at a home whose answer cannot be decoded",
-                 "[cluster][reservations]") {
-  start_unconfigured();
-  std::vector<std::string> asked;
-  const auto endpoint = test::own_endpoint();
-  net::TextServer home(context, endpoint,
-                       [&](net::TextRequest request) -> net::asio::awaitable<net::TextResponse> {
+namespace {
+
+/// A node beside a home that answers every call with the same bytes.
+struct ScriptedHomeFixture : test::GatewayFixture {
+  std::vector<std::string> asked;  ///< paths of the calls of the home
+  std::string answer;
+  net::Endpoint endpoint = test::own_endpoint();
+  net::TextServer home{context, endpoint,
+                       [this](net::TextRequest request) -> net::asio::awaitable<net::TextResponse> {
                          asked.emplace_back(request.target());
                          net::TextResponse response;
-                         response.body() = "nonsense";
+                         response.body() = answer;
                          co_return response;
-                       });
-  home.start();
-  auto& state = gateway->state();
-  wire::PeerRow row;
-  row.incarnation = kHomeIncarnation;
-  row.zone = "zone";
-  row.address = endpoint.address().to_string();
-  row.port = endpoint.port();
-  state.peers.put("home", row, net::Clock::now());
-  cluster::TurnRequest request;
-  request.tokens = kTurnTokens;
-  request.budget = kBudget;
-  const auto now = net::Clock::now();
-  for (int i = 0; !state.peers.home(request.program.text(), now, kPeerTimeout); ++i) {
-    request.program = tenancy::StateKey("", "program-" + std::to_string(i));
+                       }};
+
+  ScriptedHomeFixture() {
+    start_unconfigured();
+    home.start();
+    wire::PeerRow row;
+    row.incarnation = kHomeIncarnation;
+    row.zone = "zone";
+    row.address = endpoint.address().to_string();
+    row.port = endpoint.port();
+    gateway->state().peers.put("home", row, net::Clock::now());
+  }
+  /// Begins a turn of a program whose home is the scripted one.
+  cluster::TurnStart begin() {
+    auto& state = gateway->state();
+    cluster::TurnRequest request;
+    request.tokens = kTurnTokens;
+    request.budget = kBudget;
+    const auto now = net::Clock::now();
+    for (int i = 0; !state.peers.home(request.program.text(), now, kPeerTimeout); ++i) {
+      request.program = tenancy::StateKey("", "program-" + std::to_string(i));
+    }
+    return run(context, state.turns.begin(request, now + kPeerTimeout));
   }
-  run(context, state.turns.begin(request, now + kPeerTimeout));
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(ScriptedHomeFixture,
+                 "a reservation is closed at a home whose answer cannot be decoded",
+                 "[cluster][reservations]") {
+  answer = "nonsense";
+  begin();
   run_until(context, [&] { return asked.size() >= 2; });
   REQUIRE(asked[0] == "/peer/turns/begin");
   REQUIRE(asked[1] == "/peer/turns/close");
 }
 
-TEST_CASE_METHOD(test::GatewayFixture,
+TEST_CASE_METHOD(ScriptedHomeFixture,
                  "a home that reserves less than a turn may generate is not relied upon",
                  "[cluster][reservations]") {
-  start_unconfigured();
-  std::vector<std::string> asked;
-  const auto endpoint = test::own_endpoint();
-  net::TextServer home(context, endpoint,
-                       [&](net::TextRequest request) -> net::asio::awaitable<net::TextResponse> {
-                         asked.emplace_back(request.target());
-                         wire::BeginTurnReply reply;
-                         reply.reservation = wire::TurnReservation::kReserved;
-                         reply.reserved = kTurnTokens / 2;
-                         net::TextResponse response;
-                         response.body() = wire::encode(reply);
-                         co_return response;
-                       });
-  home.start();
-  auto& state = gateway->state();
-  wire::PeerRow row;
-  row.incarnation = kHomeIncarnation;
-  row.zone = "zone";
-  row.address = endpoint.address().to_string();
-  row.port = endpoint.port();
-  state.peers.put("home", row, net::Clock::now());
-  cluster::TurnRequest request;
-  request.tokens = kTurnTokens;
-  request.budget = kBudget;
-  const auto now = net::Clock::now();
-  for (int i = 0; !state.peers.home(request.program.text(), now, kPeerTimeout); ++i) {
-    request.program = tenancy::StateKey("", "program-" + std::to_string(i));
-  }
-  const auto start = run(context, state.turns.begin(request, now + kPeerTimeout));
+  wire::BeginTurnReply reply;
+  reply.reservation = wire::TurnReservation::kReserved;
+  reply.reserved = kTurnTokens / 2;
+  answer = wire::encode(reply);
+  const auto start = begin();
   REQUIRE(start.reservation == ReserveOutcome::kReserved);
   REQUIRE(start.reserved == kTurnTokens);
   REQUIRE(start.reservation_node.empty());
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -38,6 +38,11 @@
     return run(context,
                ledger.budgets.reserve("program", tokens, kBudget, net::Clock::now() + time));
   }
+  /// Runs what goes on in the background to its end.
+  void run_all() {
+    context.restart();
+    context.run();
+  }
   ledger::LookupResult find(ProgramLedger& ledger, const std::string& id,
                             net::Millis time = net::Millis(200)) {
     return run(context, ledger.turns.find(id, net::Clock::now() + time));
@@ -59,12 +64,10 @@
   REQUIRE(reserve(first, 300) == ReserveOutcome::kReserved);
   first.budgets.settle("program", 300, 250);
   first.budgets.raise_ahead("program");
-  context.restart();
-  context.run();
+  run_all();
   const int writes = table.writes();
   first.budgets.raise_ahead("program");
-  context.restart();
-  context.run();
+  run_all();
   REQUIRE(table.writes() == writes);
   table.set_mode(MemoryTable::Mode::kRefuses);
   REQUIRE(first.budgets.reserve_available("program", 300, kBudget));
@@ -80,8 +83,7 @@
   second.budgets.settle("program", 200, 200);
   first.budgets.raise_ahead("program");
   second.budgets.raise_ahead("program");
-  context.restart();
-  context.run();
+  run_all();
   table.set_mode(MemoryTable::Mode::kRefuses);
   std::int64_t more = 0;
   while (first.budgets.reserve_available("program", 10, kBudget)) more += 10;
@@ -95,12 +97,10 @@
   first.budgets.settle("program", 300, 100);
   net::asio::co_spawn(context, first.budgets.release_all(net::Clock::now() + net::Millis(200)),
                       net::asio::detached);
-  context.restart();
-  context.run();
+  run_all();
   const int writes = table.writes();
   first.budgets.raise_ahead("program");
-  context.restart();
-  context.run();
+  run_all();
   REQUIRE(table.writes() == writes);
   REQUIRE(reserve(second, 900) == ReserveOutcome::kReserved);
 }
