--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -62,12 +62,9 @@
 net::asio::awaitable<ReserveOutcome> BudgetLedger::reserve(std::string id, std::int64_t tokens,
                                                            std::int64_t budget,
                                                            net::TimePoint deadline) {
-  auto entry = program(id);
-  entry->turn_tokens = tokens;
-  entry->budget = budget;
-  update_escrow(id, *entry, tokens, budget);
-  if (entry->account.reserve(tokens)) co_return ReserveOutcome::kReserved;
+  if (reserve_available(id, tokens, budget)) co_return ReserveOutcome::kReserved;
   if (recently_exhausted(id, tokens)) co_return ReserveOutcome::kExhausted;
+  auto entry = program(id);
   const auto guard = co_await entry->mutex.lock();
   // Programs in an endless loop send many requests at once: the first one checks the budget for all
   // of them.
